Serve a request from caller to engine and back

Cause: the repository was empty. A node needs a whole path before its policies can be measured: HTTP in, a slot, an upstream, an answer that is checked for its end marker, refusals that say whether the request ran.

Before: nothing.

--- /dev/null
+++ b/src/tanagerport/exceptions.py
@@ -0,0 +1,99 @@
+"""Errors that tanagerport raises."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+from tanagerport.findings import Finding, format_findings
+
+if TYPE_CHECKING:
+    from tanagerport.model import Refusal
+
+
+class TanagerportError(Exception):
+    """Base of all errors that tanagerport raises."""
+
+
+class DocumentError(TanagerportError):
+    """A document has one or more findings.
+
+    Attributes:
+        findings: All findings of the document.
+    """
+
+    def __init__(self, source: str, findings: Sequence[Finding]) -> None:
+        super().__init__(f"{source} is invalid:\n{format_findings(findings)}")
+        self.findings = tuple(findings)
+
+
+class SettingsError(DocumentError):
+    """The settings of a node are invalid."""
+
+
+class PlatformError(TanagerportError):
+    """A platform service could not do what was asked."""
+
+
+class StoreUnavailableError(PlatformError):
+    """The service was not reached, so the operation did not take effect."""
+
+
+class OutcomeUnknownError(PlatformError):
+    """The answer was lost, so the write may or may not have taken effect."""
+
+
+class StoreConflictError(PlatformError):
+    """A condition of a table transaction did not hold.
+
+    Attributes:
+        keys: Keys whose revision differs from the condition.
+    """
+
+    def __init__(self, keys: Sequence[str]) -> None:
+        super().__init__(f"records changed: {', '.join(keys)}")
+        self.keys = tuple(keys)
+
+
+class LeaseLostError(TanagerportError):
+    """The lease is no longer held by this node."""
+
+
+class RefusedError(TanagerportError):
+    """A request is refused.
+
+    Attributes:
+        refusal: Reason and whether the request ran.
+    """
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+class UpstreamError(TanagerportError):
+    """A call to an upstream failed."""
+
+
+class UpstreamNotStartedError(UpstreamError):
+    """The call failed and provably did not start at the upstream.
+
+    Attributes:
+        reason: Value of `RetryReason` that explains the failure.
+    """
+
+    def __init__(self, message: str, reason: str) -> None:
+        super().__init__(message)
+        self.reason = reason
+
+
+class UpstreamOutcomeUnknownError(UpstreamError):
+    """The call failed after the upstream may have started it."""
+
+
+class AnswerTruncatedError(UpstreamError):
+    """The answer ended before its end marker."""
+
+
+class PeerError(TanagerportError):
+    """A call to another node failed."""
