--- a/src/tanagerport/exceptions.py
+++ b/src/tanagerport/exceptions.py
@@ -55,6 +55,37 @@
         self.keys = tuple(keys)
 
 
+class ConfigConflictError(TanagerportError):
+    """Another operator changed the record that a change is about.
+
+    Attributes:
+        key: Key of the record.
+        operator: Operator whose change was not applied.
+        other_operator: Operator whose change is in force.
+        version: Configuration version of the change in force.
+        changes: What the change in force altered, one text for each field.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        operator: str,
+        other_operator: str,
+        version: int,
+        changes: Sequence[str],
+    ) -> None:
+        super().__init__(
+            f"{key} was changed by {other_operator!r} in version {version}"
+            f" ({'; '.join(changes) or 'same content'}), so the change by"
+            f" {operator!r} was not applied"
+        )
+        self.key = key
+        self.operator = operator
+        self.other_operator = other_operator
+        self.version = version
+        self.changes = tuple(changes)
+
+
 class LeaseLostError(TanagerportError):
     """The lease is no longer held by this node."""
 
