Add the operators' command line and its pages

Cause: operators had `node`, `check` and `demo` only. Sub-commands now carry their own flags, help with an example and documented exit codes; errors name the flag or the field. Pages for commands, settings and refusals are checked against the code by tests.

Conclusion: the client side is fixed; the node side follows.

--- a/src/tanagerport/demo.py
+++ b/src/tanagerport/demo.py
@@ -1,13 +1,18 @@
 """Demonstration: an embedded node in front of simulated upstreams."""
 
 import collections
+import contextlib
 import dataclasses
 import json
+import pathlib
+import tempfile
 import threading
 import time
+from collections.abc import Iterator, Sequence
 
 import urllib3
 
+from tanagerport.exceptions import TanagerportError
 from tanagerport.model import VM, UpstreamKind, VMRole, WorkClass
 from tanagerport.node import Node, create_node
 from tanagerport.settings import PlatformSettings, Settings
@@ -20,6 +25,9 @@
 
 _ZONE, _REGION = "lm-burnaby", "lower-mainland"
 _REQUEST_TIMEOUT_S = 30.0
+_READY_TIMEOUT_S = 10.0
+_SERVE_ADDRESSES = ("127.0.0.1:8080", "127.0.0.1:8081", "127.0.0.1:8082")
+_OPERATOR_TOKEN = "demo-operator-token"
 _STEP_SECONDS = (0.003, 0.006, 0.010)
 
 _CLASSES = (
@@ -66,6 +74,44 @@
     Returns:
         Exit code: 0 if every answer was right, else 1.
     """
+    with _running_node(("127.0.0.1:0",) * 3) as node:
+        results = _send_all(node)
+    return _report(results)
+
+
+def serve_demo() -> int:
+    """Serves on fixed addresses until SIGINT.
+
+    Returns:
+        Exit code 0.
+    """
+    with _running_node(_SERVE_ADDRESSES):
+        token_path = pathlib.Path(tempfile.mkstemp(prefix="tanagerport-")[1])
+        token_path.write_text(_OPERATOR_TOKEN)
+        print(_SERVE_TEXT.format(token_path=token_path), flush=True)
+        try:
+            threading.Event().wait()
+        except KeyboardInterrupt:
+            print("draining")
+        finally:
+            token_path.unlink()
+    return 0
+
+
+_SERVE_TEXT = """\
+Serving on 127.0.0.1:8080 until Ctrl-C. In another terminal:
+
+  curl -N http://127.0.0.1:8080/v1/chat/completions \\
+    -H 'X-Class: coaching-turn' -H 'X-Customer: quietword' \\
+    -d '{{"model": "tutor", "stream": true, "max_tokens": 20,
+         "messages": [{{"role": "user", "content": "say bah"}}]}}'
+
+  tanagerport status --operator=127.0.0.1:8081 --token_file={token_path}
+"""
+
+
+@contextlib.contextmanager
+def _running_node(addresses: Sequence[str]) -> Iterator[Node]:
     engines = [
         StandinEngine(profile=EngineProfile(step_s=step_s))
         for step_s in _STEP_SECONDS
@@ -74,19 +120,32 @@
     upstreams: list[StandinEngine | StandinService] = [*engines, service]
     for upstream in upstreams:
         upstream.start()
-    node = create_node(_build_settings(engines, service))
+    node = create_node(_build_settings(engines, service, addresses))
     node.start()
+    _wait_until_ready(node)
     try:
-        results = _send_all(node)
+        yield node
     finally:
         node.stop()
         for upstream in upstreams:
             upstream.stop()
-    return _report(results)
+
+
+def _wait_until_ready(node: Node) -> None:
+    give_up_at = time.monotonic() + _READY_TIMEOUT_S
+    while node.not_ready_reason:
+        if time.monotonic() > give_up_at:
+            raise TanagerportError(
+                f"node is not ready after {_READY_TIMEOUT_S:g} s:"
+                f" {node.not_ready_reason}"
+            )
+        time.sleep(0.05)
 
 
 def _build_settings(
-    engines: list[StandinEngine], service: StandinService
+    engines: list[StandinEngine],
+    service: StandinService,
+    addresses: Sequence[str],
 ) -> Settings:
     vms = [
         VM(
@@ -113,10 +172,10 @@
         node_id="node-1",
         zone=_ZONE,
         region=_REGION,
-        listen="127.0.0.1:0",
-        operator_listen="127.0.0.1:0",
-        peer_listen="127.0.0.1:0",
-        operator_token="demo-operator-token",
+        listen=addresses[0],
+        operator_listen=addresses[1],
+        peer_listen=addresses[2],
+        operator_token=_OPERATOR_TOKEN,
         peer_token="demo-peer-token",
         platform=PlatformSettings(vms=tuple(vms)),
         classes=_CLASSES,
--- a/src/tanagerport/exceptions.py
+++ b/src/tanagerport/exceptions.py
@@ -97,3 +97,19 @@
 
 class PeerError(TanagerportError):
     """A call to another node failed."""
+
+
+class OperatorError(TanagerportError):
+    """A call to a node's operator interface failed."""
+
+
+class OperatorUnreachableError(OperatorError):
+    """No operator interface answered."""
+
+
+class OperatorRequestError(OperatorError):
+    """The node refused the operator's request."""
+
+
+class OperatorConflictError(OperatorError):
+    """Another operator changed the same record first."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,12 +1,20 @@
 """Tests of `tanagerport.settings`."""
 
+import dataclasses
 import json
 import pathlib
 
 import pytest
 
 from tanagerport.exceptions import SettingsError
-from tanagerport.settings import load_settings, parse_settings
+from tanagerport.model import VM, WorkClass
+from tanagerport.settings import (
+    PlatformSettings,
+    Settings,
+    TimingSettings,
+    load_settings,
+    parse_settings,
+)
 
 _EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 
@@ -89,3 +97,21 @@
         for deployment in ("quietword", "maison-obi"):
             paths = list((_EXAMPLES / deployment).glob("node-*.json"))
             assert len(paths) == 8
+
+
+class TestSettingsPage:
+    """Guards against settings that the docs do not name."""
+
+    @pytest.mark.parametrize(
+        "data_class",
+        [Settings, PlatformSettings, TimingSettings, VM, WorkClass],
+        ids=lambda data_class: data_class.__name__,
+    )
+    def test_page_names_every_field(self, data_class: type) -> None:
+        page = (_EXAMPLES.parent / "docs" / "settings.md").read_text()
+        missing = [
+            field.name
+            for field in dataclasses.fields(data_class)
+            if f"| `{field.name}` |" not in page
+        ]
+        assert not missing
