--- a/src/tanagerport/control_plane.py
+++ b/src/tanagerport/control_plane.py
@@ -34,6 +34,7 @@
         self, settings: Settings, platform: Platform, clock: Clock
     ) -> None:
         self._clock = clock
+        self._has_platform_list = settings.platform.vm_list_url is not None
         self._loop = LoopThread(f"control-{settings.node_id}")
         self.supervisor = Supervisor("node", clock)
         self.membership = Membership(settings, platform.vm_list, clock)
@@ -76,6 +77,9 @@
         Raises:
             OSError: The peer address can't be bound.
         """
+        if not self._has_platform_list:
+            # A list in memory is at hand, so the node need not start empty.
+            self.membership.read_list()
         self.peers.bind()
         self.membership.set_address(self.peers.address)
         self._loop.start()
--- a/src/tanagerport/membership.py
+++ b/src/tanagerport/membership.py
@@ -56,6 +56,7 @@
         self._suspected: tuple[str, ...] = ()
         self._views: dict[str, NodeView] = {}
         self._listed_at = float("-inf")
+        self._listed_vms: Sequence[VM] = ()
         self._random = random.Random(settings.node_id)
         self._rebuild()
 
@@ -74,6 +75,11 @@
         """Seconds since the VM list was read."""
         return self._clock.monotonic() - self._listed_at
 
+    @property
+    def listed_vms(self) -> Sequence[VM]:
+        """VM list as last read; empty before."""
+        return self._listed_vms
+
     def nodes(self, zone: str | None = None) -> Sequence[NodeView]:
         """Returns known nodes of a zone, or of all zones, self included."""
         return [
@@ -226,12 +232,23 @@
                 _log.warning("empty_vm_list_ignored")
                 return
             self._listed_at = now
+            self._listed_vms = vms
             self._upstreams.take_list(vms, now)
             self._nodes.take_list(
                 [vm for vm in vms if vm.role is VMRole.ENTRY], now
             )
             self._rebuild()
 
+    def take_peer_list(self, vms: Sequence[VM]) -> None:
+        """Takes a peer's VM list if none was read.
+
+        A node that starts while the platform is down learns in this way
+        which upstreams and nodes exist.
+        """
+        if vms and not self._listed_vms:
+            _log.info("vm_list_from_peer", vms=len(vms))
+            self.take_list(vms)
+
     def observe(self) -> None:
         """Draws conclusions from silence; called at every interval."""
         now = self._clock.monotonic()
--- a/src/tanagerport/node.py
+++ b/src/tanagerport/node.py
@@ -6,6 +6,7 @@
 
 from tanagerport.clock import Clock, SystemClock
 from tanagerport.configuration import ConfigurationStore
+from tanagerport.control_metrics import ControlCollector
 from tanagerport.control_plane import ControlPlane
 from tanagerport.frontend import CallerApplication
 from tanagerport.http_server import HttpServer
@@ -165,6 +166,8 @@
     def upstreams() -> Sequence[VM]:
         return control.membership.upstreams(settings.zone)
 
+    metrics = Metrics()
+    metrics.registry.register(ControlCollector(control))
     scheduler = StaticScheduler(upstreams, clock, settings.queue_limit)
     return Node(
         settings,
@@ -172,6 +175,6 @@
         control,
         scheduler,
         UpstreamClient(settings.timing),
-        Metrics(),
+        metrics,
         clock,
     )
--- a/src/tanagerport/platform_memory.py
+++ b/src/tanagerport/platform_memory.py
@@ -114,9 +114,16 @@
             ]
             return visible[-1]
 
-    def set_vms(self, vms: Iterable[VM]) -> None:
-        """Replaces the VMs; readers see it after the lag."""
+    def set_vms(self, vms: Iterable[VM], lag_s: float | None = None) -> None:
+        """Replaces the VMs; readers see it after the lag.
+
+        Args:
+            vms: VMs of the platform.
+            lag_s: New lag in seconds; None keeps it.
+        """
         with self._lock:
+            if lag_s is not None:
+                self._lag_s = lag_s
             self._history.append((self._clock.monotonic(), tuple(vms)))
 
 
--- a/src/tanagerport/spread.py
+++ b/src/tanagerport/spread.py
@@ -19,7 +19,7 @@
 from tanagerport.configuration import ConfigurationStore
 from tanagerport.exceptions import DocumentError, PeerError, PlatformError
 from tanagerport.interfaces import NodeLiveness, NodeView
-from tanagerport.model import WorkClass
+from tanagerport.model import VM, WorkClass
 from tanagerport.peer_pb2 import (
     ConfigRecord,
     FetchRecordsReply,
@@ -40,6 +40,7 @@
 _GONE = (NodeLiveness.DEAD, NodeLiveness.UNREACHABLE)
 
 _log = structlog.get_logger(__name__)
+_vms_decoder = msgspec.json.Decoder(list[VM])
 _conviction_decoder = msgspec.json.Decoder(tuple[str, str, str])
 
 
@@ -69,8 +70,11 @@
         """Returns what is known of a node."""
 
     @property
-    def list_age_s(self) -> float:
-        """Seconds since the VM list was read."""
+    def listed_vms(self) -> Sequence[VM]:
+        """VM list as last read; empty before."""
+
+    def take_peer_list(self, vms: Sequence[VM]) -> None:
+        """Takes a peer's VM list if none was read."""
 
 
 class Spread:
@@ -104,6 +108,8 @@
         self._digests: dict[str, int] = {}
         self._ahead: set[str] = set()
         self._is_ready = False
+        # Without a platform the settings state the VMs, perhaps none.
+        self._needs_vms = settings.platform.vm_list_url is not None
         self._fetch_wanted: asyncio.Event | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
         store.add_listener(self._on_change)
@@ -111,9 +117,11 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether this node knows the highest version."""
+        """Whether this node knows the highest version and the VMs."""
         if not self._is_ready:
-            self._is_ready = self._knows_highest()
+            self._is_ready = (
+                bool(self._directory.listed_vms) or not self._needs_vms
+            ) and self._knows_highest()
         return self._is_ready
 
     @property
@@ -153,6 +161,7 @@
             is_ahead = (
                 heartbeat.config_version > snapshot.version
                 or heartbeat.records_digest != snapshot.convictions_digest
+                or self._wants_vms()
             )
             if is_ahead:
                 self._ahead.add(heartbeat.node_id)
@@ -176,6 +185,8 @@
                 encode_conviction(Conviction(model, version, reason))
                 for (model, version), reason in snapshot.convictions.items()
             )
+        if request.want_vms:
+            reply.vms = encode(self._directory.listed_vms)
         return reply
 
     async def run_fetcher(self) -> None:
@@ -270,12 +281,14 @@
         if (
             version <= snapshot.version
             and digest == snapshot.convictions_digest
+            and not self._wants_vms()
         ):
             return
         request = FetchRecordsRequest(
             node_id=self._settings.node_id,
             since_version=snapshot.version,
             records_digest=snapshot.convictions_digest,
+            want_vms=self._wants_vms(),
         )
         try:
             reply = await self._peers.call_in_loop(
@@ -294,6 +307,11 @@
             reply.config_version,
         )
         self._take_convictions(reply.convictions)
+        if reply.vms:
+            self._directory.take_peer_list(_vms_decoder.decode(reply.vms))
+
+    def _wants_vms(self) -> bool:
+        return self._needs_vms and not self._directory.listed_vms
 
     def _on_change(self) -> None:
         digest = self._store.state.snapshot.convictions_digest
