--- a/src/tanagerport/membership.py
+++ b/src/tanagerport/membership.py
@@ -46,6 +46,7 @@
         self._started_at = clock.monotonic()
         self._whole_since = self._started_at
         self._cut_off_at = float("-inf")
+        self._observed_at = self._started_at
         self._boot_id = secrets.token_hex(_BOOT_ID_BYTES)
         self._state = NodeState.NODE_STATE_JOINING
         self._address = settings.peer_listen
@@ -60,6 +61,15 @@
         self._random = random.Random(settings.node_id)
         self._rebuild()
 
+    @property
+    def _cut_off_bound_s(self) -> float:
+        """Silence after which claims may be missing here.
+
+        It lies before the bound at which peers remove this node, so that the
+        node says so before it is asked again.
+        """
+        return (self._timing.suspect_after_s + self._timing.dead_after_s) / 2
+
     @property
     def boot_id(self) -> str:
         """Identity of this process."""
@@ -206,6 +216,7 @@
         """Takes liveness and hints from a heartbeat."""
         now = self._clock.monotonic()
         with self._lock:
+            self._notice_pause(now)
             known = self._views.get(heartbeat.node_id)
             if not self._nodes.take_heartbeat(
                 heartbeat, now, self._clock.time()
@@ -253,6 +264,8 @@
         """Draws conclusions from silence; called at every interval."""
         now = self._clock.monotonic()
         with self._lock:
+            self._notice_pause(now)
+            self._observed_at = now
             self._nodes.forget_gone(now, self._clock.time())
             self._observe_zones(now)
             self._observe_own_zone(now)
@@ -302,13 +315,17 @@
                 self._zone_cut_at[zone] = now
         self._unreachable_zones = tuple(unreachable)
 
-    def _observe_own_zone(self, now: float) -> None:
-        """Detects that this node is cut off from most of its zone.
+    def _notice_pause(self, now: float) -> None:
+        """Treats a pause of this process as being cut off.
 
-        The bound lies before the one at which peers remove this node, so
-        that it states that claims may be missing before it is asked again.
+        The first heartbeat after the pause would otherwise hide it.
         """
-        bound_s = (self._timing.suspect_after_s + self._timing.dead_after_s) / 2
+        if now - self._observed_at > self._cut_off_bound_s:
+            self._observed_at = now
+            self._note_cut_off(now)
+
+    def _observe_own_zone(self, now: float) -> None:
+        """Detects that this node is cut off from most of its zone."""
         others = [
             node
             for node in self._nodes
@@ -317,7 +334,8 @@
             and self._nodes.liveness(node, now) is not NodeLiveness.DEAD
         ]
         silent = sum(
-            now - max(node.heard_at, node.monitored_since or now) > bound_s
+            now - max(node.heard_at, node.monitored_since or now)
+            > self._cut_off_bound_s
             for node in others
         )
         if silent * 2 > len(others):
--- a/src/tanagerport/node_states.py
+++ b/src/tanagerport/node_states.py
@@ -151,10 +151,7 @@
 
     def liveness(self, node: EntryNode, now: float) -> NodeLiveness:
         """Concludes whether a node lives."""
-        interval_s = self._targets.get(
-            node.node_id, self._timing.remote_heartbeat_s
-        )
-        extra_s = interval_s - self._timing.heartbeat_s
+        extra_s = self._interval_s(node.zone) - self._timing.heartbeat_s
         silence_s = now - self._heard_or_monitored(node)
         if silence_s < self._timing.suspect_after_s + extra_s:
             return NodeLiveness.LIVE
@@ -207,13 +204,10 @@
             by_zone.setdefault(node.zone, []).append(node.node_id)
         targets: dict[str, float] = {}
         for zone, node_ids in by_zone.items():
-            if zone == self._settings.zone:
-                wanted, interval_s = _MAX_NEIGHBOURS, self._timing.heartbeat_s
-            else:
-                wanted = _REMOTE_NEIGHBOURS
-                interval_s = self._timing.remote_heartbeat_s
+            is_own = zone == self._settings.zone
+            wanted = _MAX_NEIGHBOURS if is_own else _REMOTE_NEIGHBOURS
             for node_id in self._reachable_prefix(node_ids, wanted, now):
-                targets[node_id] = interval_s
+                targets[node_id] = self._interval_s(zone)
         for node_id, node in self._nodes.items():
             if node_id not in targets:
                 node.monitored_since = None
@@ -260,6 +254,11 @@
                 wanted -= 1
         return prefix
 
+    def _interval_s(self, zone: str) -> float:
+        if zone == self._settings.zone:
+            return self._timing.heartbeat_s
+        return self._timing.remote_heartbeat_s
+
     def _heard_or_monitored(self, node: EntryNode) -> float:
         """Returns when silence began; a node gets time to answer at first."""
         return max(node.heard_at, node.monitored_since or _NEVER)
