--- /dev/null
+++ b/src/tanagerport/fault_proxy.py
@@ -0,0 +1,187 @@
+"""TCP proxy that injects faults, set at run time."""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Callable
+
+from tanagerport.settings import split_address
+
+_READ_BYTES = 65536
+_CONNECT_TIMEOUT_S = 1.0
+_BACKLOG = 256
+
+
+@dataclasses.dataclass(frozen=True)
+class LinkFaults:
+    """Faults of a proxied link.
+
+    Attributes:
+        delay_s: One-way delay in seconds.
+        cut: New connections are closed at once and open ones break.
+        bytes_per_s: Bandwidth of each direction; 0 is unlimited.
+    """
+
+    delay_s: float = 0.0
+    cut: bool = False
+    bytes_per_s: int = 0
+
+
+class FaultProxy:
+    """Proxy of one TCP address; use it from one event loop.
+
+    Args:
+        target: `ip:port` of the server.
+        address: `ip:port` to listen on.
+    """
+
+    def __init__(self, target: str, address: str = "127.0.0.1:0") -> None:
+        self._target = split_address(target)
+        self._requested = split_address(address)
+        self._faults = LinkFaults()
+        self._server: asyncio.Server | None = None
+        self._links: set[_Link] = set()
+        self.address = address
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    async def start(self) -> None:
+        """Binds the address.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        host, port = self._requested
+        self._server = await asyncio.start_server(
+            self._serve, host, port, backlog=_BACKLOG
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Closes the listener and all connections."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        self._break_all()
+
+    @property
+    def faults(self) -> LinkFaults:
+        """Faults in force."""
+        return self._faults
+
+    def set_faults(self, faults: LinkFaults) -> None:
+        """Replaces the faults; `cut` breaks the open connections."""
+        self._faults = faults
+        if faults.cut:
+            self._break_all()
+
+    def silence_open(self) -> int:
+        """Makes the open connections silent for good; new ones work.
+
+        Returns:
+            Number of connections that became silent.
+        """
+        for link in self._links:
+            link.silent = True
+        return len(self._links)
+
+    def _break_all(self) -> None:
+        for link in list(self._links):
+            link.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._faults.cut:
+            writer.transport.abort()
+            return
+        host, port = self._target
+        try:
+            upstream_reader, upstream_writer = await asyncio.wait_for(
+                asyncio.open_connection(host, port), _CONNECT_TIMEOUT_S
+            )
+        except (OSError, TimeoutError):
+            writer.transport.abort()
+            return
+        link = _Link(writer, upstream_writer)
+        self._links.add(link)
+        try:
+            await asyncio.gather(
+                self._pump(link, reader, upstream_writer, self._count_sent),
+                self._pump(link, upstream_reader, writer, self._count_back),
+            )
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._links.discard(link)
+            link.abort()
+
+    def _count_sent(self, count: int) -> None:
+        self.bytes_sent += count
+
+    def _count_back(self, count: int) -> None:
+        self.bytes_received += count
+
+    async def _pump(
+        self,
+        link: "_Link",
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        count: Callable[[int], None],
+    ) -> None:
+        pending: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(64)
+        sender = asyncio.create_task(
+            self._send_pending(link, pending, writer, count)
+        )
+        try:
+            # Reading goes on while earlier data waits for its delay, so that
+            # a delay does not limit the bandwidth.
+            while data := await reader.read(_READ_BYTES):
+                await pending.put((time.monotonic(), data))
+            await pending.put((time.monotonic(), b""))
+            await sender
+        finally:
+            sender.cancel()
+
+    async def _send_pending(
+        self,
+        link: "_Link",
+        pending: "asyncio.Queue[tuple[float, bytes]]",
+        writer: asyncio.StreamWriter,
+        count: Callable[[int], None],
+    ) -> None:
+        while True:
+            arrived, data = await pending.get()
+            faults = self._faults
+            wait_s = arrived + faults.delay_s - time.monotonic()
+            if faults.bytes_per_s:
+                wait_s = max(wait_s, 0.0) + len(data) / faults.bytes_per_s
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
+            if link.silent:
+                await link.closed.wait()
+                return
+            if not data:
+                if writer.can_write_eof():
+                    writer.write_eof()
+                return
+            count(len(data))
+            writer.write(data)
+            await writer.drain()
+
+
+class _Link:
+    """A connection through the proxy."""
+
+    def __init__(
+        self, first: asyncio.StreamWriter, second: asyncio.StreamWriter
+    ) -> None:
+        self._writers = (first, second)
+        self.silent = False
+        self.closed = asyncio.Event()
+
+    def abort(self) -> None:
+        self.closed.set()
+        for writer in self._writers:
+            writer.transport.abort()
