--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,119 @@
+"""Tests of the learned limit of an upstream."""
+
+from tanagerport.interfaces import LoadReport
+from tanagerport.limits import (
+    Brake,
+    LimitEstimator,
+    SampleCounts,
+    SampleKind,
+    classify_seconds,
+)
+
+
+def _run(
+    estimator: LimitEstimator,
+    capacity: int,
+    seconds: float,
+    start: float,
+) -> list[int]:
+    """Feeds an upstream that misses its target above `capacity`."""
+    history = []
+    for step in range(int(seconds / 0.1)):
+        limit = estimator.limit
+        missed = limit if limit > capacity else 0
+        estimator.record(
+            SampleCounts(limit, missed, 0, limit), start + step * 0.1
+        )
+        history.append(estimator.limit)
+    return history
+
+
+class TestLimitEstimator:
+    """Guards against limits that do not follow the upstream."""
+
+    def test_starts_at_the_safe_limit(self) -> None:
+        assert LimitEstimator(4).limit == 4
+
+    def test_approaches_the_capacity_from_below(self) -> None:
+        history = _run(LimitEstimator(4), capacity=16, seconds=20, start=0)
+        settled = history[len(history) // 2 :]
+        assert min(settled) >= 8
+        assert max(settled) <= 17
+
+    def test_tenfold_slowdown_is_followed_within_two_seconds(self) -> None:
+        """Guards against rounds that react too slowly to a slow engine."""
+        estimator = LimitEstimator(4, start=20)
+        history = _run(estimator, capacity=2, seconds=2, start=100)
+        assert history[-1] <= 2
+
+    def test_late_samples_cause_no_second_decrease(self) -> None:
+        estimator = LimitEstimator(4, start=16)
+        estimator.record(SampleCounts(4, 4, 0, 4), 0.0)
+        estimator.record(SampleCounts(16, 16, 0, 16), 0.2)
+        assert estimator.limit == 8
+
+    def test_unused_limit_does_not_grow(self) -> None:
+        estimator = LimitEstimator(4)
+        for step in range(100):
+            estimator.record(SampleCounts(4, 0, 0, 0), step * 0.3)
+        assert estimator.limit == 4
+
+    def test_samples_near_the_target_stop_the_growth(self) -> None:
+        estimator = LimitEstimator(4)
+        for step in range(100):
+            estimator.record(SampleCounts(4, 0, 4, 4), step * 0.3)
+        assert estimator.limit == 4
+
+    def test_one_miss_by_chance_does_not_decrease(self) -> None:
+        estimator = LimitEstimator(8)
+        estimator.record(SampleCounts(4, 0, 0, 4), 0.0)
+        estimator.record(SampleCounts(4, 1, 0, 4), 0.3)
+        assert estimator.limit == 8
+
+    def test_never_below_one(self) -> None:
+        estimator = LimitEstimator(4)
+        for step in range(20):
+            estimator.record(SampleCounts(4, 4, 0, 0), step * 0.5)
+        assert estimator.limit == 1
+
+    def test_stale_load_report_loses_its_weight(self) -> None:
+        """Guards against an old report that keeps the limit low."""
+        report = LoadReport(waiting=5, max_batch=16, received_at=0.0)
+        estimator = LimitEstimator(4)
+        estimator.apply_load(report, 1.0)
+        for step in range(4):
+            estimator.record(SampleCounts(4, 0, 0, 4), 1.0 + step * 0.3)
+        assert estimator.limit == 4
+        estimator.apply_load(report, 10.0)
+        for step in range(4):
+            estimator.record(SampleCounts(4, 0, 0, 4), 10.0 + step * 0.3)
+        assert estimator.limit > 4
+
+    def test_reported_batch_bounds_the_limit(self) -> None:
+        estimator = LimitEstimator(4)
+        estimator.apply_load(LoadReport(max_batch=6), 0.0)
+        _run(estimator, capacity=100, seconds=10, start=0)
+        assert estimator.limit == 6
+
+
+class TestBrake:
+    """Guards against a node that floods a slow engine until a heartbeat."""
+
+    def test_halves_at_once_and_releases_later(self) -> None:
+        brake = Brake()
+        for _ in range(3):
+            brake.record(SampleKind.MISSED, 8, 10.0)
+        assert brake.bound(8, 10.0) == 4
+        assert brake.bound(8, 11.5) == 8
+
+    def test_few_misses_do_not_brake(self) -> None:
+        brake = Brake()
+        for kind in [SampleKind.MET] * 4 + [SampleKind.MISSED] * 3:
+            brake.record(kind, 8, 10.0)
+        assert brake.bound(8, 10.0) == 8
+
+
+def test_classify_leaves_room_for_queueing() -> None:
+    assert classify_seconds(0.25, 0.5) is SampleKind.MET
+    assert classify_seconds(0.35, 0.5) is SampleKind.NEAR
+    assert classify_seconds(0.45, 0.5) is SampleKind.MISSED
