--- /dev/null
+++ b/src/tanagerport/reference_times.py
@@ -0,0 +1,252 @@
+"""Timings of a model's old version, against which a new one is compared."""
+
+import collections
+import dataclasses
+import math
+import statistics
+from collections.abc import Iterable
+
+from tanagerport.interfaces import VersionSample
+
+_HISTORY_SAMPLES = 200
+_MIN_HISTORY = 8
+_REFRESH_EVERY = 8
+_QUANTILE = 0.95
+_MIN_TIME_S = 1e-6  # guards divisions
+# Control samples taken on each side of a sample's time. A burst that begins or
+# ends at the sample shows on one side only.
+_CONTROL_SAMPLES = 5
+_MIN_CONTROL = 2
+_WAITED_CONTROL = 3
+CONTROL_WINDOW_S = 3.0
+# Error of a median of n samples is about 0.3 / sqrt(n) of the median for
+# times whose logarithm varies by 0.25; the limit leaves room for twice that.
+_CONTROL_ERROR = 0.6
+# Full batches slow an engine by up to 2.7 times (16 requests in place of 1 at
+# the simulated engine). Without control samples that can't be told from a slow
+# version, so the limit then includes it.
+UNCONTROLLED_TOLERANCE = 2.7
+
+RouteKey = tuple[str, str]
+MEASURES = ("first_token_s", "token_interval_s")
+
+
+@dataclasses.dataclass(frozen=True)
+class TimeLimit:
+    """Longest time that counts as fine.
+
+    Attributes:
+        seconds: Limit of the measured time.
+        source: What the limit was derived from, for reports.
+    """
+
+    seconds: float
+    source: str
+
+
+class _Series:
+    """Recent values of one measure on one route."""
+
+    def __init__(self) -> None:
+        self._values: collections.deque[float] = collections.deque(
+            maxlen=_HISTORY_SAMPLES
+        )
+        self._since_refresh = 0
+        self._median = 0.0
+        self._upper = 0.0
+
+    def __len__(self) -> int:
+        return len(self._values)
+
+    @property
+    def median(self) -> float:
+        return self._median
+
+    @property
+    def upper(self) -> float:
+        """The 95th percentile."""
+        return self._upper
+
+    def add(self, value: float) -> None:
+        self._values.append(value)
+        self._since_refresh += 1
+        # Sorting at each sample would cost more than it adds in precision.
+        if len(self._values) <= 32 or self._since_refresh >= _REFRESH_EVERY:
+            self._since_refresh = 0
+            self._median = statistics.median(self._values)
+            self._upper = upper_quantile(self._values)
+
+
+class _MeasureTimes:
+    """Old version's values of one measure, by route and over time."""
+
+    def __init__(self) -> None:
+        self._routes: dict[RouteKey, _Series] = {}
+        self._classes: dict[str, _Series] = {}
+        # Speed of an upstream relative to the median of the class.
+        self._factors: dict[str, _Series] = {}
+        self._control: collections.deque[tuple[float, str, float]] = (
+            collections.deque(maxlen=4 * _HISTORY_SAMPLES)
+        )
+
+    def add(self, route: RouteKey, at: float, value: float) -> None:
+        class_name, upstream_id = route
+        base = self._base(route)
+        if base is not None:
+            self._control.append((at, upstream_id, value / base.median))
+        by_class = self._classes.setdefault(class_name, _Series())
+        if len(by_class) >= _MIN_HISTORY:
+            factors = self._factors.setdefault(upstream_id, _Series())
+            factors.add(value / max(by_class.median, _MIN_TIME_S))
+        by_class.add(value)
+        self._routes.setdefault(route, _Series()).add(value)
+
+    def limit(
+        self, route: RouteKey, at: float, target_s: float
+    ) -> TimeLimit | None:
+        slowdown = self._control_slowdown(route[1], at)
+        source = "history" if slowdown is None else "control"
+        factor = slowdown or UNCONTROLLED_TOLERANCE
+        base = self._base(route)
+        if base is not None:
+            usual_s = base.median * base.upper_ratio
+        elif target_s > 0:
+            usual_s = self._slowest_known(route[0], target_s)
+            source = "target"
+        else:
+            return None
+        return TimeLimit(usual_s * factor, source)
+
+    def has_control_after(self, at: float) -> bool:
+        """Returns whether enough control samples followed a time."""
+        return (
+            len(self._control) >= _WAITED_CONTROL
+            and self._control[-_WAITED_CONTROL][0] >= at
+        )
+
+    def _base(self, route: RouteKey) -> "_Base | None":
+        series = self._routes.get(route)
+        if series is not None and len(series) >= _MIN_HISTORY:
+            return _Base(series.median, series.upper)
+        by_class = self._classes.get(route[0])
+        factors = self._factors.get(route[1])
+        if (
+            by_class is None
+            or factors is None
+            or len(factors) < _CONTROL_SAMPLES
+        ):
+            return None
+        # Routes with little traffic borrow the class's median and the
+        # upstream's relative speed.
+        median = by_class.median * factors.median
+        spread = factors.upper / max(factors.median, _MIN_TIME_S)
+        return _Base(median, median * spread)
+
+    def _slowest_known(self, class_name: str, target_s: float) -> float:
+        # A new engine may be slower than every engine of the old version, so
+        # only a time beyond the class's target as well counts as slow.
+        known = [
+            series.upper
+            for (name, _), series in self._routes.items()
+            if name == class_name and len(series) >= _MIN_HISTORY
+        ]
+        return max([*known, target_s])
+
+    def _control_slowdown(self, upstream_id: str, at: float) -> float | None:
+        """Returns how much slower the old version is around a time."""
+        before: list[tuple[str, float]] = []
+        after: list[tuple[str, float]] = []
+        for time, upstream, ratio in reversed(self._control):
+            if time < at - CONTROL_WINDOW_S:
+                break
+            if time <= at + CONTROL_WINDOW_S:
+                (before if time < at else after).append((upstream, ratio))
+        after.reverse()
+        sides = [_nearest(side, upstream_id) for side in (before, after)]
+        if min(len(side) for side in sides) < _MIN_CONTROL:
+            return None
+        return max(
+            max(statistics.median(side), 1.0)
+            * (1 + _CONTROL_ERROR / math.sqrt(len(side)))
+            for side in sides
+        )
+
+
+def _nearest(samples: list[tuple[str, float]], upstream_id: str) -> list[float]:
+    """Returns the ratios nearest in time, of the same upstream if possible."""
+    same = [ratio for upstream, ratio in samples if upstream == upstream_id]
+    if len(same) >= _CONTROL_SAMPLES:
+        return same[:_CONTROL_SAMPLES]
+    return [ratio for _, ratio in samples[: 2 * _CONTROL_SAMPLES]]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Base:
+    """Usual time of the old version on one route."""
+
+    median_s: float
+    upper_s: float
+
+    @property
+    def median(self) -> float:
+        return max(self.median_s, _MIN_TIME_S)
+
+    @property
+    def upper_ratio(self) -> float:
+        return max(self.upper_s / self.median, 1.0)
+
+
+class ReferenceTimes:
+    """History and contemporaneous samples of an old version.
+
+    Every value is divided by the usual time of the old version on the same
+    class and upstream, so that control samples of a fast engine can be
+    compared with samples of a slow one.
+    """
+
+    def __init__(self) -> None:
+        self._measures = {name: _MeasureTimes() for name in MEASURES}
+
+    def has_control_after(self, at: float) -> bool:
+        """Returns whether enough samples of the old version followed."""
+        return any(
+            times.has_control_after(at) for times in self._measures.values()
+        )
+
+    def add(self, sample: VersionSample) -> None:
+        """Takes a sample of the old version."""
+        route = (sample.class_name, sample.upstream_id)
+        for name, times in self._measures.items():
+            value = getattr(sample, name)
+            if value is not None and not sample.failed:
+                times.add(route, sample.at, value)
+
+    def excess(
+        self, sample: VersionSample, targets: tuple[float, float]
+    ) -> float | None:
+        """Returns the sample's largest ratio of a time to its limit.
+
+        Args:
+            sample: Sample of the new version.
+            targets: Class targets of the first token and the token interval,
+                in seconds; 0 where the class is unknown.
+
+        Returns:
+            More than 1 if the sample is slow; None if nothing is comparable.
+        """
+        route = (sample.class_name, sample.upstream_id)
+        ratios = []
+        for (name, times), target_s in zip(
+            self._measures.items(), targets, strict=True
+        ):
+            value = getattr(sample, name)
+            limit = times.limit(route, sample.at, target_s)
+            if value is not None and limit is not None:
+                ratios.append(value / max(limit.seconds, _MIN_TIME_S))
+        return max(ratios, default=None)
+
+
+def upper_quantile(values: Iterable[float]) -> float:
+    """Returns the 95th percentile; the maximum of fewer than 20 values."""
+    ordered = sorted(values)
+    return ordered[min(int(_QUANTILE * len(ordered)), len(ordered) - 1)]
