--- a/src/tanagerport/reference_times.py
+++ b/src/tanagerport/reference_times.py
@@ -11,7 +11,10 @@
 _HISTORY_SAMPLES = 200
 _MIN_HISTORY = 8
 _REFRESH_EVERY = 8
-_QUANTILE = 0.95
+# For values whose logarithm is normal, the 95th percentile over the median is
+# this power of the upper quartile over the median (1.645 / 0.674).
+_QUARTILE_EXPONENT = 2.44
+_MIN_SPREAD = 1.15
 _MIN_TIME_S = 1e-6  # guards divisions
 # Control samples taken on each side of a sample's time. A burst that begins or
 # ends at the sample shows on one side only.
@@ -74,7 +77,7 @@
         if len(self._values) <= 32 or self._since_refresh >= _REFRESH_EVERY:
             self._since_refresh = 0
             self._median = statistics.median(self._values)
-            self._upper = upper_quantile(self._values)
+            self._upper = robust_upper(self._values, self._median)
 
 
 class _MeasureTimes:
@@ -246,7 +249,17 @@
         return max(ratios, default=None)
 
 
-def upper_quantile(values: Iterable[float]) -> float:
-    """Returns the 95th percentile; the maximum of fewer than 20 values."""
+def robust_upper(values: Iterable[float], median: float) -> float:
+    """Returns the 95th percentile, extrapolated from the upper quartile.
+
+    The upper quartile hardly moves when a burst slows a few of the values,
+    whereas the 95th percentile itself would become the burst's.
+
+    Args:
+        values: At least one value.
+        median: Median of the values.
+    """
     ordered = sorted(values)
-    return ordered[min(int(_QUANTILE * len(ordered)), len(ordered) - 1)]
+    quartile = ordered[(3 * len(ordered)) // 4]
+    ratio = quartile / max(median, _MIN_TIME_S)
+    return median * max(ratio**_QUARTILE_EXPONENT, _MIN_SPREAD)
