Add bench with the first four scenarios and the naive router

The bench replays a seeded trace through naive routers and real node processes against simulators, and judges invariants from callers' and upstreams' records.

--- /dev/null
+++ b/src/tanagerport/bench.py
@@ -0,0 +1,128 @@
+"""Bench: the same trace through the naive router and through real nodes."""
+
+import json
+import pathlib
+import sys
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from absl import flags
+
+from tanagerport.bench_judge import (
+    History,
+    count_violations,
+    goodput_by_tier,
+    median_first_token_s,
+    refusals,
+    wasted_prefill_tokens,
+)
+from tanagerport.bench_processes import BenchError
+from tanagerport.bench_runner import Side, dump_history, run_side
+from tanagerport.bench_scenarios import SCENARIOS, SCENARIOS_BY_NAME, Scenario
+from tanagerport.bench_trace import TraceOptions, make_trace
+
+
+def define_bench_flags(values: flags.FlagValues) -> None:
+    """Defines the flags of `bench`."""
+    flags.DEFINE_string(
+        "scenario",
+        "list",
+        "Scenario to run; `list` prints their names.",
+        flag_values=values,
+    )
+    flags.DEFINE_integer(
+        "seed",
+        1,
+        "Seed of the trace and of the simulators.",
+        flag_values=values,
+    )
+    flags.DEFINE_bool(
+        "json", False, "Print one JSON object.", flag_values=values
+    )
+    flags.DEFINE_enum(
+        "only",
+        None,
+        [side.value for side in Side],
+        "Run one side only.",
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        "dump",
+        None,
+        "Directory that receives all observations as JSON.",
+        flag_values=values,
+    )
+
+
+def run_command(values: flags.FlagValues, arguments: Sequence[str]) -> int:
+    """Runs a scenario and prints its result."""
+    del arguments
+    if values.scenario == "list":
+        print("\n".join(item.name for item in SCENARIOS))
+        return 0
+    scenario = SCENARIOS_BY_NAME.get(values.scenario)
+    if scenario is None:
+        raise flags.Error(f"--scenario: there is no {values.scenario!r}")
+    sides = [Side(values.only)] if values.only else list(Side)
+    try:
+        result = measure(scenario, values.seed, sides, values.dump)
+    except BenchError as error:
+        print(f"bench: {error}", file=sys.stderr)
+        return 1
+    print(json.dumps(result) if values.json else _table(result))
+    return 0
+
+
+def measure(
+    scenario: Scenario,
+    seed: int,
+    sides: Sequence[Side],
+    dump: str | None = None,
+) -> dict[str, Any]:
+    """Runs a scenario and returns its result document.
+
+    Raises:
+        BenchError: A process did not start.
+    """
+    trace = make_trace(
+        TraceOptions(
+            phases=scenario.phases,
+            classes=scenario.classes,
+            customers=scenario.customers,
+            zones=[zone.name for zone in scenario.zones],
+            resend_share=scenario.resend_share,
+        ),
+        seed,
+    )
+    result: dict[str, Any] = {"scenario": scenario.name, "seed": seed}
+    for side in sides:
+        history = run_side(side, scenario, trace, seed)
+        if dump:
+            name = f"{scenario.name}-{seed}-{side}.json"
+            dump_history(history, pathlib.Path(dump) / name)
+        result[side.value] = summarize(history)
+    return result
+
+
+def summarize(history: History) -> dict[str, Any]:
+    """Returns the figures of one side."""
+    return {
+        "offered": len({call.request.marker for call in history.calls}),
+        "goodput_by_tier": goodput_by_tier(history.calls),
+        "median_first_token_s": median_first_token_s(history.calls),
+        "wasted_prefill_tokens": wasted_prefill_tokens(history),
+        "refusals": refusals(history.calls),
+        "violations": count_violations(history),
+    }
+
+
+def _table(result: Mapping[str, Any]) -> str:
+    lines = [f"scenario {result['scenario']}, seed {result['seed']}"]
+    for side in Side:
+        figures = result.get(side.value)
+        if figures is None:
+            continue
+        lines.append(f"\n{side}")
+        for name, value in figures.items():
+            lines.append(f"  {name:24} {value}")
+    return "\n".join(lines)
--- /dev/null
+++ b/src/tanagerport/bench_judge.py
@@ -0,0 +1,319 @@
+"""Judges of the bench: invariants and metrics from what was observed.
+
+A judge sees what callers, upstreams and the store saw, and nothing that a
+node says of itself.
+"""
+
+import collections
+import dataclasses
+import statistics
+from collections.abc import Iterable, Mapping, Sequence
+
+from tanagerport.bench_caller import CallRecord
+
+LEAVING_GRACE_S = 3.0
+_SHED_WINDOW_S = 0.1
+CAPACITY_REASONS = frozenset(
+    {
+        "queue_full",
+        "deadline_unreachable",
+        "deadline_passed",
+        "preempted",
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Execution:
+    """Entry of an upstream's log; times are monotonic seconds."""
+
+    upstream: str
+    zone: str
+    is_engine: bool
+    request_id: str
+    key: str
+    marker: str
+    model: str
+    version: str
+    started: float
+    ended: float
+    complete: bool
+    prefilled_tokens: int = 0
+    pauses: tuple[tuple[float, float], ...] = ()
+
+    def ran_within(self, start: float, end: float) -> bool:
+        """Returns whether it ran, not paused, at some time of the span."""
+        position = max(start, self.started)
+        limit = min(end, self.ended)
+        for paused, resumed in sorted(self.pauses):
+            if paused > position:
+                break
+            position = max(position, resumed)
+        return position < limit
+
+
+@dataclasses.dataclass(frozen=True)
+class History:
+    """Everything that was observed in one run.
+
+    Attributes:
+        calls: What callers saw.
+        executions: What upstreams saw.
+        zone_of_node: Zone by node id.
+        leaving_since: When an upstream began to leave, by VM id.
+        stopped_at: When a node was told to stop, by node id.
+        non_idempotent: Names of classes whose calls must not be repeated.
+    """
+
+    calls: Sequence[CallRecord]
+    executions: Sequence[Execution]
+    zone_of_node: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    leaving_since: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    stopped_at: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    non_idempotent: frozenset[str] = frozenset()
+
+
+def dispatch_once(history: History) -> int:
+    """Counts requests that started at upstreams more than once.
+
+    A request is known by its marker, which resends of its key share, or by
+    its request id. One that started n times counts n - 1.
+    """
+    by_marker = collections.Counter(
+        item.marker for item in history.executions if item.marker
+    )
+    by_id = collections.Counter(
+        item.request_id
+        for item in history.executions
+        if item.request_id and by_marker[item.marker] < 2
+    )
+    return _repeats(by_marker) + _repeats(by_id)
+
+
+def top_tier_shed(history: History) -> int:
+    """Counts top-tier requests refused while lower tiers ran.
+
+    Counted is a tier-0 call to an engine class that was refused for a reason
+    of `CAPACITY_REASONS`, if in the zone of the node that refused it a
+    generation of a lower tier for the same model ran, not paused, at any
+    time of the 0.1 s before the refusal.
+    """
+    tier_of = {
+        call.request.marker: call.request.work_class.tier
+        for call in history.calls
+    }
+    lower = [
+        item
+        for item in history.executions
+        if item.is_engine and tier_of.get(item.marker, 0) > 0
+    ]
+    count = 0
+    for call in history.calls:
+        work_class = call.request.work_class
+        if (
+            work_class.tier != 0
+            or not call.request.is_engine
+            or call.reason not in CAPACITY_REASONS
+        ):
+            continue
+        zone = history.zone_of_node.get(call.node_id, call.request.zone)
+        count += any(
+            item.zone == zone
+            and item.model == work_class.model
+            and item.ran_within(call.ended_at - _SHED_WINDOW_S, call.ended_at)
+            for item in lower
+        )
+    return count
+
+
+def answer_integrity(history: History) -> int:
+    """Counts answers that a caller could take for whole and right wrongly.
+
+    Counted is an answer with status 200 that ended cleanly, without an error
+    event, and is not the whole answer to its request; and any event stream,
+    ended or not, whose bytes differ from the start of the right answer.
+    """
+    return sum(_is_misleading(call) for call in history.calls)
+
+
+def refused_ran(history: History) -> int:
+    """Counts refusals that said "not run" though the request ran.
+
+    Counted is an answer with ran "no" whose request id, marker or key is in
+    the log of an upstream as started.
+    """
+    ids = {item.request_id for item in history.executions if item.request_id}
+    markers = {item.marker for item in history.executions if item.marker}
+    keys = {item.key for item in history.executions if item.key}
+    return sum(
+        call.ran == "no"
+        and (
+            call.request_id in ids
+            or call.request.marker in markers
+            or (bool(call.request.key) and call.request.key in keys)
+        )
+        for call in history.calls
+    )
+
+
+def non_idempotent_once(history: History) -> int:
+    """Counts repeated executions of calls that must not be repeated.
+
+    A call is known by its marker; one that was executed n times counts
+    n - 1.
+    """
+    markers = {
+        call.request.marker
+        for call in history.calls
+        if call.request.work_class.name in history.non_idempotent
+    }
+    return _repeats(
+        collections.Counter(
+            item.marker for item in history.executions if item.marker in markers
+        )
+    )
+
+
+def leaving_new_work(history: History) -> int:
+    """Counts requests started at an upstream 3 s or later after it left.
+
+    The time counts from when the VM list or the upstream itself first said
+    that it is leaving, whichever was earlier.
+    """
+    return sum(
+        item.upstream in history.leaving_since
+        and item.started
+        >= history.leaving_since[item.upstream] + LEAVING_GRACE_S
+        for item in history.executions
+    )
+
+
+def stop_cut(history: History) -> int:
+    """Counts calls that a planned stop interrupted.
+
+    Counted is a call that a node took before it was told to stop, that ended
+    after that without a whole answer and without a refusal or error event.
+    """
+    count = 0
+    for call in history.calls:
+        stopped = history.stopped_at.get(call.node_id)
+        count += (
+            stopped is not None
+            and call.sent_at < stopped <= call.ended_at
+            and not call.is_whole
+            and not call.reason
+            and call.failure != "timeout"
+        )
+    return count
+
+
+JUDGES = {
+    judge.__name__: judge
+    for judge in (
+        dispatch_once,
+        top_tier_shed,
+        answer_integrity,
+        refused_ran,
+        non_idempotent_once,
+        leaving_new_work,
+        stop_cut,
+    )
+}
+
+
+def count_violations(history: History) -> dict[str, int]:
+    """Returns the violations by name of invariant."""
+    return {name: judge(history) for name, judge in JUDGES.items()}
+
+
+def is_good(call: CallRecord) -> bool:
+    """Returns whether an answer was whole, right and within its targets."""
+    work_class = call.request.work_class
+    first_token_s = call.first_token_s
+    return (
+        call.is_whole
+        and first_token_s is not None
+        and first_token_s <= work_class.first_token_target_s
+        and call.token_interval_s <= work_class.token_interval_target_s
+        and call.ended_at - call.sent_at <= work_class.deadline_s
+    )
+
+
+def goodput_by_tier(calls: Sequence[CallRecord]) -> dict[str, float]:
+    """Returns the share of offered requests that were good, by tier.
+
+    A resend of a key is no request of its own: the request is good if any
+    of its sendings was.
+    """
+    by_marker: dict[str, list[CallRecord]] = {}
+    for call in calls:
+        by_marker.setdefault(call.request.marker, []).append(call)
+    offered: collections.Counter[int] = collections.Counter()
+    good: collections.Counter[int] = collections.Counter()
+    for sendings in by_marker.values():
+        tier = sendings[0].request.work_class.tier
+        offered[tier] += 1
+        good[tier] += any(is_good(call) for call in sendings)
+    result = {
+        str(tier): round(good[tier] / offered[tier], 4)
+        for tier in sorted(offered)
+    }
+    total = sum(offered.values())
+    result["all"] = round(sum(good.values()) / total, 4) if total else 0.0
+    return result
+
+
+def wasted_prefill_tokens(history: History) -> int:
+    """Returns prompt tokens that engines prefilled for nothing.
+
+    Wasted is the prefill of an execution whose caller did not receive the
+    whole answer within its deadline, and of every execution of a request
+    beyond its first complete one.
+    """
+    served = {
+        call.request.marker
+        for call in history.calls
+        if call.is_whole
+        and call.ended_at - call.sent_at <= call.request.work_class.deadline_s
+    }
+    wasted = 0
+    for item in sorted(history.executions, key=lambda entry: entry.started):
+        if item.marker in served and item.complete:
+            served.discard(item.marker)
+        else:
+            wasted += item.prefilled_tokens
+    return wasted
+
+
+def refusals(calls: Iterable[CallRecord]) -> dict[str, int]:
+    """Returns refusals and errors by reason."""
+    counts = collections.Counter(
+        call.reason or call.failure
+        for call in calls
+        if call.reason or call.failure
+    )
+    return dict(sorted(counts.items()))
+
+
+def median_first_token_s(calls: Sequence[CallRecord]) -> float | None:
+    """Returns the median time to the first token of whole answers."""
+    values = [
+        call.first_token_s
+        for call in calls
+        if call.is_whole
+        and call.request.is_engine
+        and call.first_token_s is not None
+    ]
+    return round(statistics.median(values), 4) if values else None
+
+
+def _repeats(counts: Mapping[str, int]) -> int:
+    return sum(count - 1 for count in counts.values() if count > 1)
+
+
+def _is_misleading(call: CallRecord) -> bool:
+    if call.status != 200:
+        return False
+    if call.request.is_engine and not call.expected.startswith(call.text):
+        return True
+    return call.clean_end and not call.error_event and not call.is_whole
--- /dev/null
+++ b/src/tanagerport/bench_processes.py
@@ -0,0 +1,210 @@
+"""Processes of one bench run: nodes, routers and simulated upstreams."""
+
+import asyncio
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import urllib3
+
+_READY_TIMEOUT_S = 12.0
+_READY_POLL_S = 0.05
+_STOP_TIMEOUT_S = 2.0
+_ADMIN_TIMEOUT_S = 5.0
+_LOG_TAIL_BYTES = 2000
+
+_http = urllib3.PoolManager(maxsize=16, retries=False)
+
+
+class BenchError(Exception):
+    """A process of the bench did not do what it must."""
+
+
+class HostProcess:
+    """Process with simulated upstreams; see `standin_host`."""
+
+    def __init__(self, specification: Mapping[str, Any]) -> None:
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "tanagerport.standin_host"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        assert self._process.stdin is not None
+        assert self._process.stdout is not None
+        print(json.dumps(specification), file=self._process.stdin, flush=True)
+        line = self._process.stdout.readline()
+        if not line:
+            raise BenchError("the simulators did not start")
+        self.addresses: dict[str, str] = json.loads(line)
+
+    def stop(self) -> None:
+        """Ends the process."""
+        assert self._process.stdin is not None
+        self._process.stdin.close()
+        _end(self._process)
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeAddresses:
+    """Addresses of one node's listeners."""
+
+    callers: str
+    operators: str
+    peers: str
+
+
+class NodeProcess:
+    """Process of one node or naive router.
+
+    Args:
+        command: Arguments of the Python interpreter; the settings file is
+            inserted for `{settings}`.
+        settings: Settings document.
+        directory: Where settings and log are written.
+    """
+
+    def __init__(
+        self,
+        command: Sequence[str],
+        settings: Mapping[str, Any],
+        directory: pathlib.Path,
+    ) -> None:
+        self.node_id: str = settings["node_id"]
+        self.zone: str = settings["zone"]
+        self.address: str = settings["listen"]
+        self.operator_address: str = settings["operator_listen"]
+        path = directory / f"{self.node_id}.json"
+        path.write_text(json.dumps(settings))
+        self._log_path = directory / f"{self.node_id}.log"
+        self._arguments = [
+            sys.executable,
+            *(item.replace("{settings}", str(path)) for item in command),
+        ]
+        self._process = self._start()
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process.poll() is None
+
+    def restart(self) -> None:
+        """Starts the process again after it ended."""
+        self._process = self._start()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal."""
+        if self.is_running:
+            self._process.send_signal(number)
+
+    def stop(self) -> None:
+        """Ends the process; one that does not stop in time is killed."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        _end(self._process)
+
+    def log_tail(self) -> str:
+        """Returns the end of the process's output."""
+        return self._log_path.read_bytes()[-_LOG_TAIL_BYTES:].decode(
+            "utf-8", "replace"
+        )
+
+    def is_ready(self) -> bool:
+        """Returns whether the node takes callers' requests."""
+        try:
+            response = _http.request(
+                "GET", f"http://{self.address}/readyz", timeout=0.5
+            )
+        except (urllib3.exceptions.HTTPError, OSError):
+            return False
+        return response.status == 200
+
+    def wait_ready(self) -> None:
+        """Waits until the node is ready.
+
+        Raises:
+            BenchError: The node ended or took too long.
+        """
+        give_up_at = time.monotonic() + _READY_TIMEOUT_S
+        while not self.is_ready():
+            if not self.is_running or time.monotonic() > give_up_at:
+                raise BenchError(
+                    f"{self.node_id} did not become ready:\n{self.log_tail()}"
+                )
+            time.sleep(_READY_POLL_S)
+
+    def _start(self) -> subprocess.Popen[bytes]:
+        with self._log_path.open("ab") as log:
+            return subprocess.Popen(
+                self._arguments, stdout=log, stderr=subprocess.STDOUT
+            )
+
+
+def free_addresses(count: int) -> list[str]:
+    """Returns `ip:port` addresses that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind(("127.0.0.1", 0))
+        return [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+def exchange_json(
+    method: str,
+    url: str,
+    document: object | None = None,
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float = _ADMIN_TIMEOUT_S,
+) -> tuple[int, Any]:
+    """Sends a request and returns the status and the decoded answer.
+
+    Raises:
+        BenchError: The server was not reached.
+    """
+    try:
+        response = _http.request(
+            method,
+            url,
+            body=None if document is None else json.dumps(document),
+            headers=dict(headers or {}),
+            timeout=timeout_s,
+        )
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        raise BenchError(f"{method} {url}: {error}") from error
+    try:
+        return response.status, json.loads(response.data or b"null")
+    except ValueError:
+        return response.status, None
+
+
+async def set_faults(address: str, document: object) -> None:
+    """Sets faults of a simulator through `POST /admin/faults`.
+
+    Raises:
+        BenchError: The simulator did not take them.
+    """
+    url = f"http://{address}/admin/faults"
+    status, answer = await asyncio.to_thread(
+        exchange_json, "POST", url, document
+    )
+    if status != 200:
+        raise BenchError(f"{url} answered {status}: {answer}")
+
+
+def _end(process: subprocess.Popen[Any]) -> None:
+    try:
+        process.wait(_STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        os.kill(process.pid, signal.SIGKILL)
+        process.wait()
--- /dev/null
+++ b/src/tanagerport/bench_scenarios.py
@@ -0,0 +1,252 @@
+"""Scenarios of the bench, as data."""
+
+import dataclasses
+import enum
+from collections.abc import Mapping
+
+from tanagerport.bench_trace import ClassLoad, Phase
+from tanagerport.model import UpstreamKind, WorkClass
+from tanagerport.standin_batch import EngineProfile
+
+MODEL = "tutor"
+SERVICE = "booking"
+OLD_VERSION = "v1"
+
+CLASSES = (
+    ClassLoad(
+        WorkClass(
+            "caption-hint", 0, UpstreamKind.ENGINE, MODEL,
+            deadline_s=3, typical_output_tokens=8,
+        ),
+        weight=0.35, min_tokens=4, max_tokens=12,
+    ),
+    ClassLoad(
+        WorkClass(
+            "coaching-turn", 0, UpstreamKind.ENGINE, MODEL,
+            deadline_s=6, typical_output_tokens=40,
+        ),
+        weight=0.25, min_tokens=20, max_tokens=60,
+    ),
+    ClassLoad(
+        WorkClass(
+            "lesson-note", 1, UpstreamKind.ENGINE, MODEL,
+            first_token_target_s=1.5, token_interval_target_s=0.06,
+            deadline_s=7, typical_output_tokens=60,
+        ),
+        weight=0.15, min_tokens=40, max_tokens=80,
+    ),
+    ClassLoad(
+        WorkClass(
+            "drill-set", 2, UpstreamKind.ENGINE, MODEL,
+            first_token_target_s=4.0, token_interval_target_s=0.08,
+            deadline_s=7, typical_output_tokens=120,
+        ),
+        weight=0.20, min_tokens=80, max_tokens=160,
+    ),
+    ClassLoad(
+        WorkClass(
+            "booking", 1, UpstreamKind.SERVICE, SERVICE,
+            first_token_target_s=1.0, deadline_s=3, idempotent=False,
+        ),
+        weight=0.05,
+    ),
+)  # fmt: skip
+
+# A batch of 13 decodes at 38 ms a token, just within the top tier's target of
+# 39 ms; the full batch of 16 takes 44 ms and misses it.
+PROFILE = EngineProfile(
+    step_s=0.012,
+    step_per_request_s=0.002,
+    prefill_s_per_token=0.00004,
+    max_batch=16,
+)
+# Largest batch that the capacity is computed with.
+_CAPACITY_BATCH = 10
+_UNCACHED_SHARE = 0.5
+_MEAN_PROMPT_TOKENS = 520
+
+
+@dataclasses.dataclass(frozen=True)
+class Zone:
+    """An availability zone of the bench.
+
+    Attributes:
+        name: Name of the zone.
+        region: Region.
+        nodes: Entry nodes.
+        engines: Engines.
+        services: Plain services.
+    """
+
+    name: str
+    region: str
+    nodes: int = 1
+    engines: int = 2
+    services: int = 1
+
+
+ZONES = (
+    Zone("lm-burnaby", "lower-mainland"),
+    Zone("lm-surrey", "lower-mainland"),
+    Zone("isl-nanaimo", "island-north"),
+)
+
+
+class Action(enum.StrEnum):
+    """What a fault does to its target."""
+
+    UPSTREAM_FAULTS = "upstream_faults"
+    SILENCE_LINKS = "silence_links"
+    CUT_LINK = "cut_link"
+    RESTORE_LINK = "restore_link"
+    KILL_NODE = "kill_node"
+    STOP_NODE = "stop_node"
+    LIST_LEAVING = "list_leaving"
+    PLATFORM_FAULTS = "platform_faults"
+    CUT_ZONE = "cut_zone"
+    RESTORE_ZONE = "restore_zone"
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A fault at a time of the run.
+
+    Attributes:
+        at_s: Seconds after the first request may be sent.
+        action: What happens.
+        target: Upstream, node or zone.
+        details: Fields of the fault's document.
+    """
+
+    at_s: float
+    action: Action
+    target: str = ""
+    details: Mapping[str, object] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class Scenario:
+    """A scenario of the bench.
+
+    Attributes:
+        name: Name on the command line.
+        load: Offered load by end of phase in seconds, as a share of the
+            capacity of all engines.
+        zones: Zones with their nodes and upstreams.
+        customers: Customers and their share of requests.
+        faults: Faults in order of time.
+        profiles: Engine profiles that differ from `PROFILE`, by VM id.
+        proxied: Whether fault proxies stand before the upstreams.
+        resend_share: Share of keyed requests that are sent twice.
+        booking_weight: Weight of non-idempotent calls.
+        naive_violates: Invariants that `naive` is expected to violate.
+    """
+
+    name: str
+    load: tuple[tuple[float, float], ...] = ((8.0, 0.6),)
+    zones: tuple[Zone, ...] = ZONES
+    customers: Mapping[str, float] = dataclasses.field(
+        default_factory=lambda: {
+            "quietword": 3.0,
+            "deaf-services": 2.0,
+            "victoria-library": 1.0,
+            "surrey-college": 1.0,
+            "nanaimo-clinic": 1.0,
+        }
+    )
+    faults: tuple[Fault, ...] = ()
+    profiles: Mapping[str, EngineProfile] = dataclasses.field(
+        default_factory=dict
+    )
+    proxied: bool = False
+    resend_share: float = 0.0
+    booking_weight: float = 0.05
+    naive_violates: tuple[str, ...] = ()
+
+    @property
+    def classes(self) -> tuple[ClassLoad, ...]:
+        """Classes with their weights."""
+        return tuple(
+            item
+            if item.work_class.kind is UpstreamKind.ENGINE
+            else dataclasses.replace(item, weight=self.booking_weight)
+            for item in CLASSES
+        )
+
+    @property
+    def phases(self) -> tuple[Phase, ...]:
+        """Rates over time."""
+        rate = capacity_requests_per_s(self)
+        return tuple(Phase(until_s, load * rate) for until_s, load in self.load)
+
+
+def engine_id(zone: str, number: int) -> str:
+    """Returns the VM id of an engine; numbers start at 1."""
+    return f"engine-{zone}-{number}"
+
+
+def node_id(zone: str, number: int) -> str:
+    """Returns the id of an entry node; numbers start at 1."""
+    return f"entry-{zone}-{number}"
+
+
+def service_id(zone: str, number: int) -> str:
+    """Returns the VM id of a plain service; numbers start at 1."""
+    return f"service-{zone}-{number}"
+
+
+def capacity_requests_per_s(scenario: Scenario) -> float:
+    """Returns the requests a second that the engines can serve in target."""
+    engines = sum(zone.engines for zone in scenario.zones)
+    step_s = PROFILE.step_s + PROFILE.step_per_request_s * _CAPACITY_BATCH
+    weights = sum(item.weight for item in scenario.classes)
+    engine_weight = weights - scenario.booking_weight
+    tokens = sum(item.weight * item.mean_tokens for item in scenario.classes)
+    mean_tokens = tokens / engine_weight
+    prefill_s = (
+        _MEAN_PROMPT_TOKENS * _UNCACHED_SHARE * PROFILE.prefill_s_per_token
+    )
+    seconds = mean_tokens * step_s / _CAPACITY_BATCH + prefill_s
+    return engines / seconds * weights / engine_weight
+
+
+_SLOW_ENGINE = engine_id("lm-burnaby", 1)
+
+SCENARIOS = (
+    Scenario("steady"),
+    Scenario(
+        "burst",
+        load=((1.5, 0.6), (7.0, 2.0), (8.0, 0.4)),
+        naive_violates=("dispatch_once",),
+    ),
+    Scenario(
+        "slow_engine",
+        load=((8.0, 0.55),),
+        faults=(
+            Fault(
+                2.0, Action.UPSTREAM_FAULTS, _SLOW_ENGINE, {"slow_factor": 5.0}
+            ),
+        ),
+    ),
+    Scenario(
+        "stale_load",
+        load=((3.0, 0.4), (8.0, 0.9)),
+        faults=tuple(
+            Fault(
+                2.0,
+                Action.UPSTREAM_FAULTS,
+                engine_id(zone.name, number),
+                {"stale_load": True},
+            )
+            for zone in ZONES
+            for number in range(1, zone.engines + 1)
+        )
+        + (
+            Fault(
+                4.0, Action.UPSTREAM_FAULTS, _SLOW_ENGINE, {"slow_factor": 3.0}
+            ),
+        ),
+    ),
+)
+
+SCENARIOS_BY_NAME = {item.name: item for item in SCENARIOS}
--- a/src/tanagerport/cli.py
+++ b/src/tanagerport/cli.py
@@ -6,7 +6,7 @@
 
 from absl import flags
 
-from tanagerport import commands
+from tanagerport import bench, commands
 from tanagerport.exceptions import (
     DocumentError,
     OperatorConflictError,
@@ -139,6 +139,14 @@
         commands.define_demo_flags,
         commands.run_demo,
     ),
+    Command(
+        "bench",
+        "",
+        "Replay a trace through the naive router and through real nodes.",
+        "bench --scenario=burst --seed=1 --json",
+        bench.define_bench_flags,
+        bench.run_command,
+    ),
 )
 
 
--- /dev/null
+++ b/src/tanagerport/naive.py
@@ -0,0 +1,204 @@
+"""Naive router: the baseline that the bench compares with.
+
+It has the callers' interface of a node and nothing else: round robin over
+all upstreams that the VM list calls live, no tiers, no limits, retries on
+any error, no idempotency records, and configuration taken from the store
+as it is read, without checks of order.
+"""
+
+import itertools
+import json
+import os
+import signal
+import sys
+import threading
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+
+import urllib3
+
+from tanagerport.caller_requests import (
+    CHAT_PATH,
+    SERVICES_PREFIX,
+    make_request_id,
+)
+from tanagerport.http_server import (
+    Environ,
+    HttpServer,
+    StartResponse,
+    json_response,
+    read_body,
+    status_line,
+)
+from tanagerport.model import VM, VMState
+from tanagerport.settings import Settings, load_settings
+from tanagerport.upstream_client import VERSION_HEADER
+
+_TRIES = 3
+_FIRST_BYTE_TIMEOUT_S = 2.0
+_READ_TIMEOUT_S = 5.0
+_READ_BYTES = 65536
+_POOL_CONNECTIONS = 256
+_FORWARDED_HEADERS = (
+    "X-Class",
+    "X-Customer",
+    "Idempotency-Key",
+    "Content-Type",
+)
+_ANSWER_HEADERS = ("Content-Type", "Content-Length", VERSION_HEADER)
+
+
+class NaiveRouter:
+    """WSGI application of the naive router.
+
+    Args:
+        settings: Settings of the node that it stands for.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._vms: Sequence[VM] = settings.platform.vms
+        self._turns = itertools.count()
+        self._pool = urllib3.PoolManager(
+            maxsize=_POOL_CONNECTIONS, block=False, retries=False
+        )
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answers one request."""
+        path = environ["PATH_INFO"]
+        if path in ("/healthz", "/readyz"):
+            return json_response(start_response, 200, {"ready": True})
+        body = read_body(environ)
+        if path == CHAT_PATH:
+            name, upstream_path = json.loads(body)["model"], path
+        else:
+            rest = path.removeprefix(SERVICES_PREFIX)
+            name, _, tail = rest.partition("/")
+            upstream_path = f"/{tail}"
+        return self._forward(environ, start_response, name, upstream_path, body)
+
+    def _forward(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        name: str,
+        path: str,
+        body: bytes,
+    ) -> Iterable[bytes]:
+        request_id = make_request_id()
+        headers = {**_forwarded(environ), "X-Request-Id": request_id}
+        reason = "no_upstream"
+        for vm in self._next_upstreams(name):
+            try:
+                response = self._pool.urlopen(
+                    environ["REQUEST_METHOD"],
+                    f"http://{vm.address}{path}",
+                    body=body,
+                    headers=headers,
+                    timeout=urllib3.Timeout(
+                        connect=1.0, read=_FIRST_BYTE_TIMEOUT_S
+                    ),
+                    redirect=False,
+                    preload_content=False,
+                )
+            except urllib3.exceptions.ReadTimeoutError:
+                reason = "deadline_passed"
+                continue
+            except (urllib3.exceptions.HTTPError, OSError):
+                reason = "upstream_error"
+                continue
+            if response.status >= 500:
+                response.close()
+                reason = "upstream_error"
+                continue
+            start_response(
+                status_line(response.status),
+                _answer_headers(response, request_id),
+            )
+            return _Body(response)
+        return _refuse(start_response, reason, request_id)
+
+    def _next_upstreams(self, name: str) -> list[VM]:
+        serving = [
+            vm
+            for vm in self._vms
+            if name in vm.serves and vm.state is VMState.LIVE
+        ]
+        if not serving:
+            return []
+        first = next(self._turns)
+        return [serving[(first + i) % len(serving)] for i in range(_TRIES)]
+
+
+class _Body:
+    """Passes an answer on; an answer that breaks just ends."""
+
+    def __init__(self, response: urllib3.BaseHTTPResponse) -> None:
+        self._response = response
+
+    def __iter__(self) -> Iterator[bytes]:
+        sock = getattr(self._response.connection, "sock", None)
+        if sock is not None:
+            sock.settimeout(_READ_TIMEOUT_S)
+        try:
+            yield from self._response.stream(_READ_BYTES)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return
+        self._response.release_conn()
+
+    def close(self) -> None:
+        self._response.close()
+
+
+def _forwarded(environ: Environ) -> dict[str, str]:
+    headers = {}
+    for name in _FORWARDED_HEADERS:
+        variable = name.upper().replace("-", "_")
+        if variable != "CONTENT_TYPE":
+            variable = f"HTTP_{variable}"
+        if environ.get(variable):
+            headers[name] = environ[variable]
+    return headers
+
+
+def _answer_headers(
+    response: urllib3.BaseHTTPResponse, request_id: str
+) -> list[tuple[str, str]]:
+    headers: Mapping[str, str] = response.headers
+    kept = [
+        (name, headers[name]) for name in _ANSWER_HEADERS if name in headers
+    ]
+    return [*kept, ("X-Request-Id", request_id)]
+
+
+def _refuse(
+    start_response: StartResponse, reason: str, request_id: str
+) -> Iterable[bytes]:
+    error = {
+        "reason": reason,
+        "message": f"{_TRIES} tries failed",
+        "ran": "no",
+        "request_id": request_id,
+    }
+    status = 504 if reason == "deadline_passed" else 502
+    return json_response(start_response, status, {"error": error})
+
+
+def run_naive(settings: Settings) -> None:
+    """Serves until SIGTERM, then stops at once."""
+    stop = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stop.set())
+    server = HttpServer(
+        settings.listen,
+        NaiveRouter(settings),
+        threads=settings.caller_threads,
+        max_body_bytes=settings.max_body_bytes,
+    )
+    server.start()
+    stop.wait()
+    # Threads that still relay an answer would keep the process alive.
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    run_naive(load_settings(sys.argv[1]))
