--- a/src/tanagerport/standin_batch.py
+++ b/src/tanagerport/standin_batch.py
@@ -8,9 +8,8 @@
 import zlib
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
-import xxhash
+from tanagerport.prefix_cache import BLOCK_BYTES, block_hashes
 
-BLOCK_BYTES = 256
 _BYTES_PER_TOKEN = 4
 _BLOCK_TOKENS = BLOCK_BYTES // _BYTES_PER_TOKEN
 _KEPT_EVENTS = 2048
@@ -448,18 +447,6 @@
             self._loads.append(state)
 
 
-def block_hashes(prompt: str) -> tuple[int, ...]:
-    """Returns chained hashes of the whole 256-byte blocks of a prompt."""
-    data = prompt.encode()
-    hashes = []
-    previous = 0
-    for start in range(0, len(data) - BLOCK_BYTES + 1, BLOCK_BYTES):
-        block = data[start : start + BLOCK_BYTES]
-        previous = xxhash.xxh64_intdigest(block, seed=previous)
-        hashes.append(previous)
-    return tuple(hashes)
-
-
 def expected_token(checksum: int, index: int) -> str:
     """Returns the token that an engine produces for a prompt.
 
