Choose versions by stable hash and pool evidence through the store

Cause: rollouts need a share that holds over all nodes, and one node sees too few samples at 5% of 20 to 60 requests/s.

--- /dev/null
+++ b/src/tanagerport/evidence.py
@@ -0,0 +1,273 @@
+"""Evidence about a new version, pooled over nodes through the table service.
+
+One node sees too few samples at the canary share. Log-likelihood ratios of
+different samples add up, so each node writes its sums and the node that runs
+the rollout adds them.
+"""
+
+import dataclasses
+from collections.abc import Callable, Iterable, Mapping
+
+import msgspec
+
+from tanagerport.detection import (
+    WHOLE_VERSION,
+    Scope,
+    ScopeEvidence,
+    ScoreChart,
+    Verdict,
+    make_verdict,
+)
+from tanagerport.model import VersionMove
+from tanagerport.platform_api import TableStore, Write
+
+EVIDENCE_PREFIX = "evidence/"
+# Keeps writes of 600 nodes at 60 a second.
+_WRITES_PER_S = 60.0
+_MIN_INTERVAL_S = 0.5
+
+
+class _ScopeRow(msgspec.Struct, array_like=True, frozen=True):
+    class_name: str
+    upstream_id: str
+    samples: int
+    bad: int
+    failure_sum: float
+    slow_sum: float
+
+
+class _TrafficRow(msgspec.Struct, array_like=True, frozen=True):
+    class_name: str
+    upstream_id: str
+    requests: int
+
+
+class NodeEvidence(msgspec.Struct, frozen=True):
+    """What one node saw of a rollout.
+
+    Attributes:
+        new_version: Version under test.
+        started: Start of the rollout, which identifies it.
+        instance: Identity of the node's process.
+        scopes: Sums by scope.
+        traffic: Ended requests of both versions by route.
+    """
+
+    new_version: str
+    started: float
+    instance: str
+    scopes: list[_ScopeRow]
+    traffic: list[_TrafficRow]
+
+
+def make_node_evidence(
+    move: VersionMove,
+    instance: str,
+    evidence: Mapping[Scope, ScopeEvidence],
+    traffic: Mapping[Scope, int],
+) -> NodeEvidence:
+    """Returns a node's evidence in the format of the store."""
+    return NodeEvidence(
+        move.new_version,
+        move.started,
+        instance,
+        [
+            _ScopeRow(
+                scope.class_name,
+                scope.upstream_id,
+                item.samples,
+                item.bad,
+                round(item.failure_sum, 4),
+                round(item.slow_sum, 4),
+            )
+            for scope, item in evidence.items()
+        ],
+        [
+            _TrafficRow(scope.class_name, scope.upstream_id, count)
+            for scope, count in traffic.items()
+        ],
+    )
+
+
+class EvidenceReporter:
+    """Writes this node's evidence to the table service.
+
+    Args:
+        table: Table service.
+        node_id: Name of this node.
+        collect: Returns the evidence of each running rollout by model.
+        count_nodes: Returns the number of nodes, which spaces the writes.
+    """
+
+    def __init__(
+        self,
+        table: TableStore,
+        node_id: str,
+        collect: Callable[[], Mapping[str, NodeEvidence]],
+        count_nodes: Callable[[], int],
+    ) -> None:
+        self._table = table
+        self._node_id = node_id
+        self._collect = collect
+        self._count_nodes = count_nodes
+        self._written: dict[str, NodeEvidence] = {}
+
+    @property
+    def interval_s(self) -> float:
+        """Seconds between two reports."""
+        return max(_MIN_INTERVAL_S, self._count_nodes() / _WRITES_PER_S)
+
+    def report(self) -> None:
+        """Writes the evidence that changed.
+
+        Raises:
+            PlatformError: The store can't be reached.
+        """
+        for model, evidence in self._collect().items():
+            if self._written.get(model) == evidence:
+                continue
+            key = f"{EVIDENCE_PREFIX}{model}/{self._node_id}"
+            content = msgspec.json.encode(evidence)
+            self._table.transact([], [Write(key, content)])
+            self._written[model] = evidence
+
+
+@dataclasses.dataclass(frozen=True)
+class _Baseline:
+    """Last sums that were taken from one process."""
+
+    instance: str
+    scopes: Mapping[Scope, ScopeEvidence]
+
+
+class EvidencePool:
+    """Sum of all nodes' evidence about one rollout.
+
+    Args:
+        table: Table service.
+        move: The rollout.
+    """
+
+    def __init__(self, table: TableStore, move: VersionMove) -> None:
+        self._table = table
+        self._model = move.model
+        self._version = move.new_version
+        self._started = move.started
+        self._baselines: dict[str, _Baseline] = {}
+        self._totals: dict[Scope, ScopeEvidence] = {}
+        self._charts: dict[Scope, ScoreChart] = {}
+        self._traffic: dict[str, Mapping[Scope, int]] = {}
+        self._verdict: Verdict | None = None
+
+    @property
+    def verdict(self) -> Verdict | None:
+        """Verdict of the pooled evidence."""
+        return self._verdict
+
+    @property
+    def samples(self) -> int:
+        """Samples of the new version."""
+        return self.evidence(WHOLE_VERSION).samples
+
+    @property
+    def requests(self) -> int:
+        """Ended requests of both versions."""
+        return sum(self.traffic().values())
+
+    def matches(self, move: VersionMove) -> bool:
+        """Returns whether the pool is about this rollout."""
+        return (self._version, self._started) == (
+            move.new_version,
+            move.started,
+        )
+
+    def evidence(self, scope: Scope) -> ScopeEvidence:
+        """Returns the summed evidence of a scope."""
+        return self._totals.get(scope, ScopeEvidence())
+
+    def score(self, scope: Scope) -> float:
+        """Returns the worse score of a scope."""
+        chart = self._charts.get(scope)
+        return chart.worst if chart else 0.0
+
+    def worst_score(self) -> float:
+        """Returns the worst score of all scopes."""
+        return max((item.worst for item in self._charts.values()), default=0.0)
+
+    def traffic(self) -> dict[Scope, int]:
+        """Returns ended requests of both versions by route."""
+        total: dict[Scope, int] = {}
+        for counts in self._traffic.values():
+            for scope, count in counts.items():
+                total[scope] = total.get(scope, 0) + count
+        return total
+
+    def refresh(self) -> None:
+        """Reads the nodes' evidence.
+
+        Raises:
+            StoreUnavailableError: The store can't be reached.
+        """
+        for record in self._table.scan(f"{EVIDENCE_PREFIX}{self._model}/"):
+            item = msgspec.json.decode(record.value, type=NodeEvidence)
+            is_current = (item.new_version, item.started) == (
+                self._version,
+                self._started,
+            )
+            if is_current:
+                self._take(record.key, item)
+
+    def _take(self, key: str, item: NodeEvidence) -> None:
+        scopes = {
+            Scope(row.class_name, row.upstream_id): ScopeEvidence(
+                row.samples, row.bad, row.failure_sum, row.slow_sum
+            )
+            for row in item.scopes
+        }
+        baseline = self._baselines.get(key)
+        # A process that started again counts from 0.
+        is_same = baseline is not None and baseline.instance == item.instance
+        old = baseline.scopes if baseline is not None and is_same else {}
+        for scope, evidence in scopes.items():
+            self._add(scope, evidence, old.get(scope, ScopeEvidence()))
+        self._baselines[key] = _Baseline(item.instance, scopes)
+        self._traffic[f"{key}/{item.instance}"] = {
+            Scope(row.class_name, row.upstream_id): row.requests
+            for row in item.traffic
+        }
+
+    def _add(
+        self, scope: Scope, new: ScopeEvidence, old: ScopeEvidence
+    ) -> None:
+        if new.samples <= old.samples:
+            return
+        total = self._totals.setdefault(scope, ScopeEvidence())
+        total.samples += new.samples - old.samples
+        total.bad += new.bad - old.bad
+        total.failure_sum += new.failure_sum - old.failure_sum
+        total.slow_sum += new.slow_sum - old.slow_sum
+        chart = self._charts.setdefault(scope, ScoreChart())
+        chart.add(
+            new.failure_sum - old.failure_sum, new.slow_sum - old.slow_sum
+        )
+        if chart.is_convicted and self._verdict is None:
+            self._verdict = make_verdict(scope, total, chart)
+
+
+def active_routes(
+    traffic: Mapping[Scope, int], upstream_ids: Iterable[str], min_share: float
+) -> list[Scope]:
+    """Returns the routes that carry a share of the traffic or more.
+
+    Args:
+        traffic: Requests by route.
+        upstream_ids: Upstreams that take new work.
+        min_share: Share of all requests.
+    """
+    usable = set(upstream_ids)
+    total = sum(traffic.values())
+    return sorted(
+        scope
+        for scope, count in traffic.items()
+        if scope.upstream_id in usable and count >= min_share * total
+    )
--- /dev/null
+++ b/src/tanagerport/version_policy.py
@@ -0,0 +1,289 @@
+"""Choice of a model version for each request, and verdicts on versions."""
+
+import collections
+import secrets
+import threading
+from collections.abc import Mapping, Sequence
+
+import cachetools
+import structlog
+import xxhash
+
+from tanagerport.clock import Clock
+from tanagerport.detection import Scope, Verdict, VersionMonitor
+from tanagerport.evidence import NodeEvidence, make_node_evidence
+from tanagerport.interfaces import ConfigurationView, VersionSample
+from tanagerport.model import (
+    FINAL_MOVE_STATES,
+    MoveState,
+    Request,
+    UpstreamKind,
+    VersionMove,
+)
+from tanagerport.reference_times import ReferenceTimes
+
+# Largest share of a version that may still be bad.
+CANARY_SHARE = 0.05
+# Share of hashes that may become canaries. The count of ended requests bounds
+# the share; candidates above it let the count be used up.
+_CANDIDATE_SHARE = 0.25
+_REMEMBERED_REQUESTS = 8192
+_HASH_RANGE = float(2**64)
+# Seconds after the end of a rollout for which the old version stays loaded
+# and the new one is still monitored.
+KEEP_OLD_S = 300.0
+
+_log = structlog.get_logger(__name__)
+
+
+class _MoveTracker:
+    """This node's share and monitor of one rollout."""
+
+    def __init__(self, move: VersionMove, reference: ReferenceTimes) -> None:
+        self.move = move
+        self.monitor = VersionMonitor(move.new_version, reference)
+        self._ended_requests = 0
+        self._canaries = 0
+        self._canaries_by_class: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self._classes: set[str] = set()
+        self._is_new: cachetools.LRUCache[str, bool] = cachetools.LRUCache(
+            _REMEMBERED_REQUESTS
+        )
+
+    def record(
+        self, sample: VersionSample, targets: tuple[float, float]
+    ) -> None:
+        self._ended_requests += 1
+        self._classes.add(sample.class_name)
+        self.monitor.record(sample, targets)
+
+    def choose(self, request: Request, share: float) -> bool:
+        """Returns whether the request goes to the new version.
+
+        The answer for one request never changes from old to new, so that
+        asking again while it waits does not use up the canary share.
+        """
+        chosen = self._is_new.get(request.request_id)
+        if chosen is None:
+            chosen = self._decide(request, share)
+            self._is_new[request.request_id] = chosen
+        return chosen
+
+    def _decide(self, request: Request, share: float) -> bool:
+        position = hash_position(request, self.move.new_version)
+        if share > CANARY_SHARE:
+            return position < share
+        class_name = request.work_class.name
+        if position >= _CANDIDATE_SHARE or not self._may_add(class_name, share):
+            return False
+        self._canaries += 1
+        self._canaries_by_class[class_name] += 1
+        return True
+
+    def _may_add(self, class_name: str, share: float) -> bool:
+        """Returns whether one more canary keeps the observed share.
+
+        Only ended requests count, since a waiting request may be refused and
+        never reach an upstream. The allowance is 0 at the start, so that the
+        nodes' allowances add up to 0.
+        """
+        spare = share * self._ended_requests - self._canaries
+        if spare < 1.0:
+            return False
+        # Classes take turns, so that rare ones are sampled too; one without
+        # requests must not hold up the others for long.
+        fewest = min(
+            (self._canaries_by_class[name] for name in self._classes),
+            default=0,
+        )
+        return spare >= 2.0 or self._canaries_by_class[class_name] <= fewest
+
+
+class MoveVersionPolicy:
+    """Implements `VersionPolicy` for version rollouts.
+
+    Args:
+        configuration: Rollouts and bad versions.
+        clock: Source of time.
+    """
+
+    def __init__(self, configuration: ConfigurationView, clock: Clock) -> None:
+        self._configuration = configuration
+        self._clock = clock
+        self._instance = secrets.token_hex(8)
+        self._lock = threading.Lock()
+        self._trackers: dict[str, _MoveTracker] = {}
+        self._references: dict[tuple[str, str], ReferenceTimes] = {}
+        self._convicted: set[tuple[str, str]] = set()
+
+    def choose_version(self, request: Request) -> str:
+        """Returns the version to use; empty for the upstream's default."""
+        model = request.work_class.model
+        move = self._configuration.moves.get(model)
+        if move is None or request.work_class.kind is not UpstreamKind.ENGINE:
+            return ""
+        if self.is_convicted(model, move.new_version):
+            return move.old_version
+        if move.state in FINAL_MOVE_STATES:
+            return move.new_version if move.share >= 1 else move.old_version
+        with self._lock:
+            tracker = self._tracker(move)
+            # The bound also holds if a record in a wrong state states more.
+            share = (
+                min(move.share, CANARY_SHARE)
+                if move.state in (MoveState.LOADING, MoveState.CANARY)
+                else move.share
+            )
+            if share > 0 and tracker.choose(request, share):
+                return move.new_version
+        return move.old_version
+
+    def is_convicted(self, model: str, version: str) -> bool:
+        """Returns whether the version must get no new work."""
+        key = (model, version)
+        return key in self._convicted or key in self._configuration.convictions
+
+    def record(self, sample: VersionSample) -> None:
+        """Takes the result of one dispatch."""
+        move = self._configuration.moves.get(sample.model)
+        verdict = None
+        with self._lock:
+            tracker = self._tracker(move) if move else None
+            is_new = move is not None and sample.version == move.new_version
+            if tracker is None or is_new:
+                self._reference(sample.model, sample.version).add(sample)
+            if tracker is not None:
+                tracker.record(sample, self._targets(sample.class_name))
+                verdict = tracker.monitor.verdict
+        if verdict is not None and move is not None:
+            self._convict(move, verdict)
+
+    def preferred_upstreams(
+        self, model: str, version: str, class_name: str
+    ) -> Sequence[str]:
+        """Returns known upstreams with the fewest samples first.
+
+        While a rollout is at the canary share, the router should send the new
+        version's requests to the first of these that has a free slot, so that
+        every route is tested. Empty if the order does not matter.
+        """
+        move = self._configuration.moves.get(model)
+        if (
+            move is None
+            or move.new_version != version
+            or move.state is not MoveState.CANARY
+        ):
+            return ()
+        with self._lock:
+            monitor = self._tracker(move).monitor
+            evidence = monitor.evidence
+            routes = [
+                route
+                for route in monitor.traffic
+                if route.class_name == class_name
+            ]
+            samples = {
+                route.upstream_id: evidence[route].samples
+                if route in evidence
+                else 0
+                for route in routes
+            }
+        return sorted(samples, key=lambda item: (samples[item], item))
+
+    def collect_evidence(self) -> Mapping[str, NodeEvidence]:
+        """Returns this node's evidence of each running rollout by model."""
+        result = {}
+        for model, move in self._configuration.moves.items():
+            if move.state in FINAL_MOVE_STATES:
+                continue
+            with self._lock:
+                monitor = self._tracker(move).monitor
+                result[model] = make_node_evidence(
+                    move, self._instance, monitor.evidence, monitor.traffic
+                )
+        return result
+
+    def samples_by_scope(self, model: str) -> Mapping[Scope, int]:
+        """Returns this node's samples of the new version by scope."""
+        with self._lock:
+            tracker = self._trackers.get(model)
+            if tracker is None:
+                return {}
+            evidence = tracker.monitor.evidence
+            return {scope: item.samples for scope, item in evidence.items()}
+
+    def _tracker(self, move: VersionMove) -> _MoveTracker:
+        tracker = self._trackers.get(move.model)
+        if tracker is None or (
+            (tracker.move.new_version, tracker.move.started)
+            != (move.new_version, move.started)
+        ):
+            tracker = _MoveTracker(move, self._reference_before(move))
+            self._trackers[move.model] = tracker
+        return tracker
+
+    def _reference_before(self, move: VersionMove) -> ReferenceTimes:
+        """Returns the old version's timings and drops those of others."""
+        known = {
+            version: times
+            for (model, version), times in self._references.items()
+            if model == move.model
+        }
+        for version in known:
+            del self._references[(move.model, version)]
+        # Before a first rollout requests name no version.
+        return known.get(move.old_version) or known.get("") or ReferenceTimes()
+
+    def _reference(self, model: str, version: str) -> ReferenceTimes:
+        return self._references.setdefault((model, version), ReferenceTimes())
+
+    def _targets(self, class_name: str) -> tuple[float, float]:
+        work_class = self._configuration.classes.get(class_name)
+        if work_class is None:
+            return (0.0, 0.0)
+        return (
+            work_class.first_token_target_s,
+            work_class.token_interval_target_s,
+        )
+
+    def _convict(self, move: VersionMove, verdict: Verdict) -> None:
+        key = (move.model, move.new_version)
+        if key in self._convicted:
+            return
+        if (
+            move.ended is not None
+            and self._clock.time() > move.ended + KEEP_OLD_S
+        ):
+            # The old version may be unloaded, so there is nothing to go
+            # back to.
+            return
+        self._convicted.add(key)
+        _log.warning(
+            "version_convicted_here",
+            model=move.model,
+            version=move.new_version,
+            reason=verdict.reason,
+        )
+        self._configuration.add_conviction(
+            move.model, move.new_version, verdict.reason
+        )
+
+
+def hash_position(request: Request, salt: str) -> float:
+    """Returns the stable position of a request in 0 to 1.
+
+    Args:
+        request: Its idempotency key counts, else its id.
+        salt: Makes the canaries of each version other requests.
+    """
+    text = f"{salt}\0{request.key or request.request_id}"
+    return xxhash.xxh64_intdigest(text.encode()) / _HASH_RANGE
+
+
+def create_version_policy(
+    configuration: ConfigurationView, clock: Clock
+) -> MoveVersionPolicy:
+    """Builds the version policy of a node."""
+    return MoveVersionPolicy(configuration, clock)
