Refuse connections while a proxied link is cut

A cut link accepted connections and then broke them, so that a caller could not tell whether its request had started. The listener is now closed and the port kept. Guarded by the fault proxy's test.

--- a/src/tanagerport/fault_proxy.py
+++ b/src/tanagerport/fault_proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import socket
 import time
 from collections.abc import Callable
 
@@ -18,7 +19,7 @@
 
     Attributes:
         delay_s: One-way delay in seconds.
-        cut: New connections are closed at once and open ones break.
+        cut: New connections are refused and open ones break.
         bytes_per_s: Bandwidth of each direction; 0 is unlimited.
     """
 
@@ -40,6 +41,7 @@
         self._requested = split_address(address)
         self._faults = LinkFaults()
         self._server: asyncio.Server | None = None
+        self._holder: socket.socket | None = None
         self._links: set[_Link] = set()
         self.address = address
         self.bytes_sent = 0
@@ -51,30 +53,35 @@
         Raises:
             OSError: The address can't be bound.
         """
+        # A bound socket that does not listen keeps the port while the
+        # listener is closed, so that no other process can take it.
+        self._holder = _bind(self._requested)
+        self._requested = self._holder.getsockname()[:2]
         host, port = self._requested
-        self._server = await asyncio.start_server(
-            self._serve, host, port, backlog=_BACKLOG
-        )
-        host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
+        await self._listen()
 
     def stop(self) -> None:
         """Closes the listener and all connections."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        self._close_listener()
         self._break_all()
+        if self._holder is not None:
+            self._holder.close()
+            self._holder = None
 
     @property
     def faults(self) -> LinkFaults:
         """Faults in force."""
         return self._faults
 
-    def set_faults(self, faults: LinkFaults) -> None:
+    async def set_faults(self, faults: LinkFaults) -> None:
         """Replaces the faults; `cut` breaks the open connections."""
         self._faults = faults
         if faults.cut:
+            self._close_listener()
             self._break_all()
+        elif self._server is None:
+            await self._listen()
 
     def silence_open(self) -> int:
         """Makes the open connections silent for good; new ones work.
@@ -86,6 +93,17 @@
             link.silent = True
         return len(self._links)
 
+    async def _listen(self) -> None:
+        listener = _bind(self._requested)
+        self._server = await asyncio.start_server(
+            self._serve, sock=listener, backlog=_BACKLOG
+        )
+
+    def _close_listener(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
     def _break_all(self) -> None:
         for link in list(self._links):
             link.abort()
@@ -93,9 +111,6 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self._faults.cut:
-            writer.transport.abort()
-            return
         host, port = self._target
         try:
             upstream_reader, upstream_writer = await asyncio.wait_for(
@@ -105,6 +120,9 @@
             writer.transport.abort()
             return
         link = _Link(writer, upstream_writer)
+        if self._faults.cut:
+            link.abort()
+            return
         self._links.add(link)
         try:
             await asyncio.gather(
@@ -185,3 +203,14 @@
         self.closed.set()
         for writer in self._writers:
             writer.transport.abort()
+
+
+def _bind(address: tuple[str, int]) -> socket.socket:
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    try:
+        sock.bind(address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -241,10 +241,11 @@
         assert await _echoed(first, b"two") is None
         second = await _connect(proxy)
         assert await _echoed(second, b"three") == b"three"
-        proxy.set_faults(LinkFaults(cut=True))
+        await proxy.set_faults(LinkFaults(cut=True))
         assert await _echoed(second, b"four") == b""
-        assert await _echoed(await _connect(proxy), b"five") == b""
-        proxy.set_faults(LinkFaults())
+        with pytest.raises(ConnectionRefusedError):
+            await _connect(proxy)
+        await proxy.set_faults(LinkFaults())
         assert await _echoed(await _connect(proxy), b"six") == b"six"
         assert proxy.bytes_sent == proxy.bytes_received == 11
         proxy.stop()
