Share the slots of an upstream by coordinator leases

Nodes of a zone must not exceed an upstream's limit together, without a message for each request. A coordinator divides the limit in heartbeats; lifetimes count from stamps of the node that has to stop, lowered grants are given to others only after they were acknowledged or expired, and a coordinator divides only the static shares of nodes that confirmed it for a whole grant lifetime.

--- /dev/null
+++ b/tests/test_slot_sharing.py
@@ -0,0 +1,498 @@
+"""Tests of slot leases: shares, division and safety under faults."""
+
+import collections
+from collections.abc import Callable
+
+import pytest
+from hypothesis import Phase, settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from scheduler_doubles import REGION, ZONE, FakeMembership, make_vm
+from tanagerport.clock import FakeClock
+from tanagerport.interfaces import NodeLiveness, NodeView
+from tanagerport.limits import SampleCounts
+from tanagerport.peer_pb2 import Heartbeat
+from tanagerport.slot_coordinator import (
+    Demand,
+    Grants,
+    SlotCoordinator,
+    divide_slots,
+)
+from tanagerport.slot_exchange import SlotExchange
+from tanagerport.slots import (
+    FALLBACK_TRUST_S,
+    Lease,
+    ServingMap,
+    SlotHolder,
+    rendezvous_order,
+    static_share,
+)
+
+_LIFETIME_S = 2.0
+_VM = make_vm("engine-1", slots=6)
+_NODES = ("node-1", "node-2", "node-3")
+
+
+class SlotNode:
+    """The slot-sharing parts of one node, with settable demand."""
+
+    def __init__(
+        self,
+        node_id: str,
+        clock: FakeClock,
+        node_ids: tuple[str, ...] = _NODES,
+        holder_class: type[SlotHolder] = SlotHolder,
+        coordinator_class: type[SlotCoordinator] = SlotCoordinator,
+        upstream_nodes: int = 6,
+    ) -> None:
+        self.node_id = node_id
+        self.clock = clock
+        self.membership = FakeMembership(node_id, node_ids, [_VM])
+        self.in_use = 0
+        self.waiting = 0
+        self.samples = SampleCounts()
+        self.lower_tier_running = 0
+        serving = ServingMap(self.membership, upstream_nodes, _LIFETIME_S)
+        self.serving = serving
+        self.holder = holder_class(serving, _LIFETIME_S)
+        self.coordinator = coordinator_class(serving, _LIFETIME_S)
+        self.exchange = SlotExchange(
+            serving, self.holder, self.coordinator, self, _LIFETIME_S, clock
+        )
+        self.tick()
+
+    def demand(self, vm_id: str) -> Demand | None:
+        if not self.in_use and not self.waiting:
+            return None
+        return Demand((self.in_use, 0, 0, 0), (self.waiting, 0, 0, 0))
+
+    def take_samples(self, vm_id: str) -> SampleCounts:
+        samples, self.samples = self.samples, SampleCounts()
+        return samples
+
+    def tick(self) -> None:
+        if self.holder.refresh_serving(self.clock.monotonic()):
+            self.coordinator.follow_view(self.holder.last_limit)
+        self.exchange.grant_locally()
+
+    def heartbeat(self, receiver: str) -> Heartbeat:
+        self.tick()
+        message = Heartbeat(node_id=self.node_id, zone=ZONE)
+        peer = NodeView(receiver, ZONE, REGION, "127.0.0.1:1")
+        self.exchange.fill(message, peer)
+        return message
+
+    def receive(self, message: Heartbeat) -> None:
+        self.tick()
+        self.exchange.receive(message)
+
+    @property
+    def usable(self) -> int:
+        return self.holder.usable(_VM, self.clock.monotonic())
+
+    @property
+    def is_coordinator(self) -> bool:
+        return self.serving.coordinator(_VM.vm_id) == self.node_id
+
+    @property
+    def limit(self) -> int:
+        return self.coordinator.limit(_VM)
+
+
+def make_zone(clock: FakeClock) -> dict[str, SlotNode]:
+    return {name: SlotNode(name, clock) for name in _NODES}
+
+
+def run_zone(
+    zone: dict[str, SlotNode],
+    seconds: float,
+    silent: frozenset[str] = frozenset(),
+    check: Callable[[], None] = lambda: None,
+) -> None:
+    """Exchanges heartbeats every 250 ms, except with silent nodes."""
+    clock = next(iter(zone.values())).clock
+    for _ in range(int(seconds / 0.25)):
+        for sender in zone.values():
+            for receiver in zone.values():
+                names = {sender.node_id, receiver.node_id}
+                if len(names) == 2 and not names & silent:
+                    receiver.receive(sender.heartbeat(receiver.node_id))
+        clock.advance(0.25)
+        check()
+
+
+def coordinator_of(zone: dict[str, SlotNode]) -> SlotNode:
+    name = rendezvous_order(_VM.vm_id, _NODES)[0]
+    return zone[name]
+
+
+class TestShares:
+    """Guards against shares that add up to more than the limit."""
+
+    @pytest.mark.parametrize("count", [1, 2, 3, 7])
+    @pytest.mark.parametrize("limit", [0, 1, 5, 7, 20])
+    def test_static_shares_add_up_to_the_limit(
+        self, limit: int, count: int
+    ) -> None:
+        shares = [static_share(limit, rank, count) for rank in range(count)]
+        assert sum(shares) == limit
+        assert max(shares) - min(shares) <= 1
+
+    def test_subset_is_bounded_and_stable(self) -> None:
+        """Guards against a node loss that moves unrelated upstreams."""
+        nodes = [f"node-{number}" for number in range(60)]
+        moved = 0
+        for number in range(200):
+            before = rendezvous_order(f"engine-{number}", nodes)[:6]
+            after = rendezvous_order(f"engine-{number}", nodes[1:])[:6]
+            moved += before != after
+            assert len(set(after) - set(before)) <= 1
+        assert moved < 40
+
+    def test_divide_serves_tiers_in_order_and_keeps_one_each(self) -> None:
+        given = divide_slots(
+            8,
+            {
+                "a": Demand(in_use=(0, 0, 9, 0)),
+                "b": Demand(waiting=(5, 0, 0, 0)),
+                "c": Demand(),
+            },
+        )
+        assert given == {"a": 2, "b": 5, "c": 1}
+
+    def test_divide_weighs_nodes_by_their_customers(self) -> None:
+        """Guards against a large customer that fills several nodes."""
+        given = divide_slots(
+            9,
+            {
+                "a": Demand(waiting=(50, 0, 0, 0), customers=(2, 0, 0, 0)),
+                "b": Demand(waiting=(50, 0, 0, 0), customers=(1, 0, 0, 0)),
+            },
+        )
+        assert given == {"a": 6, "b": 3}
+
+    def test_divide_spreads_what_nobody_asked_for(self) -> None:
+        assert divide_slots(7, {"a": Demand(), "b": Demand()}) == {
+            "a": 4,
+            "b": 3,
+        }
+
+
+class TestLeases:
+    """Guards against faults of coordinators and holders."""
+
+    def test_grants_follow_demand(self) -> None:
+        zone = make_zone(FakeClock())
+        zone["node-2"].waiting = 10
+        run_zone(zone, 4)
+        assert zone["node-2"].usable == 4
+        assert sum(node.usable for node in zone.values()) == 6
+        zone["node-2"].waiting, zone["node-3"].waiting = 0, 10
+        run_zone(zone, 1)
+        assert zone["node-3"].usable == 4
+
+    def test_cold_zone_uses_static_shares_at_once(self) -> None:
+        zone = make_zone(FakeClock())
+        assert [node.usable for node in zone.values()] == [2, 2, 2]
+
+    def test_silent_coordinator_leaves_static_shares(self) -> None:
+        """Guards against a zone that stops when its coordinator dies."""
+        zone = make_zone(FakeClock())
+        coordinator = coordinator_of(zone)
+        holder = next(n for n in zone.values() if n is not coordinator)
+        holder.waiting = 10
+        run_zone(zone, 4)
+        assert holder.usable == 4
+        run_zone(zone, 2.25, silent=frozenset({coordinator.node_id}))
+        others = [n for n in zone.values() if n is not coordinator]
+        assert [node.usable for node in others] == [2, 2]
+
+    def test_new_coordinator_waits_out_old_grants(self) -> None:
+        zone = make_zone(FakeClock())
+        old = coordinator_of(zone)
+        others = [n for n in zone.values() if n is not old]
+        waiting = others[0] if others[1].is_coordinator else others[1]
+        waiting.waiting = 10
+        run_zone(zone, 4)
+        for node in others:
+            node.membership.set_liveness(old.node_id, NodeLiveness.UNREACHABLE)
+        silent = frozenset({old.node_id})
+        seen: list[int] = []
+
+        def check() -> None:
+            total = sum(node.usable for node in others)
+            seen.append(total)
+            assert total <= 6
+
+        run_zone(zone, 1.75, silent, check)
+        run_zone(zone, 2, silent, check)
+        # The silent node keeps its share of two; the rest is granted.
+        assert seen[-1] == 4
+        assert waiting.usable == 3
+
+    def test_paused_coordinator_resumes_with_its_static_share(self) -> None:
+        """Guards against grants to itself that outlive a pause."""
+        clock = FakeClock()
+        zone = make_zone(clock)
+        coordinator = coordinator_of(zone)
+        coordinator.waiting = 10
+        run_zone(zone, 4)
+        assert coordinator.usable == 4
+        clock.advance(5)
+        assert coordinator.usable == 2
+        coordinator.tick()
+        assert coordinator.usable == 2
+
+    def test_delayed_heartbeat_does_not_prolong_a_grant(self) -> None:
+        clock = FakeClock()
+        zone = make_zone(clock)
+        coordinator = coordinator_of(zone)
+        holder = next(n for n in zone.values() if n is not coordinator)
+        holder.waiting = 10
+        run_zone(zone, 4)
+        delayed = coordinator.heartbeat(holder.node_id)
+        clock.advance(3)
+        holder.receive(delayed)
+        assert holder.usable == 2
+
+    def test_new_coordinator_starts_from_the_last_limit(self) -> None:
+        zone = make_zone(FakeClock())
+        old = coordinator_of(zone)
+        for _ in range(20):
+            old.samples = SampleCounts(20, 0, 0, 20)
+            run_zone(zone, 0.5)
+        learned = old.limit
+        assert learned > 6
+        others = [n for n in zone.values() if n is not old]
+        for node in others:
+            node.membership.set_liveness(old.node_id, NodeLiveness.DEAD)
+        run_zone(zone, 1, silent=frozenset({old.node_id}))
+        new = next(n for n in others if n.is_coordinator)
+        assert new.limit == learned
+
+    def test_restarted_holder_starts_over(self) -> None:
+        """Guards against stamps of a former process that block the new."""
+        clock = FakeClock()
+        zone = make_zone(clock)
+        coordinator = coordinator_of(zone)
+        name = next(n for n in _NODES if n != coordinator.node_id)
+        run_zone(zone, 4)
+        zone[name] = SlotNode(name, clock)
+        zone[name].waiting = 10
+        run_zone(zone, 4)
+        assert zone[name].usable == 4
+
+
+class SlotSharing(RuleBasedStateMachine):
+    """Holders and coordinators under lost, late and reordered messages."""
+
+    holder_class: type[SlotHolder] = SlotHolder
+    coordinator_class: type[SlotCoordinator] = SlotCoordinator
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = FakeClock()
+        self.paused: set[str] = set()
+        self.late: list[tuple[str, Heartbeat]] = []
+        self.limits: collections.deque[tuple[float, int]] = collections.deque()
+
+    @initialize()
+    def start(self) -> None:
+        self.zone = {name: self._make(name) for name in _NODES}
+
+    def _make(self, name: str) -> SlotNode:
+        return SlotNode(
+            name,
+            self.clock,
+            holder_class=self.holder_class,
+            coordinator_class=self.coordinator_class,
+        )
+
+    def _advance(self, seconds: float) -> None:
+        """Moves the clock in small steps, as the scheduler's ticks do."""
+        for _ in range(int(seconds / 0.05)):
+            self.clock.advance(0.05)
+            for name, node in self.zone.items():
+                if name not in self.paused:
+                    node.tick()
+            self.shares_stay_below_the_limit()
+
+    @rule(
+        rounds=strategies.integers(1, 12),
+        lost=strategies.sets(
+            strategies.tuples(
+                strategies.sampled_from(_NODES),
+                strategies.sampled_from(_NODES),
+            ),
+            max_size=3,
+        ),
+        delayed=strategies.booleans(),
+    )
+    def exchange(
+        self, rounds: int, lost: set[tuple[str, str]], delayed: bool
+    ) -> None:
+        """Sends heartbeats; links in `lost` lose or delay them."""
+        for _ in range(rounds):
+            for sender in _NODES:
+                for receiver in _NODES:
+                    if sender != receiver and sender not in self.paused:
+                        message = self.zone[sender].heartbeat(receiver)
+                        if (sender, receiver) not in lost:
+                            self._deliver(receiver, message)
+                        elif delayed:
+                            self.late.append((receiver, message))
+            self._advance(0.25)
+
+    def _deliver(self, receiver: str, message: Heartbeat) -> None:
+        if receiver not in self.paused:
+            self.zone[receiver].receive(message)
+            self.shares_stay_below_the_limit()
+
+    @precondition(lambda self: self.late)
+    @rule(data=strategies.data())
+    def deliver_late(self, data: strategies.DataObject) -> None:
+        index = data.draw(strategies.integers(0, len(self.late) - 1))
+        self._deliver(*self.late.pop(index))
+
+    @rule(seconds=strategies.sampled_from([0.1, 0.5, 1.0, 2.5]))
+    def wait(self, seconds: float) -> None:
+        self._advance(seconds)
+
+    @rule(
+        name=strategies.sampled_from(_NODES),
+        waiting=strategies.integers(0, 12),
+    )
+    def change_demand(self, name: str, waiting: int) -> None:
+        self.zone[name].waiting = waiting
+
+    @rule(
+        name=strategies.sampled_from(_NODES),
+        missed=strategies.booleans(),
+    )
+    def take_samples(self, name: str, missed: bool) -> None:
+        node = self.zone[name]
+        node.samples = SampleCounts(12, 12 * missed, 0, 12)
+
+    @rule(
+        viewer=strategies.sampled_from(_NODES),
+        name=strategies.sampled_from(_NODES),
+        live=strategies.booleans(),
+    )
+    def change_view(self, viewer: str, name: str, live: bool) -> None:
+        """Lets one node suspect another, or trust it again."""
+        if viewer != name:
+            self.zone[viewer].membership.set_liveness(
+                name, NodeLiveness.LIVE if live else NodeLiveness.SUSPECT
+            )
+
+    @rule(name=strategies.sampled_from(_NODES))
+    def pause_or_continue(self, name: str) -> None:
+        if name in self.paused:
+            self.paused.remove(name)
+        else:
+            self.paused.add(name)
+
+    @rule(name=strategies.sampled_from(_NODES))
+    def restart(self, name: str) -> None:
+        self.paused.discard(name)
+        self.zone[name] = self._make(name)
+
+    @invariant()
+    def shares_stay_below_the_limit(self) -> None:
+        if not hasattr(self, "zone"):
+            return
+        now = self.clock.monotonic()
+        # A node that hears nothing can't know of a lower limit, so the
+        # bound is the highest limit that it may still trust.
+        window_s = FALLBACK_TRUST_S + _LIFETIME_S
+        for node in self.zone.values():
+            if node.is_coordinator:
+                self.limits.append((now, node.limit))
+        while self.limits and self.limits[0][0] < now - window_s:
+            self.limits.popleft()
+        bound = max(_VM.slots, *(item[1] for item in self.limits), 1)
+        used = {name: node.usable for name, node in self.zone.items()}
+        assert sum(used.values()) <= bound, used
+
+
+class _LifetimeFromReceipt(SlotHolder):
+    """Planted bug: a grant lasts from its receipt."""
+
+    def take_lease(self, coordinator: str, lease: Lease, now: float) -> None:
+        if coordinator != self._serving.self_id:
+            lease = Lease(lease.entries, now + _LIFETIME_S, now + _LIFETIME_S)
+        super().take_lease(coordinator, lease, now)
+
+
+class _NoWait(SlotCoordinator):
+    """Planted bug: a new coordinator does not wait out old grants."""
+
+    def confirm(
+        self,
+        node_id: str,
+        vm_id: str,
+        since: float,
+        until: float,
+        now: float,
+    ) -> None:
+        super().confirm(node_id, vm_id, since, until, now)
+        state = self._states.get(vm_id)
+        if state is not None:
+            state.holder(node_id).support_since = float("-inf")
+
+
+class _NoAcknowledgement(SlotCoordinator):
+    """Planted bug: a lowered grant is taken as applied when it is sent."""
+
+    def grants(self, node_id: str, stamp: int, now: float) -> Grants:
+        grants = super().grants(node_id, stamp, now)
+        self.acknowledge(node_id, stamp)
+        return grants
+
+
+class _NoBound(SlotHolder):
+    """Planted bug: the static share is used while others may hold it."""
+
+    def refresh_serving(self, now: float) -> bool:
+        changed = super().refresh_serving(now)
+        self._bounds.clear()
+        return changed
+
+
+_RUN = settings(
+    max_examples=150,
+    stateful_step_count=30,
+    derandomize=True,
+    deadline=None,
+    phases=(Phase.generate,),
+)
+
+
+def test_slots_stay_below_the_limit() -> None:
+    """Guards against upstreams that get more than their limit."""
+    run_state_machine_as_test(SlotSharing, settings=_RUN)
+
+
+@pytest.mark.parametrize(
+    ("name", "planted"),
+    [
+        ("holder_class", _LifetimeFromReceipt),
+        ("holder_class", _NoBound),
+        ("coordinator_class", _NoWait),
+        ("coordinator_class", _NoAcknowledgement),
+    ],
+)
+def test_state_machine_finds_a_planted_bug(name: str, planted: type) -> None:
+    """Guards against a state machine that can't fail."""
+    machine = type("Planted", (SlotSharing,), {name: planted})
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(
+            machine, settings=settings(_RUN, max_examples=1500)
+        )
