--- a/src/tanagerport/slots.py
+++ b/src/tanagerport/slots.py
@@ -5,7 +5,7 @@
 """
 
 import dataclasses
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import xxhash
@@ -13,6 +13,7 @@
 from tanagerport.interfaces import MembershipView, NodeLiveness
 from tanagerport.limits import Brake
 from tanagerport.model import VM, VMRole
+from tanagerport.rendezvous import rendezvous_rank
 
 TIERS = 4
 # A holder without a coordinator trusts the last safe limit for this long;
@@ -20,20 +21,6 @@
 FALLBACK_TRUST_S = 10.0
 
 
-def rendezvous_order(key: str, node_ids: Iterable[str]) -> tuple[str, ...]:
-    """Returns the nodes in rendezvous order for a key, best first."""
-    return tuple(
-        sorted(
-            node_ids,
-            key=lambda node_id: (
-                xxhash.xxh64_intdigest(f"{key}|{node_id}"),
-                node_id,
-            ),
-            reverse=True,
-        )
-    )
-
-
 def static_share(limit: int, rank: int, count: int) -> int:
     """Returns the part of a limit that one of `count` nodes may use.
 
@@ -184,7 +171,7 @@
         self._vms = {vm.vm_id: vm for vm in self._listed}
         self._serving = {
             vm_id: self._serving.get(vm_id)
-            or rendezvous_order(vm_id, self._base)[: self._upstream_nodes]
+            or tuple(rendezvous_rank(vm_id, self._base)[: self._upstream_nodes])
             for vm_id in self._vms
         }
         self._coordinators = {
@@ -285,10 +272,28 @@
             lease: New grants; those not listed are void.
             now: Monotonic seconds.
         """
+        former = self._leases.get(coordinator)
+        if former is not None and now < former.fallback_at:
+            self._bound_unlisted(former, lease, now)
         self._leases[coordinator] = lease
         for upstream_id, entry in lease.entries.items():
             self._last_heard[upstream_id] = (entry, now)
 
+    def _bound_unlisted(self, former: Lease, lease: Lease, now: float) -> None:
+        """Keeps to former grants that the coordinator stopped to renew.
+
+        It stops when it has heard nothing from this node, whose static share
+        it may have granted to others before.
+        """
+        until = now + self._lifetime_s
+        for upstream_id, entry in former.entries.items():
+            if upstream_id not in lease.entries:
+                slots = entry.slots
+                bound = self._bounds.get(upstream_id)
+                if bound is not None and now < bound.until:
+                    slots = min(slots, bound.slots)
+                self._bounds[upstream_id] = _Bound(slots, until)
+
     def last_limit(self, upstream_id: str) -> int | None:
         """Returns the limit that a coordinator last stated."""
         heard = self._last_heard.get(upstream_id)
--- a/tests/test_slot_sharing.py
+++ b/tests/test_slot_sharing.py
@@ -19,6 +19,7 @@
 from tanagerport.interfaces import NodeLiveness, NodeView
 from tanagerport.limits import SampleCounts
 from tanagerport.peer_pb2 import Heartbeat
+from tanagerport.rendezvous import rendezvous_rank
 from tanagerport.slot_coordinator import (
     Demand,
     Grants,
@@ -31,7 +32,6 @@
     Lease,
     ServingMap,
     SlotHolder,
-    rendezvous_order,
     static_share,
 )
 
@@ -129,7 +129,7 @@
 
 
 def coordinator_of(zone: dict[str, SlotNode]) -> SlotNode:
-    name = rendezvous_order(_VM.vm_id, _NODES)[0]
+    name = rendezvous_rank(_VM.vm_id, _NODES)[0]
     return zone[name]
 
 
@@ -150,8 +150,8 @@
         nodes = [f"node-{number}" for number in range(60)]
         moved = 0
         for number in range(200):
-            before = rendezvous_order(f"engine-{number}", nodes)[:6]
-            after = rendezvous_order(f"engine-{number}", nodes[1:])[:6]
+            before = rendezvous_rank(f"engine-{number}", nodes)[:6]
+            after = rendezvous_rank(f"engine-{number}", nodes[1:])[:6]
             moved += before != after
             assert len(set(after) - set(before)) <= 1
         assert moved < 40
@@ -289,6 +289,27 @@
         run_zone(zone, 4)
         assert zone[name].usable == 4
 
+    def test_holder_that_is_no_longer_listed_keeps_to_its_grant(self) -> None:
+        """Guards against a static share that was granted to another node.
+
+        Only messages from the holder to the coordinator are lost, so the
+        coordinator's next heartbeats list no grant for it.
+        """
+        clock = FakeClock()
+        zone = make_zone(clock)
+        coordinator = coordinator_of(zone)
+        mute, busy = (n for n in zone.values() if n is not coordinator)
+        busy.waiting = 10
+        run_zone(zone, 4)
+        assert (mute.usable, busy.usable) == (1, 4)
+        for _ in range(16):
+            for receiver in (mute, busy):
+                receiver.receive(coordinator.heartbeat(receiver.node_id))
+            coordinator.receive(busy.heartbeat(coordinator.node_id))
+            clock.advance(0.25)
+            assert sum(node.usable for node in zone.values()) <= 6
+        assert mute.usable == 2
+
 
 class SlotSharing(RuleBasedStateMachine):
     """Holders and coordinators under lost, late and reordered messages."""
