Check slots after each message in the unlisted-holder test

The version committed in checked only after a whole round of heartbeats, when the other holder had already been lowered, and so also passed without the change. It now fails without it (checked by replacing SlotHolder._bound_unlisted) and passes with it.

--- a/tests/test_slot_sharing.py
+++ b/tests/test_slot_sharing.py
@@ -305,9 +305,9 @@
         for _ in range(16):
             for receiver in (mute, busy):
                 receiver.receive(coordinator.heartbeat(receiver.node_id))
+                assert sum(node.usable for node in zone.values()) <= 6
             coordinator.receive(busy.heartbeat(coordinator.node_id))
             clock.advance(0.25)
-            assert sum(node.usable for node in zone.values()) <= 6
         assert mute.usable == 2
 
 
