--- a/src/tanagerport/evidence.py
+++ b/src/tanagerport/evidence.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from tanagerport.clock import Clock
 from tanagerport.detection import (
     WHOLE_VERSION,
     Scope,
@@ -25,6 +26,8 @@
 # Keeps writes of 600 nodes at 60 a second.
 _WRITES_PER_S = 60.0
 _MIN_INTERVAL_S = 0.5
+# Spaces the scans of one rollout: 600 records every 5 s.
+_RECORDS_PER_S = 120.0
 
 
 class _ScopeRow(msgspec.Struct, array_like=True, frozen=True):
@@ -146,9 +149,14 @@
     Args:
         table: Table service.
         move: The rollout.
+        clock: Source of time.
     """
 
-    def __init__(self, table: TableStore, move: VersionMove) -> None:
+    def __init__(
+        self, table: TableStore, move: VersionMove, clock: Clock
+    ) -> None:
+        self._clock = clock
+        self._read_at = float("-inf")
         self._table = table
         self._model = move.model
         self._version = move.new_version
@@ -203,11 +211,14 @@
         return total
 
     def refresh(self) -> None:
-        """Reads the nodes' evidence.
+        """Reads the nodes' evidence if the last read is old enough.
 
         Raises:
             StoreUnavailableError: The store can't be reached.
         """
+        now = self._clock.monotonic()
+        if now - self._read_at < len(self._baselines) / _RECORDS_PER_S:
+            return
         for record in self._table.scan(f"{EVIDENCE_PREFIX}{self._model}/"):
             item = msgspec.json.decode(record.value, type=NodeEvidence)
             is_current = (item.new_version, item.started) == (
@@ -216,6 +227,16 @@
             )
             if is_current:
                 self._take(record.key, item)
+        self._read_at = now
+
+    def delete(self) -> None:
+        """Deletes the evidence of a rollout that ended.
+
+        Raises:
+            PlatformError: The store can't be reached.
+        """
+        writes = [Write(key, None) for key in self._baselines]
+        self._table.transact([], writes)
 
     def _take(self, key: str, item: NodeEvidence) -> None:
         scopes = {
--- /dev/null
+++ b/src/tanagerport/ramp.py
@@ -0,0 +1,136 @@
+"""Plan of a rollout's phases, made backwards from its deadline."""
+
+import dataclasses
+import math
+
+from tanagerport.version_policy import CANARY_SHARE
+
+# Shares between the canary and the full share.
+RAMP_SHARES = (0.15, 0.35, 0.65)
+# Share while the version is watched. The rest stays with the old version as
+# control, without which a burst looks like a slow version.
+FULL_SHARE = 0.9
+
+# Parts of the time from start to deadline. The rest is for loading and canary.
+_MARGIN_PART = 0.05
+_WATCH_PART = 0.30
+_RAMP_PART = 0.20
+# Shortest parts that are still accepted when the canary took longer.
+_MIN_WATCH_PART = 0.15
+_MIN_RAMP_PART = 0.10
+# Part of the canary's samples that can be expected in spite of requests that
+# end after it and of tokens that find no request.
+_SAMPLE_YIELD = 0.6
+_MIN_SAMPLES, _MAX_SAMPLES = 6, 40
+_MIN_ROUTE_SAMPLES, _MAX_ROUTE_SAMPLES = 1, 8
+
+
+@dataclasses.dataclass(frozen=True)
+class SamplesNeeded:
+    """Samples of the new version before more than the canary share.
+
+    Attributes:
+        total: Over all routes.
+        per_route: On each active route.
+    """
+
+    total: int
+    per_route: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RampPlan:
+    """Phases of a rollout.
+
+    Attributes:
+        started: Epoch seconds of the start.
+        deadline: Epoch seconds.
+    """
+
+    started: float
+    deadline: float
+
+    @property
+    def total_s(self) -> float:
+        """Seconds from start to deadline."""
+        return max(self.deadline - self.started, 0.001)
+
+    @property
+    def end_by(self) -> float:
+        """Latest planned end of the watch period."""
+        return self.deadline - _MARGIN_PART * self.total_s
+
+    @property
+    def full_by(self) -> float:
+        """Planned time of the full share."""
+        return self.end_by - _WATCH_PART * self.total_s
+
+    @property
+    def canary_by(self) -> float:
+        """Planned end of the canary phase."""
+        return self.full_by - _RAMP_PART * self.total_s
+
+    @property
+    def latest_canary_end(self) -> float:
+        """End of the canary phase after which the deadline can't be met."""
+        return self.latest_full - _MIN_RAMP_PART * self.total_s
+
+    @property
+    def latest_full(self) -> float:
+        """Time of the full share after which the deadline can't be met."""
+        return self.end_by - _MIN_WATCH_PART * self.total_s
+
+    def stage_s(self, now: float, share: float) -> float:
+        """Returns how long the current ramp share is kept, in seconds.
+
+        Args:
+            now: Epoch seconds when the share was set.
+            share: Current share.
+        """
+        remaining = 1 + sum(1 for item in RAMP_SHARES if item > share)
+        left_s = max(self.full_by - now, _MIN_RAMP_PART * self.total_s)
+        return min(left_s, _RAMP_PART * self.total_s) / remaining
+
+    def watch_s(self, full_at: float) -> float:
+        """Returns the watch period for a full share at a time, in seconds."""
+        left_s = self.end_by - full_at
+        planned_s = _WATCH_PART * self.total_s
+        return max(min(left_s, planned_s), _MIN_WATCH_PART * self.total_s)
+
+    def expected_end(self, state_share: float, now: float) -> float:
+        """Returns the earliest end from a share, in epoch seconds."""
+        part = _MIN_WATCH_PART
+        if state_share < FULL_SHARE:
+            part += _MIN_RAMP_PART
+        return now + part * self.total_s
+
+    def samples_needed(
+        self, requests: int, seen_s: float, routes: int
+    ) -> SamplesNeeded:
+        """Returns the samples that the time until the ramp can provide.
+
+        Args:
+            requests: Requests that ended since the start.
+            seen_s: Seconds in which they ended.
+            routes: Active routes.
+        """
+        rate = requests / max(seen_s, 0.5)
+        canary_s = max(self.canary_by - self.started, 0.0)
+        expected = _SAMPLE_YIELD * CANARY_SHARE * rate * canary_s
+        return SamplesNeeded(
+            _clamp(expected, _MIN_SAMPLES, _MAX_SAMPLES),
+            _clamp(
+                expected / max(routes, 1),
+                _MIN_ROUTE_SAMPLES,
+                _MAX_ROUTE_SAMPLES,
+            ),
+        )
+
+
+def next_share(share: float) -> float:
+    """Returns the ramp share that follows a share."""
+    return next((item for item in RAMP_SHARES if item > share), FULL_SHARE)
+
+
+def _clamp(value: float, low: int, high: int) -> int:
+    return max(low, min(math.floor(value), high))
