--- a/src/tanagerport/evidence.py
+++ b/src/tanagerport/evidence.py
@@ -7,9 +7,11 @@
 
 import dataclasses
 from collections.abc import Callable, Iterable, Mapping
+from typing import Protocol
 
 import msgspec
 
+from tanagerport.canaries import PooledView
 from tanagerport.clock import Clock
 from tanagerport.detection import (
     WHOLE_VERSION,
@@ -25,7 +27,10 @@
 EVIDENCE_PREFIX = "evidence/"
 # Keeps writes of 600 nodes at 60 a second.
 _WRITES_PER_S = 60.0
-_MIN_INTERVAL_S = 0.5
+_MIN_INTERVAL_S = 0.25
+# With more nodes each one sees enough requests of its own, and reading all
+# records on each of them would cost the store too much.
+_MAX_POOLING_NODES = 16
 # Spaces the scans of one rollout: 600 records every 5 s.
 _RECORDS_PER_S = 120.0
 
@@ -52,6 +57,7 @@
         new_version: Version under test.
         started: Start of the rollout, which identifies it.
         instance: Identity of the node's process.
+        chosen: Requests chosen for the new version at the canary share.
         scopes: Sums by scope.
         traffic: Ended requests of both versions by route.
     """
@@ -59,6 +65,7 @@
     new_version: str
     started: float
     instance: str
+    chosen: int
     scopes: list[_ScopeRow]
     traffic: list[_TrafficRow]
 
@@ -66,6 +73,7 @@
 def make_node_evidence(
     move: VersionMove,
     instance: str,
+    chosen: int,
     evidence: Mapping[Scope, ScopeEvidence],
     traffic: Mapping[Scope, int],
 ) -> NodeEvidence:
@@ -74,6 +82,7 @@
         move.new_version,
         move.started,
         instance,
+        chosen,
         [
             _ScopeRow(
                 scope.class_name,
@@ -92,54 +101,12 @@
     )
 
 
-class EvidenceReporter:
-    """Writes this node's evidence to the table service.
-
-    Args:
-        table: Table service.
-        node_id: Name of this node.
-        collect: Returns the evidence of each running rollout by model.
-        count_nodes: Returns the number of nodes, which spaces the writes.
-    """
-
-    def __init__(
-        self,
-        table: TableStore,
-        node_id: str,
-        collect: Callable[[], Mapping[str, NodeEvidence]],
-        count_nodes: Callable[[], int],
-    ) -> None:
-        self._table = table
-        self._node_id = node_id
-        self._collect = collect
-        self._count_nodes = count_nodes
-        self._written: dict[str, NodeEvidence] = {}
-
-    @property
-    def interval_s(self) -> float:
-        """Seconds between two reports."""
-        return max(_MIN_INTERVAL_S, self._count_nodes() / _WRITES_PER_S)
-
-    def report(self) -> None:
-        """Writes the evidence that changed.
-
-        Raises:
-            PlatformError: The store can't be reached.
-        """
-        for model, evidence in self._collect().items():
-            if self._written.get(model) == evidence:
-                continue
-            key = f"{EVIDENCE_PREFIX}{model}/{self._node_id}"
-            content = msgspec.json.encode(evidence)
-            self._table.transact([], [Write(key, content)])
-            self._written[model] = evidence
-
-
 @dataclasses.dataclass(frozen=True)
 class _Baseline:
     """Last sums that were taken from one process."""
 
     instance: str
+    chosen: int
     scopes: Mapping[Scope, ScopeEvidence]
 
 
@@ -229,6 +196,23 @@
                 self._take(record.key, item)
         self._read_at = now
 
+    def view(self, key: str) -> PooledView | None:
+        """Returns the figures for the node with a record key."""
+        keys = sorted(self._baselines)
+        if key not in self._baselines:
+            return None
+        return PooledView(
+            read_at=self._read_at,
+            index=keys.index(key),
+            nodes=len(keys),
+            requests=self.requests,
+            chosen=sum(item.chosen for item in self._baselines.values()),
+            chosen_here=self._baselines[key].chosen,
+            samples={
+                route: self.evidence(route).samples for route in self.traffic()
+            },
+        )
+
     def delete(self) -> None:
         """Deletes the evidence of a rollout that ended.
 
@@ -251,7 +235,7 @@
         old = baseline.scopes if baseline is not None and is_same else {}
         for scope, evidence in scopes.items():
             self._add(scope, evidence, old.get(scope, ScopeEvidence()))
-        self._baselines[key] = _Baseline(item.instance, scopes)
+        self._baselines[key] = _Baseline(item.instance, item.chosen, scopes)
         self._traffic[f"{key}/{item.instance}"] = {
             Scope(row.class_name, row.upstream_id): row.requests
             for row in item.traffic
@@ -275,6 +259,79 @@
             self._verdict = make_verdict(scope, total, chart)
 
 
+class EvidenceSource(Protocol):
+    """What the reporter needs of the version policy."""
+
+    def collect_evidence(self) -> Mapping[str, NodeEvidence]:
+        """Returns this node's evidence of each running rollout by model."""
+
+    def take_pooled(self, move: VersionMove, view: PooledView) -> None:
+        """Takes what all nodes saw of a rollout."""
+
+
+class EvidenceReporter:
+    """Writes this node's evidence and reads that of a few nodes.
+
+    Args:
+        table: Table service.
+        node_id: Name of this node.
+        source: Has this node's evidence and takes the pooled figures.
+        moves: Returns the latest rollout of each model.
+        count_nodes: Returns the number of nodes, which spaces the writes.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        table: TableStore,
+        node_id: str,
+        source: EvidenceSource,
+        moves: Callable[[], Mapping[str, VersionMove]],
+        count_nodes: Callable[[], int],
+        clock: Clock,
+    ) -> None:
+        self._table = table
+        self._node_id = node_id
+        self._source = source
+        self._moves = moves
+        self._count_nodes = count_nodes
+        self._clock = clock
+        self._written: dict[str, NodeEvidence] = {}
+        self._pools: dict[str, EvidencePool] = {}
+
+    @property
+    def interval_s(self) -> float:
+        """Seconds between two reports."""
+        return max(_MIN_INTERVAL_S, self._count_nodes() / _WRITES_PER_S)
+
+    def report(self) -> None:
+        """Writes the evidence that changed and reads the pooled figures.
+
+        Raises:
+            PlatformError: The store can't be reached.
+        """
+        moves = self._moves()
+        for model, evidence in self._source.collect_evidence().items():
+            key = f"{EVIDENCE_PREFIX}{model}/{self._node_id}"
+            if self._written.get(model) != evidence:
+                content = msgspec.json.encode(evidence)
+                self._table.transact([], [Write(key, content)])
+                self._written[model] = evidence
+            move = moves.get(model)
+            if move is not None and self._count_nodes() <= _MAX_POOLING_NODES:
+                self._pool(move, key)
+
+    def _pool(self, move: VersionMove, key: str) -> None:
+        pool = self._pools.get(move.model)
+        if pool is None or not pool.matches(move):
+            pool = EvidencePool(self._table, move, self._clock)
+            self._pools[move.model] = pool
+        pool.refresh()
+        view = pool.view(key)
+        if view is not None:
+            self._source.take_pooled(move, view)
+
+
 def active_routes(
     traffic: Mapping[Scope, int], upstream_ids: Iterable[str], min_share: float
 ) -> list[Scope]:
--- a/src/tanagerport/ramp.py
+++ b/src/tanagerport/ramp.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-from tanagerport.version_policy import CANARY_SHARE
+from tanagerport.canaries import CANARY_SHARE
 
 # Shares between the canary and the full share.
 RAMP_SHARES = (0.15, 0.35, 0.65)
@@ -87,9 +87,11 @@
             now: Epoch seconds when the share was set.
             share: Current share.
         """
-        remaining = 1 + sum(1 for item in RAMP_SHARES if item > share)
-        left_s = max(self.full_by - now, _MIN_RAMP_PART * self.total_s)
-        return min(left_s, _RAMP_PART * self.total_s) / remaining
+        remaining = max(1, sum(1 for item in RAMP_SHARES if item >= share))
+        shortest_s = _MIN_RAMP_PART * self.total_s / len(RAMP_SHARES)
+        longest_s = _RAMP_PART * self.total_s / len(RAMP_SHARES)
+        left_s = (self.full_by - now) / remaining
+        return min(max(left_s, shortest_s), longest_s)
 
     def watch_s(self, full_at: float) -> float:
         """Returns the watch period for a full share at a time, in seconds."""
@@ -97,13 +99,6 @@
         planned_s = _WATCH_PART * self.total_s
         return max(min(left_s, planned_s), _MIN_WATCH_PART * self.total_s)
 
-    def expected_end(self, state_share: float, now: float) -> float:
-        """Returns the earliest end from a share, in epoch seconds."""
-        part = _MIN_WATCH_PART
-        if state_share < FULL_SHARE:
-            part += _MIN_RAMP_PART
-        return now + part * self.total_s
-
     def samples_needed(
         self, requests: int, seen_s: float, routes: int
     ) -> SamplesNeeded:
--- a/src/tanagerport/rollout.py
+++ b/src/tanagerport/rollout.py
@@ -423,7 +423,9 @@
     reporter = EvidenceReporter(
         table,
         node_id,
-        policy.collect_evidence,
+        policy,
+        lambda: configuration.moves,
         lambda: len(membership.nodes()),
+        clock,
     )
     return MoverTask(mover, reporter, clock)
--- a/src/tanagerport/rollout_phases.py
+++ b/src/tanagerport/rollout_phases.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Sequence
 
+from tanagerport.canaries import CANARY_SHARE
 from tanagerport.detection import (
     CONVICTION_SCORE,
     PASS_SCORE,
@@ -12,7 +13,6 @@
 from tanagerport.evidence import EvidencePool, active_routes
 from tanagerport.model import FINAL_MOVE_STATES, MoveState, VersionMove
 from tanagerport.ramp import FULL_SHARE, RampPlan, SamplesNeeded, next_share
-from tanagerport.version_policy import CANARY_SHARE
 
 # A route with less of the traffic can't receive more than the canary share of
 # all requests even if nothing is known about it.
--- a/src/tanagerport/version_policy.py
+++ b/src/tanagerport/version_policy.py
@@ -1,14 +1,12 @@
 """Choice of a model version for each request, and verdicts on versions."""
 
-import collections
 import secrets
 import threading
 from collections.abc import Mapping, Sequence
 
-import cachetools
 import structlog
-import xxhash
 
+from tanagerport.canaries import CANARY_SHARE, CanaryChooser, PooledView
 from tanagerport.clock import Clock
 from tanagerport.detection import Scope, Verdict, VersionMonitor
 from tanagerport.evidence import NodeEvidence, make_node_evidence
@@ -22,13 +20,6 @@
 )
 from tanagerport.reference_times import ReferenceTimes
 
-# Largest share of a version that may still be bad.
-CANARY_SHARE = 0.05
-# Share of hashes that may become canaries. The count of ended requests bounds
-# the share; candidates above it let the count be used up.
-_CANDIDATE_SHARE = 0.25
-_REMEMBERED_REQUESTS = 8192
-_HASH_RANGE = float(2**64)
 # Seconds after the end of a rollout for which the old version stays loaded
 # and the new one is still monitored.
 KEEP_OLD_S = 300.0
@@ -42,63 +33,16 @@
     def __init__(self, move: VersionMove, reference: ReferenceTimes) -> None:
         self.move = move
         self.monitor = VersionMonitor(move.new_version, reference)
-        self._ended_requests = 0
-        self._canaries = 0
-        self._canaries_by_class: collections.Counter[str] = (
-            collections.Counter()
-        )
-        self._classes: set[str] = set()
-        self._is_new: cachetools.LRUCache[str, bool] = cachetools.LRUCache(
-            _REMEMBERED_REQUESTS
-        )
+        self.canaries = CanaryChooser(move.new_version)
 
     def record(
         self, sample: VersionSample, targets: tuple[float, float]
     ) -> None:
-        self._ended_requests += 1
-        self._classes.add(sample.class_name)
-        self.monitor.record(sample, targets)
-
-    def choose(self, request: Request, share: float) -> bool:
-        """Returns whether the request goes to the new version.
-
-        The answer for one request never changes from old to new, so that
-        asking again while it waits does not use up the canary share.
-        """
-        chosen = self._is_new.get(request.request_id)
-        if chosen is None:
-            chosen = self._decide(request, share)
-            self._is_new[request.request_id] = chosen
-        return chosen
-
-    def _decide(self, request: Request, share: float) -> bool:
-        position = hash_position(request, self.move.new_version)
-        if share > CANARY_SHARE:
-            return position < share
-        class_name = request.work_class.name
-        if position >= _CANDIDATE_SHARE or not self._may_add(class_name, share):
-            return False
-        self._canaries += 1
-        self._canaries_by_class[class_name] += 1
-        return True
-
-    def _may_add(self, class_name: str, share: float) -> bool:
-        """Returns whether one more canary keeps the observed share.
-
-        Only ended requests count, since a waiting request may be refused and
-        never reach an upstream. The allowance is 0 at the start, so that the
-        nodes' allowances add up to 0.
-        """
-        spare = share * self._ended_requests - self._canaries
-        if spare < 1.0:
-            return False
-        # Classes take turns, so that rare ones are sampled too; one without
-        # requests must not hold up the others for long.
-        fewest = min(
-            (self._canaries_by_class[name] for name in self._classes),
-            default=0,
+        self.canaries.record(
+            Scope(sample.class_name, sample.upstream_id),
+            sample.version == self.move.new_version,
         )
-        return spare >= 2.0 or self._canaries_by_class[class_name] <= fewest
+        self.monitor.record(sample, targets)
 
 
 class MoveVersionPolicy:
@@ -136,7 +80,8 @@
                 if move.state in (MoveState.LOADING, MoveState.CANARY)
                 else move.share
             )
-            if share > 0 and tracker.choose(request, share):
+            now = self._clock.monotonic()
+            if share > 0 and tracker.canaries.choose(request, share, now):
                 return move.new_version
         return move.old_version
 
@@ -161,15 +106,15 @@
             self._convict(move, verdict)
 
     def preferred_upstreams(
-        self, model: str, version: str, class_name: str
+        self, request: Request, version: str
     ) -> Sequence[str]:
-        """Returns known upstreams with the fewest samples first.
+        """Returns the upstreams that should serve a request, best first.
 
         While a rollout is at the canary share, the router should send the new
         version's requests to the first of these that has a free slot, so that
         every route is tested. Empty if the order does not matter.
         """
-        move = self._configuration.moves.get(model)
+        move = self._configuration.moves.get(request.work_class.model)
         if (
             move is None
             or move.new_version != version
@@ -177,20 +122,16 @@
         ):
             return ()
         with self._lock:
-            monitor = self._tracker(move).monitor
-            evidence = monitor.evidence
-            routes = [
-                route
-                for route in monitor.traffic
-                if route.class_name == class_name
-            ]
-            samples = {
-                route.upstream_id: evidence[route].samples
-                if route in evidence
-                else 0
-                for route in routes
-            }
-        return sorted(samples, key=lambda item: (samples[item], item))
+            canaries = self._tracker(move).canaries
+            ranked = canaries.ranked_upstreams(request.work_class.name)
+            target = canaries.target(request)
+        others = [item for item in ranked if item != target]
+        return [target, *others] if target else others
+
+    def take_pooled(self, move: VersionMove, view: PooledView) -> None:
+        """Takes what all nodes saw of a rollout."""
+        with self._lock:
+            self._tracker(move).canaries.take_pooled(view)
 
     def collect_evidence(self) -> Mapping[str, NodeEvidence]:
         """Returns this node's evidence of each running rollout by model."""
@@ -199,9 +140,13 @@
             if move.state in FINAL_MOVE_STATES:
                 continue
             with self._lock:
-                monitor = self._tracker(move).monitor
+                tracker = self._tracker(move)
                 result[model] = make_node_evidence(
-                    move, self._instance, monitor.evidence, monitor.traffic
+                    move,
+                    self._instance,
+                    tracker.canaries.chosen,
+                    tracker.monitor.evidence,
+                    tracker.monitor.traffic,
                 )
         return result
 
@@ -271,17 +216,6 @@
         )
 
 
-def hash_position(request: Request, salt: str) -> float:
-    """Returns the stable position of a request in 0 to 1.
-
-    Args:
-        request: Its idempotency key counts, else its id.
-        salt: Makes the canaries of each version other requests.
-    """
-    text = f"{salt}\0{request.key or request.request_id}"
-    return xxhash.xxh64_intdigest(text.encode()) / _HASH_RANGE
-
-
 def create_version_policy(
     configuration: ConfigurationView, clock: Clock
 ) -> MoveVersionPolicy:
