--- a/src/tanagerport/configuration.py
+++ b/src/tanagerport/configuration.py
@@ -20,6 +20,7 @@
     Head,
     LogEntry,
     RecordBody,
+    conviction_key,
     describe_difference,
     encode,
     log_key,
@@ -209,9 +210,12 @@
             PlatformError: The store can't be reached.
         """
         for item in self._state.unsaved_convictions():
+            key = conviction_key(item.model, item.version)
             try:
+                # Based on absence: another node may have written the record
+                # since the list was made.
                 self._accept(
-                    ConfigChange(convictions=(item,)),
+                    ConfigChange((), (), (), (item,), {key: 0}),
                     self._state.snapshot,
                     self._node_id,
                     f"conviction-{secrets.token_hex(8)}",
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -245,13 +245,17 @@
         assert setup.second.convictions == {("tutor", "v2"): "errors"}
         assert not setup.first.state.unsaved_convictions()
 
-    def test_two_nodes_save_one_conviction(self, setup: _Setup) -> None:
+    def test_two_nodes_save_each_conviction_once(self, setup: _Setup) -> None:
+        """Guards against a second write by a node that read in between."""
+        versions = ("v/1", "v/2")
         for store in (setup.first, setup.second):
-            store.add_conviction("tutor", "v/2", "errors")
+            for version in versions:
+                store.add_conviction("tutor", version, "errors")
         setup.first.save_convictions()
         setup.second.save_convictions()
-        key = conviction_key("tutor", "v/2")
-        assert setup.second.state.snapshot.revision(key) == 1
+        for version in versions:
+            key = conviction_key("tutor", version)
+            assert setup.second.state.snapshot.revision(key) == 1
 
 
 _TIERS = st.integers(0, 3)
