Wire rollouts and the operators' interface into the node

Cause: the rollout controller, the status and the operators' HTTP interface existed but no node ran them.

--- a/src/tanagerport/commands.py
+++ b/src/tanagerport/commands.py
@@ -24,6 +24,7 @@
 from tanagerport.status_table import format_explanation, format_status
 
 _WATCH_INTERVAL_S = 2.0
+_SIGNAL_POLL_S = 0.2
 _DURATION = re.compile(r"(\d+(?:\.\d+)?)(s|m|h|d)")
 _SECONDS_BY_UNIT = {"s": 1, "m": 60, "h": 3600, "d": 86400}
 
@@ -123,7 +124,8 @@
         signal.signal(number, lambda *_: stop.set())
     node = create_node(settings)
     node.start()
-    stop.wait()
+    while not stop.is_set() and not node.wait_for_drain_request(_SIGNAL_POLL_S):
+        pass
     node.stop()
     return 0
 
--- a/src/tanagerport/spread.py
+++ b/src/tanagerport/spread.py
@@ -108,6 +108,7 @@
         self._digests: dict[str, int] = {}
         self._ahead: set[str] = set()
         self._is_ready = False
+        self._is_store_reachable = False
         # Without a platform the settings state the VMs, perhaps none.
         self._needs_vms = settings.platform.vm_list_url is not None
         self._fetch_wanted: asyncio.Event | None = None
@@ -124,6 +125,11 @@
             ) and self._knows_highest()
         return self._is_ready
 
+    @property
+    def is_store_reachable(self) -> bool:
+        """Whether the last read of the store succeeded."""
+        return self._is_store_reachable
+
     @property
     def peer_versions(self) -> Mapping[str, int]:
         """Configuration version by node id, as last heard."""
@@ -230,7 +236,12 @@
         Raises:
             PlatformError: The store can't be reached.
         """
-        version = self._store.sync()
+        try:
+            version = self._store.sync()
+        except PlatformError:
+            self._is_store_reachable = False
+            raise
+        self._is_store_reachable = True
         if version == 0:
             self._bootstrap(self._settings.classes)
 
--- a/src/tanagerport/status_table.py
+++ b/src/tanagerport/status_table.py
@@ -10,12 +10,17 @@
     Args:
         status: Answer of `GET /status`.
     """
-    sections = [_format_node(status)]
+    sections = [
+        _format_pairs(status.get("node", {})),
+        "configuration  " + _format_pairs(status.get("configuration", {})),
+    ]
     for title, key in (
         ("classes", "classes"),
         ("version moves", "moves"),
+        ("convicted versions", "convictions"),
         ("zones", "zones"),
         ("upstreams", "upstreams"),
+        ("slots", "slots"),
     ):
         rows = status.get(key) or []
         sections.append(f"{title}\n{format_rows(rows)}")
@@ -62,9 +67,8 @@
     return ("  " + "  ".join(padded)).rstrip()
 
 
-def _format_node(status: dict[str, Any]) -> str:
-    node = status.get("node", {})
-    return "  ".join(f"{key}: {_text(value)}" for key, value in node.items())
+def _format_pairs(pairs: dict[str, Any]) -> str:
+    return "  ".join(f"{key}: {_text(value)}" for key, value in pairs.items())
 
 
 def _text(value: Any) -> str:
