--- a/src/tanagerport/canaries.py
+++ b/src/tanagerport/canaries.py
@@ -34,6 +34,7 @@
         chosen_here: Those of them that this node had chosen.
         samples: Samples of the new version by route, for all routes that
             carry traffic.
+        suspect: Routes that need more samples because of bad ones.
     """
 
     read_at: float
@@ -43,6 +44,7 @@
     chosen: int
     chosen_here: int
     samples: Mapping[Scope, int]
+    suspect: frozenset[Scope] = frozenset()
 
     def allowed_here(self, share: float) -> int:
         """Returns how many canaries this node may have chosen in all.
@@ -160,14 +162,21 @@
         names = sorted(known if pooled is not None else self._routes)
         # Nodes start at different routes, so that they don't all test one.
         offset = pooled.index if pooled is not None else 0
+        suspect = pooled.suspect if pooled is not None else frozenset()
+        # A bad sample is soon confirmed or outweighed by more on its route.
         ranked = sorted(
-            (known.get(route, 0) + self._in_progress(route), rank, route)
+            (
+                route not in suspect,
+                known.get(route, 0) + self._in_progress(route),
+                rank,
+                route,
+            )
             for rank, route in enumerate(
                 names[offset % max(len(names), 1) :]
                 + names[: offset % max(len(names), 1)]
             )
         )
-        return [route for _, _, route in ranked]
+        return [route for *_, route in ranked]
 
     def _in_progress(self, route: Scope) -> int:
         return max(0, self._assigned[route] - self._own_samples[route])
--- a/src/tanagerport/detection.py
+++ b/src/tanagerport/detection.py
@@ -14,7 +14,7 @@
 _FAILURE_RATE_BAD = 0.10
 _SLOW_RATE_GOOD = 0.08
 _SLOW_RATE_BAD = 0.30
-_VERY_SLOW_WEIGHT = 1.5
+_VERY_SLOW_WEIGHT = 1.6
 _VERY_SLOW_RATIO = 2.0
 # The failure rate of the old version at the same time raises the rate that a
 # good version may have, up to a rate at which failures say nothing any more.
@@ -25,7 +25,8 @@
 _FAILURE_WINDOW_S = 10.0
 
 CONVICTION_SCORE = 9.2  # docs/decisions/detection.md
-PASS_SCORE = 2.0
+# One slow sample needs one that is fine, one very slow sample four of them.
+PASS_SCORE = 1.2
 
 ALL = ""
 
--- a/src/tanagerport/evidence.py
+++ b/src/tanagerport/evidence.py
@@ -14,6 +14,7 @@
 from tanagerport.canaries import PooledView
 from tanagerport.clock import Clock
 from tanagerport.detection import (
+    PASS_SCORE,
     WHOLE_VERSION,
     Scope,
     ScopeEvidence,
@@ -160,10 +161,9 @@
         """Returns the summed evidence of a scope."""
         return self._totals.get(scope, ScopeEvidence())
 
-    def score(self, scope: Scope) -> float:
-        """Returns the worse score of a scope."""
-        chart = self._charts.get(scope)
-        return chart.worst if chart else 0.0
+    def chart(self, scope: Scope) -> ScoreChart:
+        """Returns the scores of a scope."""
+        return self._charts.get(scope) or ScoreChart()
 
     def worst_score(self) -> float:
         """Returns the worst score of all scopes."""
@@ -211,6 +211,11 @@
             samples={
                 route: self.evidence(route).samples for route in self.traffic()
             },
+            suspect=frozenset(
+                route
+                for route, chart in self._charts.items()
+                if route.is_route and chart.worst >= PASS_SCORE
+            ),
         )
 
     def delete(self) -> None:
--- a/src/tanagerport/ramp.py
+++ b/src/tanagerport/ramp.py
@@ -20,7 +20,7 @@
 _MIN_RAMP_PART = 0.10
 # Part of the canary's samples that can be expected in spite of requests that
 # end after it and of tokens that find no request.
-_SAMPLE_YIELD = 0.6
+_SAMPLE_YIELD = 0.8
 _MIN_SAMPLES, _MAX_SAMPLES = 6, 40
 _MIN_ROUTE_SAMPLES, _MAX_ROUTE_SAMPLES = 1, 8
 
--- a/src/tanagerport/reference_times.py
+++ b/src/tanagerport/reference_times.py
@@ -15,6 +15,7 @@
 # this power of the upper quartile over the median (1.645 / 0.674).
 _QUARTILE_EXPONENT = 2.44
 _MIN_SPREAD = 1.15
+_MIN_SPREAD_SAMPLES = 20
 _MIN_TIME_S = 1e-6  # guards divisions
 # Control samples taken on each side of a sample's time. A burst that begins or
 # ends at the sample shows on one side only.
@@ -88,6 +89,9 @@
         self._classes: dict[str, _Series] = {}
         # Speed of an upstream relative to the median of the class.
         self._factors: dict[str, _Series] = {}
+        # Ratios to the usual time; a route alone has too few values for a
+        # stable quantile.
+        self._spreads: dict[str, _Series] = {}
         self._control: collections.deque[tuple[float, str, float]] = (
             collections.deque(maxlen=4 * _HISTORY_SAMPLES)
         )
@@ -96,7 +100,9 @@
         class_name, upstream_id = route
         base = self._base(route)
         if base is not None:
-            self._control.append((at, upstream_id, value / base.median))
+            ratio = value / base.median
+            self._control.append((at, upstream_id, ratio))
+            self._spreads.setdefault(class_name, _Series()).add(ratio)
         by_class = self._classes.setdefault(class_name, _Series())
         if len(by_class) >= _MIN_HISTORY:
             factors = self._factors.setdefault(upstream_id, _Series())
@@ -112,7 +118,7 @@
         factor = slowdown or UNCONTROLLED_TOLERANCE
         base = self._base(route)
         if base is not None:
-            usual_s = base.median * base.upper_ratio
+            usual_s = base.median * self._upper_ratio(route[0], base)
         elif target_s > 0:
             usual_s = self._slowest_known(route[0], target_s)
             source = "target"
@@ -120,6 +126,12 @@
             return None
         return TimeLimit(usual_s * factor, source)
 
+    def _upper_ratio(self, class_name: str, base: "_Base") -> float:
+        spread = self._spreads.get(class_name)
+        if spread is None or len(spread) < _MIN_SPREAD_SAMPLES:
+            return base.upper_ratio
+        return spread.upper / max(spread.median, _MIN_TIME_S)
+
     def has_control_after(self, at: float) -> bool:
         """Returns whether enough control samples followed a time."""
         return (
--- a/src/tanagerport/rollout_phases.py
+++ b/src/tanagerport/rollout_phases.py
@@ -17,8 +17,10 @@
 # A route with less of the traffic can't receive more than the canary share of
 # all requests even if nothing is known about it.
 ACTIVE_ROUTE_SHARE = 0.02
-# The scores of a good version's pooled scopes reach 3 now and then.
-_POOLED_PASS_SCORE = 3.0
+# One failure raises a score to 2.3. The slowness score of all samples of a
+# good version reaches 3 now and then.
+_POOLED_SLOW_PASS_SCORE = 3.0
+_POOLED_FAILURE_PASS_SCORE = 2.0
 # A ramp stops here until the score falls or the version is convicted.
 _SUSPICION_SCORE = CONVICTION_SCORE / 2
 _NAMED_ROUTES = 3
@@ -110,17 +112,29 @@
         problems.append(
             f"fewer than {needed.per_route} samples on {_names(lacking)}"
         )
-    suspect = [route for route in routes if pool.score(route) >= PASS_SCORE]
+    suspect = [
+        route for route in routes if pool.chart(route).worst >= PASS_SCORE
+    ]
     if suspect:
         problems.append(f"bad samples on {_names(suspect)}")
     return problems
 
 
+def _suspect_routes(situation: Situation) -> list[Scope]:
+    pool = situation.pool
+    routes = active_routes(
+        pool.traffic(), situation.upstream_ids, ACTIVE_ROUTE_SHARE
+    )
+    return [route for route in routes if pool.chart(route).worst >= PASS_SCORE]
+
+
 def _check_whole(pool: EvidencePool, needed: SamplesNeeded) -> list[str]:
     problems = []
     if pool.samples < needed.total:
         problems.append(f"{pool.samples} of {needed.total} samples")
-    if pool.score(WHOLE_VERSION) >= _POOLED_PASS_SCORE:
+    chart = pool.chart(WHOLE_VERSION)
+    is_slow = chart.slow_score >= _POOLED_SLOW_PASS_SCORE
+    if is_slow or chart.failure_score >= _POOLED_FAILURE_PASS_SCORE:
         problems.append("bad samples on all routes")
     return problems
 
@@ -183,6 +197,16 @@
     has_passed = move.state in (MoveState.RAMP, MoveState.FULL)
     is_suspect = situation.pool.worst_score() >= _SUSPICION_SCORE
     goes_on = has_passed and not is_suspect and situation.continue_when_missed
+    if not has_passed and _suspect_routes(situation):
+        # Not enough to convict the version for good, but its samples are why
+        # it goes back.
+        return _end(
+            move,
+            MoveState.TAKEN_BACK,
+            0.0,
+            f"{_blocker(move, situation)} at the deadline",
+            situation.now,
+        )
     direction = "all traffic goes"
     return _end(
         move,
