--- a/src/tanagerport/caller_requests.py
+++ b/src/tanagerport/caller_requests.py
@@ -1,14 +1,16 @@
 """Checks of callers' HTTP requests."""
 
 import time
+import urllib.parse
 import uuid
 from collections.abc import Mapping
 from typing import Any
 
 import msgspec
 
+from tanagerport.answer_headers import end_to_end
 from tanagerport.exceptions import RefusedError
-from tanagerport.http_server import Environ, read_body
+from tanagerport.http_server import BodyTooLargeError, Environ, read_body
 from tanagerport.model import (
     Refusal,
     RefusalReason,
@@ -21,6 +23,9 @@
 CHAT_PATH = "/v1/chat/completions"
 _MAX_HEADER_TEXT = 256
 _MAX_ATTEMPT = 1000
+_SERVICE_METHODS = frozenset(
+    {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+)
 
 
 class _Message(msgspec.Struct):
@@ -53,10 +58,7 @@
         RefusedError: The request is invalid.
     """
     body = _read_checked_body(environ)
-    try:
-        chat = _CHAT_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise bad_request(f"body: {error}") from error
+    chat = _decode_chat(body)
     work_class = _find_chat_class(environ, classes, chat.model)
     max_tokens = chat.max_completion_tokens or chat.max_tokens
     if max_tokens is not None and max_tokens < 1:
@@ -68,9 +70,7 @@
         now,
         stream=chat.stream,
         max_output_tokens=max_tokens,
-        prompt="\n".join(
-            f"{message.role}: {message.content}" for message in chat.messages
-        ),
+        prompt=_prompt(chat),
     )
 
 
@@ -87,9 +87,15 @@
     Raises:
         RefusedError: The request is invalid.
     """
-    rest = environ["PATH_INFO"].removeprefix(SERVICES_PREFIX)
-    service, _, path = rest.partition("/")
-    query = environ.get("QUERY_STRING")
+    method = environ["REQUEST_METHOD"]
+    if method not in _SERVICE_METHODS:
+        raise RefusedError(
+            Refusal(
+                RefusalReason.METHOD_NOT_ALLOWED,
+                f"services take no {method} requests",
+            )
+        )
+    service, path = _split_service_path(environ["REQUEST_URI"])
     work_class = _find_service_class(environ, classes, service)
     body = _read_checked_body(environ)
     return _build_request(
@@ -97,17 +103,68 @@
         work_class,
         body,
         now,
-        service_path=f"/{path}" + (f"?{query}" if query else ""),
-        method=environ["REQUEST_METHOD"],
+        service_path=path,
+        method=method,
         content_type=environ.get("CONTENT_TYPE") or "application/json",
+        headers=_passed_headers(environ),
     )
 
 
+def _split_service_path(uri: str) -> tuple[str, str]:
+    """Returns the service and the path and query for it.
+
+    The path is passed on as it was sent, so that escaped characters keep
+    their meaning. A path that could leave the service's tree is refused.
+    """
+    raw_path, mark, query = uri.partition("?")
+    if not (uri.isascii() and uri.isprintable()) or " " in uri:
+        raise bad_request("path: must be printable ASCII without spaces")
+    decoded = urllib.parse.unquote(raw_path, errors="replace")
+    if not decoded.isprintable() or "\\" in decoded or "#" in uri:
+        raise bad_request("path: holds characters that are not accepted")
+    if any(part in (".", "..") for part in decoded.split("/")):
+        raise bad_request("path: must not hold . or .. segments")
+    if not raw_path.startswith(SERVICES_PREFIX):
+        raise bad_request(f"path: must begin with {SERVICES_PREFIX}")
+    rest = raw_path.removeprefix(SERVICES_PREFIX)
+    service, _, path = rest.partition("/")
+    return urllib.parse.unquote(service), f"/{path}{mark}{query}"
+
+
+def _passed_headers(environ: Environ) -> tuple[tuple[str, str], ...]:
+    headers = [
+        (name.removeprefix("HTTP_").replace("_", "-").title(), value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    ]
+    return tuple(end_to_end(headers, environ.get("HTTP_CONNECTION", "")))
+
+
+def prompt_of(body: bytes) -> str:
+    """Returns the prompt text of a checked chat-completions body."""
+    return _prompt(_decode_chat(body))
+
+
 def bad_request(message: str) -> RefusedError:
     """Returns a `bad_request` refusal to raise."""
     return RefusedError(Refusal(RefusalReason.BAD_REQUEST, message))
 
 
+def _decode_chat(body: bytes) -> _ChatRequest:
+    try:
+        return _CHAT_DECODER.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise bad_request(f"body: {error}") from error
+    except RecursionError as error:
+        raise bad_request("body: nested too deeply") from error
+
+
+def _prompt(chat: _ChatRequest) -> str:
+    return "\n".join(
+        f"{message.role}: {message.content}" for message in chat.messages
+    )
+
+
 def _build_request(
     environ: Environ,
     work_class: WorkClass,
@@ -144,6 +201,10 @@
 def _read_checked_body(environ: Environ) -> bytes:
     try:
         return read_body(environ)
+    except BodyTooLargeError as error:
+        raise RefusedError(
+            Refusal(RefusalReason.BODY_TOO_LARGE, f"body: {error}")
+        ) from error
     except ValueError as error:
         raise bad_request(str(error)) from error
 
@@ -222,9 +283,14 @@
 
 def _header(environ: Environ, name: str) -> str:
     text = environ.get("HTTP_" + name.upper().replace("-", "_"), "")
-    if len(text) > _MAX_HEADER_TEXT or not text.isprintable():
+    if (
+        len(text) > _MAX_HEADER_TEXT
+        or not text.isprintable()
+        or not text.isascii()
+    ):
         raise bad_request(
-            f"{name}: must be at most {_MAX_HEADER_TEXT} printable characters"
+            f"{name}: must be at most {_MAX_HEADER_TEXT} printable ASCII "
+            "characters"
         )
     return text.strip()
 
--- a/src/tanagerport/claims.py
+++ b/src/tanagerport/claims.py
@@ -7,9 +7,9 @@
 import uuid
 
 from tanagerport.clock import Clock
-from tanagerport.interfaces import MembershipView, PeerNetwork
+from tanagerport.interfaces import PeerNetwork
 from tanagerport.key_claims import KeyClaims, any_zone_cut_off
-from tanagerport.key_homes import KeyHomes
+from tanagerport.key_homes import ClaimMembership, KeyHomes
 from tanagerport.peer_pb2 import (
     ClaimReply,
     ClaimRequest,
@@ -68,7 +68,7 @@
     def __init__(
         self,
         homes: KeyHomes,
-        membership: MembershipView,
+        membership: ClaimMembership,
         clock: Clock,
         window_s: float,
         max_records: int = _MAX_RECORDS,
@@ -103,7 +103,7 @@
             members=members,
             young=not self._remembers(message.key),
             age_ms=int((self._clock.monotonic() - self._started_at) * 1000),
-            zone_losses=len(self._membership.losses(zone, self._window_s)),
+            lost_nodes=self._membership.lost_nodes(zone, self._window_s),
             first_start=self._is_first_start(zone),
             zones_cut_off=any_zone_cut_off(self._membership, self._window_s),
         )
@@ -183,7 +183,12 @@
         """
         if self._started_with_zone:
             return True
-        is_first = all(node.young for node in self._membership.nodes(zone))
+        nodes = self._membership.nodes(zone)
+        heard = [node for node in nodes if node.boot_id]
+        # A minority of nodes that never answered may not have started.
+        is_first = 2 * len(heard) > len(nodes) and all(
+            node.young for node in heard
+        )
         age_s = self._clock.monotonic() - self._started_at
         if is_first and age_s >= min(_ZONE_KNOWN_AFTER_S, self._window_s / 2):
             # The nodes do not all come of age in the same second.
@@ -223,7 +228,7 @@
 
 def create_claims(
     settings: Settings,
-    membership: MembershipView,
+    membership: ClaimMembership,
     peers: PeerNetwork,
     clock: Clock,
 ) -> KeyClaims:
--- a/src/tanagerport/exceptions.py
+++ b/src/tanagerport/exceptions.py
@@ -95,11 +95,13 @@
 
     Attributes:
         refusal: Reason and whether the request ran.
+        headers: Headers of the refusal's HTTP answer.
     """
 
     def __init__(self, refusal: Refusal) -> None:
         super().__init__(refusal.message)
         self.refusal = refusal
+        self.headers: tuple[tuple[str, str], ...] = ()
 
 
 class UpstreamError(TanagerportError):
@@ -126,6 +128,22 @@
     """The answer ended before its end marker."""
 
 
+class AnswerInterruptedError(UpstreamError):
+    """The node ended a call or an answer in progress.
+
+    Attributes:
+        reason: Value of `RefusalReason` that says why.
+    """
+
+    def __init__(self, message: str, reason: str) -> None:
+        super().__init__(message)
+        self.reason = reason
+
+
+class CallerGoneError(UpstreamError):
+    """The caller closed its connection before the answer ended."""
+
+
 class PeerError(TanagerportError):
     """A call to another node failed."""
 
--- a/src/tanagerport/frontend.py
+++ b/src/tanagerport/frontend.py
@@ -1,11 +1,19 @@
 """HTTP interface for callers."""
 
 import json
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from typing import Protocol
 
 import structlog
 
+from tanagerport.answers import Answer
 from tanagerport.caller_requests import (
     CHAT_PATH,
     SERVICES_PREFIX,
@@ -14,11 +22,14 @@
 )
 from tanagerport.clock import Clock
 from tanagerport.exceptions import (
-    AnswerTruncatedError,
+    AnswerInterruptedError,
+    CallerGoneError,
     RefusedError,
     TanagerportError,
+    UpstreamError,
 )
 from tanagerport.http_server import (
+    CALLER_SOCKET,
     Environ,
     StartResponse,
     json_response,
@@ -32,7 +43,7 @@
     Request,
     WorkClass,
 )
-from tanagerport.pipeline import Answer, RequestPipeline
+from tanagerport.pipeline import RequestPipeline
 from tanagerport.upstream_client import REQUEST_ID_HEADER
 
 _log = structlog.get_logger(__name__)
@@ -58,6 +69,7 @@
         pipeline: Carries requests.
         metrics: Metrics of the node.
         clock: Source of time.
+        customers: Accepted customers; empty accepts all.
     """
 
     def __init__(
@@ -66,11 +78,13 @@
         pipeline: RequestPipeline,
         metrics: Metrics,
         clock: Clock,
+        customers: Collection[str] = (),
     ) -> None:
         self._node = node
         self._pipeline = pipeline
         self._metrics = metrics
         self._clock = clock
+        self._customers = frozenset(customers)
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -119,14 +133,27 @@
                 )
             )
         request = parse(environ, self._node.classes, self._clock.monotonic())
+        self._check_customer(request)
         try:
-            answer = self._pipeline.run(request)
+            answer = self._pipeline.run(request, environ.get(CALLER_SOCKET))
         except RefusedError as error:
             return self._refuse(
-                start_response, error.refusal, request.request_id
+                start_response,
+                error.refusal,
+                request.request_id,
+                error.headers,
             )
         start_response(status_line(answer.status), list(answer.headers))
-        return _AnswerBody(answer, self._metrics, request.stream)
+        return _AnswerBody(answer, self._metrics, request)
+
+    def _check_customer(self, request: Request) -> None:
+        if self._customers and request.customer not in self._customers:
+            raise RefusedError(
+                Refusal(
+                    RefusalReason.UNKNOWN_CUSTOMER,
+                    f"X-Customer: there is no customer {request.customer!r}",
+                )
+            )
 
     def _choose_parser(
         self, environ: Environ
@@ -152,9 +179,10 @@
         start_response: StartResponse,
         refusal: Refusal,
         request_id: str = "",
+        more_headers: Sequence[tuple[str, str]] = (),
     ) -> Iterable[bytes]:
         self._metrics.refusals.labels(refusal.reason.value).inc()
-        headers = []
+        headers = list(more_headers)
         if refusal.retry_after_s is not None:
             seconds = max(1, round(refusal.retry_after_s))
             headers.append(("Retry-After", str(seconds)))
@@ -171,19 +199,25 @@
 class _AnswerBody:
     """Iterates an answer; a broken answer is never ended cleanly."""
 
-    def __init__(self, answer: Answer, metrics: Metrics, stream: bool) -> None:
+    def __init__(
+        self, answer: Answer, metrics: Metrics, request: Request
+    ) -> None:
         self._answer = answer
         self._metrics = metrics
-        self._stream = stream
+        self._request = request
 
     def __iter__(self) -> Iterator[bytes]:
         try:
             yield from self._answer
-        except AnswerTruncatedError as error:
-            refusal = Refusal(RefusalReason.TRUNCATED, str(error), Ran.UNKNOWN)
+        except CallerGoneError:
+            raise
+        except UpstreamError as error:
+            refusal = _refusal_of_broken(error)
             self._metrics.refusals.labels(refusal.reason.value).inc()
-            if self._stream:
-                document = json.dumps(refusal_document(refusal, ""))
+            if self._request.stream:
+                document = json.dumps(
+                    refusal_document(refusal, self._request.request_id)
+                )
                 yield f"event: error\ndata: {document}\n\n".encode()
             # Without an exception the server would end the chunked body
             # cleanly and the caller could take the part for the whole.
@@ -193,6 +227,13 @@
         self._answer.close()
 
 
+def _refusal_of_broken(error: UpstreamError) -> Refusal:
+    reason = RefusalReason.TRUNCATED
+    if isinstance(error, AnswerInterruptedError):
+        reason = RefusalReason(error.reason)
+    return Refusal(reason, str(error), Ran.UNKNOWN)
+
+
 def refusal_document(refusal: Refusal, request_id: str) -> dict[str, object]:
     """Returns the JSON document of a refusal."""
     return {
--- a/src/tanagerport/http_server.py
+++ b/src/tanagerport/http_server.py
@@ -8,9 +8,11 @@
 from typing import Any
 
 import structlog
-from cheroot import server, wsgi
+from cheroot import errors, server, wsgi
 
+from tanagerport.receiving import ReceivingConnections
 from tanagerport.settings import split_address
+from tanagerport.strict_headers import read_headers
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -22,24 +24,53 @@
 _STOP_TIMEOUT_S = 1
 _ACCEPT_BACKLOG = 512
 
+_TOO_LARGE = "the body exceeds the bound of the server"
+# Keys of the WSGI environment.
+CALLER_SOCKET = "tanagerport.caller_socket"
+_ON_RECEIVED = "tanagerport.on_received"
+
 _log = structlog.get_logger(__name__)
 
 
+class BodyTooLargeError(ValueError):
+    """A body exceeds the bound of the server."""
+
+
 class _JsonErrorRequest(server.HTTPRequest):
-    """Reports protocol errors as JSON in place of plain text."""
+    """Reads strictly, and reports protocol errors as JSON."""
+
+    header_reader = staticmethod(read_headers)
+    server: "_Server"
+
+    def parse_request(self) -> None:
+        self.server.receiving.enter(self.conn)
+        super().parse_request()
+
+    def read_request_headers(self) -> bool:
+        if not super().read_request_headers():
+            return False
+        if self.response_protocol != "HTTP/1.1":
+            if b"Transfer-Encoding" in self.inheaders:
+                self.simple_response(400, "HTTP/1.0 has no Transfer-Encoding")
+                return False
+        elif b"Host" not in self.inheaders:
+            self.simple_response(400, "Host is missing")
+            return False
+        if self.chunked_read:
+            # The trailer is not read, and must not pass for a request.
+            self.close_connection = True
+        return True
+
+    def respond(self) -> None:
+        try:
+            super().respond()
+        finally:
+            self.server.receiving.leave(self.conn)
 
     def simple_response(self, status: str | int, msg: str = "") -> None:
-        status = str(status)
-        code = int(status.split(" ", 1)[0])
-        reason = "body_too_large" if code == 413 else "bad_request"
+        status, reason, ran = _describe_error(str(status))
         body = json.dumps(
-            {
-                "error": {
-                    "reason": reason,
-                    "message": msg or status,
-                    "ran": "no",
-                }
-            }
+            {"error": {"reason": reason, "message": msg or status, "ran": ran}}
         ).encode()
         self.close_connection = True
         head = (
@@ -56,10 +87,30 @@
 
 class _Connection(server.HTTPConnection):
     RequestHandlerClass = _JsonErrorRequest
+    server: "_Server"
+
+    def communicate(self) -> bool:
+        try:
+            return super().communicate()
+        finally:
+            self.server.receiving.leave(self)
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Lets the application see the connection of its caller."""
+
+    def get_environ(self) -> Any:
+        environ = super().get_environ()
+        connection = self.req.conn
+        receiving = self.req.server.receiving
+        environ[CALLER_SOCKET] = connection.socket
+        environ[_ON_RECEIVED] = lambda: receiving.leave(connection)
+        return environ
 
 
 class _Server(wsgi.Server):
     ConnectionClass = _Connection
+    receiving: ReceivingConnections
 
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
@@ -79,6 +130,7 @@
         application: WSGI application.
         threads: Concurrent requests.
         max_body_bytes: Larger bodies get `413`.
+        on_evicted: Called for each half-sent request that is closed.
     """
 
     def __init__(
@@ -87,6 +139,7 @@
         application: Application,
         threads: int = 32,
         max_body_bytes: int = 1024 * 1024,
+        on_evicted: Callable[[], None] | None = None,
     ) -> None:
         host, port = split_address(address)
         self._server = _Server(
@@ -101,6 +154,10 @@
         self._server.max_request_header_size = _MAX_HEADER_BYTES
         self._server.max_request_body_size = max_body_bytes
         self._server.nodelay = True
+        self._server.gateway = _Gateway
+        # The other half of the threads stays free for whole requests.
+        self._receiving = ReceivingConnections(max(1, threads // 2), on_evicted)
+        self._server.receiving = self._receiving
         self._thread: threading.Thread | None = None
 
     @property
@@ -116,6 +173,7 @@
             OSError: The address can't be bound.
         """
         self._server.prepare()
+        self._receiving.start()
         self._thread = threading.Thread(
             target=self._server.serve, name="http-server", daemon=True
         )
@@ -123,6 +181,7 @@
 
     def stop(self) -> None:
         """Closes the listener and waits a bounded time for its threads."""
+        self._receiving.stop()
         # cheroot joins its workers without a bound, so a worker that waits
         # on an upstream would block the caller.
         stopper = threading.Thread(target=self._server.stop, daemon=True)
@@ -134,8 +193,28 @@
     """Returns the request's body.
 
     Raises:
-        ValueError: The client sent less than it announced.
+        BodyTooLargeError: The body exceeds the bound of the server.
+        ValueError: The client sent less than it announced, or sent
+            malformed chunks.
     """
+    try:
+        return _read_body(environ)
+    except errors.MaxSizeExceeded as error:
+        raise BodyTooLargeError(_TOO_LARGE) from error
+    except TimeoutError:
+        raise
+    except OSError as error:
+        # cheroot reports a chunk over the bound in this way.
+        if error.errno is None and "Too Large" in str(error):
+            raise BodyTooLargeError(_TOO_LARGE) from error
+        raise
+    finally:
+        on_received = environ.get(_ON_RECEIVED)
+        if on_received is not None:
+            on_received()
+
+
+def _read_body(environ: Environ) -> bytes:
     stream = environ["wsgi.input"]
     length_text = environ.get("CONTENT_LENGTH")
     if not length_text:
@@ -170,4 +249,21 @@
 
 def status_line(status: int) -> str:
     """Returns a status code with its phrase."""
-    return f"{status} {http.HTTPStatus(status).phrase}"
+    try:
+        phrase = http.HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    return f"{status} {phrase}"
+
+
+def _describe_error(status: str) -> tuple[str, str, str]:
+    """Returns status, reason and `ran` of an error that cheroot reports."""
+    code = int(status.split(" ", 1)[0])
+    if code in (501, 505):
+        # Protocol features that the server lacks are the caller's error.
+        return "400 Bad Request", "bad_request", "no"
+    if code >= 500:
+        return status, "internal", "unknown"
+    if code in (413, 414):
+        return status_line(413), "body_too_large", "no"
+    return status_line(code), "bad_request", "no"
--- a/src/tanagerport/interfaces.py
+++ b/src/tanagerport/interfaces.py
@@ -35,6 +35,7 @@
         draining: Whether the node said that it is stopping.
         young: Whether it joined, restarted or was cut off within the claim
             window, so that it may lack claims.
+        listed: Whether the VM list holds it.
     """
 
     node_id: str
@@ -45,6 +46,7 @@
     liveness: NodeLiveness = NodeLiveness.LIVE
     draining: bool = False
     young: bool = False
+    listed: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/tanagerport/key_claims.py
+++ b/src/tanagerport/key_claims.py
@@ -10,11 +10,10 @@
 from tanagerport.clock import Clock
 from tanagerport.exceptions import PeerError, RefusedError
 from tanagerport.interfaces import (
-    MembershipView,
     NodeLiveness,
     PeerNetwork,
 )
-from tanagerport.key_homes import KeyHomes
+from tanagerport.key_homes import ClaimMembership, KeyHomes
 from tanagerport.model import Ran, Refusal, RefusalReason, Request
 from tanagerport.peer_pb2 import ClaimReply, ClaimRequest, SettleRequest
 from tanagerport.settlements import Settlements
@@ -77,8 +76,9 @@
     """Answers of the homes of one zone."""
 
     members: tuple[str, ...]
-    votes: list[ClaimReply] = dataclasses.field(default_factory=list)
-    young: list[ClaimReply] = dataclasses.field(default_factory=list)
+    votes: dict[str, ClaimReply] = dataclasses.field(default_factory=dict)
+    young: dict[str, ClaimReply] = dataclasses.field(default_factory=dict)
+    lost_nodes: set[str] = dataclasses.field(default_factory=set)
     removed: int = 0
     cut_off: bool = False
 
@@ -130,7 +130,7 @@
     def __init__(
         self,
         homes: KeyHomes,
-        membership: MembershipView,
+        membership: ClaimMembership,
         peers: PeerNetwork,
         settlements: Settlements,
         clock: Clock,
@@ -182,9 +182,12 @@
         home = self._homes.home_zone(request.customer, key)
         result, poll = self._claim_in_zone(home, request, contacted)
         own = self._membership.self_view.zone
-        if result is _Result.NO_QUORUM and request.attempt == 1 and own != home:
+        if result is _Result.NO_QUORUM and request.attempt == 1:
             # Attempts above 1 ask every zone, so they find this claim.
-            result, poll = self._claim_in_zone(own, request, contacted)
+            for zone in self._homes.fallback_zones(own, request.customer, key):
+                result, poll = self._claim_in_zone(zone, request, contacted)
+                if result is _Result.GRANTED:
+                    break
         if result is not _Result.GRANTED:
             raise _refuse(result, home, request)
         if self._may_be_resend(request, poll):
@@ -235,8 +238,10 @@
         if other_members:
             # The homes remember a node that left before this one knew it.
             poll, _ = self._poll(zone, other_members, request, contacted)
-        losses = len(self._membership.losses(zone, self._window_s))
-        return decide(poll, losses, self._window_s), poll
+        poll.lost_nodes.update(
+            self._membership.lost_nodes(zone, self._window_s)
+        )
+        return decide(poll, self._window_s), poll
 
     def _poll(
         self,
@@ -274,7 +279,8 @@
                 continue
             if reply.verdict != ClaimReply.GRANTED:
                 raise _refuse_held(reply)
-            (poll.young if reply.young else poll.votes).append(reply)
+            (poll.young if reply.young else poll.votes)[node_id] = reply
+            poll.lost_nodes.update(reply.lost_nodes)
             poll.cut_off |= reply.zones_cut_off
             if len(poll.votes) == poll.majority:
                 break
@@ -318,27 +324,32 @@
             )
 
 
-def decide(poll: _Poll, losses: int, window_s: float) -> _Result:
+def decide(poll: _Poll, window_s: float) -> _Result:
     """Returns whether the answers of a zone's homes grant a key.
 
     Args:
         poll: Answers of the homes.
-        losses: Deaths and restarts of the zone that the claimant saw.
         window_s: How long a key is remembered, in seconds.
     """
     if not poll.members:
         return _Result.NO_QUORUM
-    votes, young = poll.votes, poll.young
-    if not losses and not any(reply.zone_losses for reply in votes + young):
-        votes = votes + [reply for reply in young if reply.first_start]
-        young = [reply for reply in young if not reply.first_start]
+    first = {}
+    # A zone whose nodes were all replaced is as young as a new one.
+    if len(poll.lost_nodes) < poll.majority:
+        first = {
+            node_id: reply
+            for node_id, reply in poll.young.items()
+            if reply.first_start and node_id not in poll.lost_nodes
+        }
+    votes = {**poll.votes, **first}
     if len(votes) >= poll.majority:
         return _Result.GRANTED
-    lost = poll.removed + len(young)
+    lost = poll.removed + len(poll.young) - len(first)
     if len(poll.members) == 2 and lost == 1 and votes:
         # Both hold every claim, so one suffices, unless it was itself the
         # lost one while the other held the only copies.
-        if votes[0].age_ms >= 2000 * window_s:
+        voter = next(iter(votes.values()))
+        if first or voter.age_ms >= 2000 * window_s:
             return _Result.GRANTED
         return _Result.CLAIMS_LOST
     if lost >= poll.majority:
@@ -346,7 +357,7 @@
     return _Result.NO_QUORUM
 
 
-def any_zone_cut_off(membership: MembershipView, window_s: float) -> bool:
+def any_zone_cut_off(membership: ClaimMembership, window_s: float) -> bool:
     """Returns whether any zone was unreachable within the window."""
     return any(
         membership.zone_cut_off_within(zone, window_s)
--- a/src/tanagerport/key_homes.py
+++ b/src/tanagerport/key_homes.py
@@ -1,25 +1,22 @@
 """Home zone and home nodes of an idempotency key."""
 
 import threading
-from collections.abc import Iterable, Sequence
-
-import xxhash
+from collections.abc import Sequence
+from typing import Protocol
 
 from tanagerport.clock import Clock
-from tanagerport.interfaces import MembershipView
+from tanagerport.interfaces import MembershipView, NodeLiveness
+from tanagerport.rendezvous import rendezvous_rank
 
 # Two of three homes are a majority, so any two sets of grants share a node.
 HOME_NODES = 3
 
 
-def rank(names: Iterable[str], customer: str, key: str) -> list[str]:
-    """Returns names in rendezvous order for a key, the winner first."""
-    seed = f"{customer}\0{key}"
-    return sorted(
-        names,
-        key=lambda name: (xxhash.xxh3_64_intdigest(f"{name}\0{seed}"), name),
-        reverse=True,
-    )
+class ClaimMembership(MembershipView, Protocol):
+    """Nodes and upstreams, and which nodes lost their claims."""
+
+    def lost_nodes(self, zone: str, window_s: float) -> Sequence[str]:
+        """Returns nodes of the zone that died or restarted lately."""
 
 
 class KeyHomes:
@@ -36,7 +33,7 @@
     """
 
     def __init__(
-        self, membership: MembershipView, clock: Clock, window_s: float
+        self, membership: ClaimMembership, clock: Clock, window_s: float
     ) -> None:
         self._membership = membership
         self._clock = clock
@@ -57,22 +54,40 @@
         prefix, separator, _ = key.partition(":")
         if separator and prefix in zones:
             return prefix
-        return rank(zones, customer, key)[0]
+        return rendezvous_rank(_rank_key(customer, key), zones)[0]
 
     def members(self, zone: str, customer: str, key: str) -> tuple[str, ...]:
         """Returns the home nodes of a key in a zone, the first one first."""
         listed = {node.node_id for node in self._membership.nodes(zone)}
         names = listed | self._update_removed(zone, listed)
-        return tuple(rank(names, customer, key)[:HOME_NODES])
+        ranked = rendezvous_rank(_rank_key(customer, key), names)
+        return tuple(ranked[:HOME_NODES])
+
+    def fallback_zones(self, own: str, customer: str, key: str) -> list[str]:
+        """Returns where a first attempt is claimed without its home zone.
+
+        The zone of this node comes first, then the others in an order that
+        depends on the key.
+        """
+        zones = rendezvous_rank(
+            _rank_key(customer, key), self._membership.zones()
+        )
+        home = self.home_zone(customer, key)
+        zones.sort(key=lambda zone: zone != own)
+        return [zone for zone in zones if zone != home]
 
     def removed(self, zone: str, members: Sequence[str]) -> frozenset[str]:
-        """Returns the members that the VM list no longer holds.
+        """Returns the silent members that the VM list no longer holds.
 
-        Nodes that peers believe to be dead are not among them: each side
-        of a partition may believe that of the other.
+        Listed nodes that peers believe to be dead are not among them: each
+        side of a partition may believe that of the other.
         """
-        listed = {node.node_id for node in self._membership.nodes(zone)}
-        return frozenset(members) - listed
+        present = {
+            node.node_id
+            for node in self._membership.nodes(zone)
+            if node.listed or node.liveness is not NodeLiveness.DEAD
+        }
+        return frozenset(members) - present
 
     def _update_removed(self, zone: str, listed: set[str]) -> set[str]:
         now = self._clock.monotonic()
@@ -85,3 +100,7 @@
                 if name in listed or now - since > self._remember_s:
                     del removed[name]
             return set(removed)
+
+
+def _rank_key(customer: str, key: str) -> str:
+    return f"claim\0{customer}\0{key}"
--- a/src/tanagerport/membership.py
+++ b/src/tanagerport/membership.py
@@ -141,6 +141,18 @@
             cut_at = self._zone_cut_at.get(zone, float("-inf"))
         return now - cut_at <= window_s
 
+    def lost_nodes(self, zone: str, window_s: float) -> Sequence[str]:
+        """Returns the nodes that `losses` counts."""
+        oldest = self._clock.time() - window_s
+        with self._lock:
+            return sorted(
+                {
+                    loss.node_id
+                    for loss in self._nodes.losses
+                    if loss.zone == zone and loss.at >= oldest
+                }
+            )
+
     def losses(self, zone: str, window_s: float) -> Sequence[float]:
         """Returns epoch seconds of node deaths and restarts in the zone.
 
--- a/src/tanagerport/metrics.py
+++ b/src/tanagerport/metrics.py
@@ -79,6 +79,31 @@
             ["upstream"],
             registry=registry,
         )
+        self.late_frames = prometheus_client.Counter(
+            "tanagerport_late_frames",
+            "Dropped frames and events of ended requests.",
+            registry=registry,
+        )
+        self.silent_connections = prometheus_client.Counter(
+            "tanagerport_silent_connections",
+            "Upstream connections given up because others worked.",
+            registry=registry,
+        )
+        self.replays = prometheus_client.Counter(
+            "tanagerport_replays",
+            "Resends answered with the kept answer of their key.",
+            registry=registry,
+        )
+        self.callers_gone = prometheus_client.Counter(
+            "tanagerport_callers_gone",
+            "Requests whose caller closed its connection early.",
+            registry=registry,
+        )
+        self.evicted_callers = prometheus_client.Counter(
+            "tanagerport_evicted_callers",
+            "Half-sent requests closed to free their threads.",
+            registry=registry,
+        )
         for reason in RefusalReason:
             self.refusals.labels(reason.value)
         for retry_reason in RetryReason:
--- a/src/tanagerport/model.py
+++ b/src/tanagerport/model.py
@@ -232,6 +232,7 @@
         service_path: Path and query passed to a plain service.
         method: HTTP method for a plain service.
         content_type: Content type of the body.
+        headers: Further headers passed to a plain service.
     """
 
     request_id: str
@@ -248,6 +249,7 @@
     service_path: str = "/"
     method: str = "POST"
     content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class MoveState(enum.StrEnum):
--- a/src/tanagerport/node.py
+++ b/src/tanagerport/node.py
@@ -14,7 +14,7 @@
 from tanagerport.metrics import Metrics
 from tanagerport.model import VM, RefusalReason, WorkClass
 from tanagerport.peers import Peers
-from tanagerport.pipeline import RequestPipeline
+from tanagerport.pipeline import create_pipeline
 from tanagerport.platform import Platform, create_platform
 from tanagerport.scheduler import Scheduler, StaticScheduler
 from tanagerport.settings import Settings
@@ -50,12 +50,25 @@
         self._metrics = metrics
         self._clock = clock
         self._draining = False
-        self._pipeline = RequestPipeline(scheduler, client, metrics, clock)
+        self._pipeline = create_pipeline(
+            scheduler,
+            client,
+            metrics,
+            clock,
+            settings,
+            membership=control.membership,
+            peers=control.peers,
+            classes=lambda: control.configuration.classes,
+            table=platform.table,
+        )
         self._caller_server = HttpServer(
             settings.listen,
-            CallerApplication(self, self._pipeline, metrics, clock),
+            CallerApplication(
+                self, self._pipeline, metrics, clock, settings.customers
+            ),
             threads=settings.caller_threads,
             max_body_bytes=settings.max_body_bytes,
+            on_evicted=metrics.evicted_callers.inc,
         )
 
     @property
@@ -174,7 +187,11 @@
         platform,
         control,
         scheduler,
-        UpstreamClient(settings.timing),
+        UpstreamClient(
+            settings.timing,
+            clock,
+            lambda address: metrics.silent_connections.inc(),
+        ),
         metrics,
         clock,
     )
--- a/src/tanagerport/node_states.py
+++ b/src/tanagerport/node_states.py
@@ -174,6 +174,7 @@
             self.liveness(node, now),
             node.listed_leaving or node.state == NodeState.NODE_STATE_DRAINING,
             now < node.young_until,
+            node.listed,
         )
 
     def is_zone_heard(self, zone: str, now: float) -> bool:
--- a/src/tanagerport/pipeline.py
+++ b/src/tanagerport/pipeline.py
@@ -1,14 +1,41 @@
 """The path of one request through the node, in the caller's thread."""
 
+import dataclasses
+import socket
 import threading
-from collections.abc import Iterator, Sequence
+import uuid
+from collections.abc import Callable, Mapping
+from typing import Protocol
 
+from tanagerport.answers import Answer, AnswerKeeper, AnswerRecorder
+from tanagerport.call_watch import CallWatch
+from tanagerport.claims import create_claims
 from tanagerport.clock import Clock
+from tanagerport.dispatch_control import UpstreamDispatchControl
+from tanagerport.dispatch_records import DispatchRecords
+from tanagerport.dispatched_answer import DispatchedAnswer, DispatchEnd
 from tanagerport.exceptions import (
+    AnswerInterruptedError,
+    AnswerTruncatedError,
+    CallerGoneError,
     RefusedError,
+    UpstreamError,
     UpstreamNotStartedError,
     UpstreamOutcomeUnknownError,
 )
+from tanagerport.explain import ExplanationLog
+from tanagerport.forwarding import Forwarder, ForwardServer
+from tanagerport.interfaces import (
+    PeerNetwork,
+    VersionPolicy,
+)
+from tanagerport.key_claims import (
+    Claim,
+    ClaimOutcome,
+    DuplicateKeyError,
+    KeyClaims,
+)
+from tanagerport.key_homes import ClaimMembership
 from tanagerport.metrics import Metrics
 from tanagerport.model import (
     Ran,
@@ -16,95 +43,54 @@
     RefusalReason,
     Request,
     UpstreamKind,
+    WorkClass,
 )
-from tanagerport.relay import AnswerCheck, relay_events
+from tanagerport.peer_answer import AnswerWithHeader, PeerAnswer
+from tanagerport.platform_api import TableStore
+from tanagerport.retries import RetryBudget
 from tanagerport.scheduler import Outcome, Placement, Scheduler
+from tanagerport.settings import Settings, TimingSettings
+from tanagerport.store_claims import StoreClaims, create_store_claims
 from tanagerport.upstream_client import (
     REQUEST_ID_HEADER,
     VERSION_HEADER,
-    UpstreamAnswer,
     UpstreamCall,
     UpstreamClient,
 )
 
 _MAX_DISPATCHES = 4
-_EVENT_STREAM = "text/event-stream"
+_SILENT_INTERVALS = 20
+# A document arrives whole, so its first byte may take the time of all its
+# tokens; engines may be this much slower than their target.
+_DOCUMENT_SLACK = 4
+KEY_HEADER = "Idempotency-Key"
+_REPLAY_HEADER = "Idempotent-Replay"
 
 
-class Answer:
-    """Answer to a caller; the body must be iterated or closed."""
+class SpillPolicy(Protocol):
+    """Choice of another node for a request that this one can't serve."""
 
-    def __init__(
-        self,
-        pipeline: "RequestPipeline",
-        placement: Placement,
-        upstream: UpstreamAnswer,
-        dispatched_at: float,
-    ) -> None:
-        self._pipeline = pipeline
-        self._placement = placement
-        self._upstream = upstream
-        self._dispatched_at = dispatched_at
-        self._check = AnswerCheck()
-        self._first_byte_at: float | None = None
-        self._finished = False
+    def choose_node(self, request: Request, refusal: Refusal) -> str | None:
+        """Returns the node to forward to; None refuses the request."""
 
-    @property
-    def status(self) -> int:
-        """HTTP status."""
-        return self._upstream.status
 
-    @property
-    def headers(self) -> Sequence[tuple[str, str]]:
-        """HTTP headers for the caller."""
-        headers = [
-            (
-                "Content-Type",
-                self._upstream.headers.get("Content-Type")
-                or "application/octet-stream",
-            ),
-            (REQUEST_ID_HEADER, self._placement.request.request_id),
-        ]
-        length = self._upstream.headers.get("Content-Length")
-        if length is not None:
-            headers.append(("Content-Length", length))
-        return headers
+class _NoClaim:
+    """Claim of a request that may be repeated and has no key."""
 
-    def __iter__(self) -> Iterator[bytes]:
-        """Yields the body as it arrives.
+    def settle(self, outcome: ClaimOutcome) -> None:
+        """Does nothing."""
 
-        Raises:
-            AnswerTruncatedError: The upstream's answer ended early.
-        """
-        chunks = self._upstream.chunks()
-        if self.headers[0][1].startswith(_EVENT_STREAM):
-            chunks = relay_events(chunks, self._check)
-        for chunk in chunks:
-            if self._first_byte_at is None:
-                self._first_byte_at = self._pipeline.now()
-            yield chunk
-        self._upstream.release()
-        self._finish(complete=True)
-
-    def close(self) -> None:
-        """Ends an answer that was not read to its end."""
-        if not self._finished:
-            self._upstream.close()
-            self._finish(complete=False)
-
-    def _finish(self, complete: bool) -> None:
-        self._finished = True
-        now = self._pipeline.now()
-        first_token_s = None
-        if self._first_byte_at is not None:
-            first_token_s = self._first_byte_at - self._dispatched_at
-        outcome = Outcome(
-            complete=complete,
-            first_token_s=first_token_s,
-            duration_s=now - self._dispatched_at,
-            output_tokens=max(self._check.events - 2, 0),
-        )
-        self._pipeline.finish(self._placement, outcome)
+
+@dataclasses.dataclass
+class _Run:
+    """One request in the pipeline."""
+
+    request: Request
+    claim: Claim
+    caller: socket.socket | None
+    recorder: AnswerRecorder | None = None
+    made_key: bool = False
+    ended: bool = False
 
 
 class RequestPipeline:
@@ -115,6 +101,16 @@
         client: Connections to upstreams.
         metrics: Metrics of the node.
         clock: Source of time.
+        timing: Progress bounds.
+        claims: Claims of idempotent requests with a key; None claims none.
+        store_claims: Claims of calls that must not be repeated.
+        answers: Keeps answers for resends.
+        explanations: Steps of recent requests.
+        forwarder: Calls to other nodes; None forwards and replays nothing.
+        version_policy: Gets the result of each dispatch.
+        spill: Chooses other nodes for requests that were refused here.
+        on_leaving: Called with the id of an upstream that says that it is
+            leaving.
     """
 
     def __init__(
@@ -123,11 +119,31 @@
         client: UpstreamClient,
         metrics: Metrics,
         clock: Clock,
+        timing: TimingSettings,
+        *,
+        claims: KeyClaims | None = None,
+        store_claims: StoreClaims | None = None,
+        answers: AnswerKeeper | None = None,
+        explanations: ExplanationLog | None = None,
+        forwarder: Forwarder | None = None,
+        version_policy: VersionPolicy | None = None,
+        spill: SpillPolicy | None = None,
+        on_leaving: Callable[[str], None] | None = None,
     ) -> None:
         self._scheduler = scheduler
         self._client = client
         self._metrics = metrics
         self._clock = clock
+        self._timing = timing
+        self._claims = claims
+        self._store_claims = store_claims
+        self._answers = answers or AnswerKeeper(clock)
+        self._explanations = explanations or ExplanationLog(clock)
+        self._forwarder = forwarder
+        self._records = DispatchRecords(metrics, clock, version_policy)
+        self._spill = spill
+        self._on_leaving = on_leaving
+        self._budget = RetryBudget(clock)
         self._lock = threading.Lock()
         self._in_progress = 0
 
@@ -136,15 +152,24 @@
         """Number of requests that have not ended."""
         return self._in_progress
 
-    def now(self) -> float:
-        """Returns monotonic seconds."""
-        return self._clock.monotonic()
+    @property
+    def answers(self) -> AnswerKeeper:
+        """Kept answers."""
+        return self._answers
 
-    def run(self, request: Request) -> Answer:
-        """Dispatches the request and returns its answer.
+    @property
+    def explanations(self) -> ExplanationLog:
+        """Steps of recent requests."""
+        return self._explanations
+
+    def run(
+        self, request: Request, caller: socket.socket | None = None
+    ) -> Answer:
+        """Claims and dispatches the request and returns its answer.
 
         Args:
             request: Checked request.
+            caller: Socket of the caller; its close cancels the request.
 
         Returns:
             The answer; the caller must iterate or close it.
@@ -152,111 +177,434 @@
         Raises:
             RefusedError: The request was refused or failed.
         """
+        return self._run(request, caller, self._claim)
+
+    def run_forwarded(self, request: Request) -> Answer:
+        """Runs a request of another node, which holds its claim."""
+        return self._run(request, None, self._take_as_claimed)
+
+    def _run(
+        self,
+        request: Request,
+        caller: socket.socket | None,
+        claim: Callable[[Request, socket.socket | None], _Run],
+    ) -> Answer:
         self._metrics.requests.labels(request.work_class.name).inc()
+        self._budget.record_request()
+        self._explanations.note(
+            request, "received", key=request.key, attempt=request.attempt
+        )
         self._count(1)
         try:
-            return self._place(request)
+            run = claim(request, caller)
+        except DuplicateKeyError as error:
+            return self._replay(request, error)
+        except BaseException:
+            self._count(-1)
+            raise
+        try:
+            return self._place_or_forward(run)
+        except RefusedError as error:
+            not_run = error.refusal.ran is Ran.NO
+            self._end(
+                run,
+                ClaimOutcome.NOT_RUN if not_run else ClaimOutcome.UNKNOWN,
+            )
+            if run.made_key and run.request.key:
+                error.headers = ((KEY_HEADER, run.request.key),)
+            raise
+        except BaseException:
+            self._end(run, ClaimOutcome.UNKNOWN)
+            raise
+
+    def _claim(self, request: Request, caller: socket.socket | None) -> _Run:
+        """Obtains the right to dispatch the request once."""
+        if not request.work_class.idempotent:
+            return self._claim_in_store(request, caller)
+        if request.key is None or self._claims is None:
+            return _Run(request, _NoClaim(), caller)
+        # A key is forgotten a window after its claim; the request must
+        # have ended by then.
+        latest = self._clock.monotonic() + self._claims.window_s
+        request = dataclasses.replace(
+            request, deadline_at=min(request.deadline_at, latest)
+        )
+        run = _Run(request, self._claims.claim(request), caller)
+        run.recorder = self._answers.start(request.request_id)
+        return run
+
+    def _claim_in_store(
+        self, request: Request, caller: socket.socket | None
+    ) -> _Run:
+        if self._store_claims is None:
+            raise RefusedError(
+                Refusal(
+                    RefusalReason.CLAIM_STORE_UNAVAILABLE,
+                    "this node has no table service for claims",
+                )
+            )
+        made_key = request.key is None
+        if made_key:
+            request = dataclasses.replace(request, key=uuid.uuid4().hex)
+        claim = self._store_claims.claim(request)
+        recorder = self._answers.start(request.request_id)
+        return _Run(request, claim, caller, recorder, made_key)
+
+    def _take_as_claimed(
+        self, request: Request, caller: socket.socket | None
+    ) -> _Run:
+        return _Run(request, _NoClaim(), caller)
+
+    def _replay(self, request: Request, error: DuplicateKeyError) -> Answer:
+        try:
+            if self._forwarder is None:
+                raise error
+            forwarded = self._forwarder.replay(error)
         except BaseException:
             self._count(-1)
             raise
+        self._metrics.replays.inc()
+        self._explanations.note(
+            request, "replayed", owner=error.owner_request_id
+        )
+        return PeerAnswer(
+            forwarded,
+            [
+                (REQUEST_ID_HEADER, error.owner_request_id),
+                (_REPLAY_HEADER, "true"),
+            ],
+            on_end=lambda complete: self._count(-1),
+        )
+
+    def _place_or_forward(self, run: _Run) -> Answer:
+        try:
+            answer: Answer = self._place(run)
+        except RefusedError as error:
+            node_id = self._choose_other_node(run.request, error.refusal)
+            if node_id is None or self._forwarder is None:
+                raise
+            answer = self._forward(run, self._forwarder, node_id)
+        if run.made_key and run.request.key:
+            return AnswerWithHeader(answer, KEY_HEADER, run.request.key)
+        return answer
+
+    def _choose_other_node(
+        self, request: Request, refusal: Refusal
+    ) -> str | None:
+        if self._spill is None or refusal.ran is not Ran.NO:
+            return None
+        return self._spill.choose_node(request, refusal)
+
+    def _forward(self, run: _Run, forwarder: Forwarder, node_id: str) -> Answer:
+        self._explanations.note(run.request, "forwarded", node=node_id)
+        forwarded = forwarder.forward(run.request, node_id)
+
+        def end(complete: bool) -> None:
+            self._keep(run, complete, forwarded.status, forwarded.content_type)
+            self._end(
+                run,
+                ClaimOutcome.FINISHED if complete else ClaimOutcome.UNKNOWN,
+            )
+
+        return PeerAnswer(
+            forwarded,
+            [(REQUEST_ID_HEADER, run.request.request_id)],
+            on_end=end,
+            recorder=run.recorder,
+        )
 
-    def _place(self, request: Request) -> Answer:
+    def _place(self, run: _Run) -> DispatchedAnswer:
+        request = run.request
         failed: frozenset[str] = frozenset()
         for _ in range(_MAX_DISPATCHES):
             placement = self._scheduler.acquire(request, failed)
             try:
-                return self._dispatch(placement)
+                return self._dispatch(run, placement)
             except UpstreamNotStartedError as error:
-                self._metrics.retries.labels(error.reason).inc()
+                self._explanations.note(
+                    request,
+                    "not_started",
+                    upstream=placement.vm.vm_id,
+                    reason=str(error.reason),
+                )
+                if not self._budget.take():
+                    raise _refused(
+                        RefusalReason.RETRY_BUDGET_EXHAUSTED,
+                        "the retry budget is used up",
+                    ) from error
+                self._metrics.retries.labels(str(error.reason)).inc()
                 failed |= {placement.vm.vm_id}
-        raise RefusedError(
-            Refusal(
-                RefusalReason.NO_UPSTREAM,
-                f"{_MAX_DISPATCHES} upstreams did not start the request",
-                retry_after_s=1.0,
-            )
+        raise _refused(
+            RefusalReason.NO_UPSTREAM,
+            f"{_MAX_DISPATCHES} upstreams did not start the request",
         )
 
-    def finish(self, placement: Placement, outcome: Outcome) -> None:
-        """Records the end of a dispatch."""
-        self._metrics.streams.dec()
-        self._scheduler.release(placement, outcome)
-        self._count(-1)
-        request = placement.request
-        elapsed_s = self.now() - request.received_at
-        queued_s = elapsed_s - outcome.duration_s
-        if outcome.first_token_s is not None:
-            first_token_s = queued_s + outcome.first_token_s
-            self._metrics.first_token.labels(request.work_class.name).observe(
-                first_token_s
-            )
-            if outcome.complete and meets_target(
-                request, first_token_s, elapsed_s, outcome
-            ):
-                self._metrics.goodput.labels(request.work_class.tier).inc()
-
-    def _count(self, change: int) -> None:
-        with self._lock:
-            self._in_progress += change
-
-    def _dispatch(self, placement: Placement) -> Answer:
+    def _dispatch(self, run: _Run, placement: Placement) -> DispatchedAnswer:
         request = placement.request
-        started = self.now()
+        started = self._clock.monotonic()
         self._metrics.queue_wait.labels(request.work_class.tier).observe(
             started - request.received_at
         )
+        self._explanations.note(
+            request,
+            "dispatched",
+            upstream=placement.vm.vm_id,
+            version=placement.version,
+        )
+        watch = CallWatch(self._clock, request.deadline_at, run.caller)
+        control = UpstreamDispatchControl(placement, self._client, watch)
         self._metrics.streams.inc()
+        is_sent = False
         try:
-            upstream = self._client.open(self._build_call(placement, started))
-        except UpstreamNotStartedError:
-            self._metrics.streams.dec()
-            self._scheduler.release(
-                placement, Outcome(complete=False, started=False)
-            )
+            watch.check_caller()
+            self._scheduler.attach(placement, control)
+            # A cancel may have come with the slot.
+            watch.check()
+            is_sent = True
+            upstream = self._client.open(self._build_call(placement), watch)
+        except UpstreamError as error:
+            if isinstance(error, UpstreamNotStartedError):
+                is_sent = False
+            raise self._end_without_answer(
+                run, placement, control, started, error, is_sent
+            ) from error
+        except BaseException:
+            self._release_failed(placement, started)
             raise
-        except UpstreamOutcomeUnknownError as error:
-            self._metrics.streams.dec()
-            self._scheduler.release(
-                placement,
-                Outcome(complete=False, duration_s=self.now() - started),
+        if upstream.is_leaving and self._on_leaving is not None:
+            self._on_leaving(placement.vm.vm_id)
+        answer = DispatchedAnswer(
+            request,
+            upstream,
+            control,
+            self._clock,
+            started,
+            on_end=lambda end: self._finish(run, placement, answer, end),
+            on_late=self._metrics.late_frames.inc,
+            recorder=run.recorder,
+        )
+        return self._check_answer(answer, request)
+
+    def _check_answer(
+        self, answer: DispatchedAnswer, request: Request
+    ) -> DispatchedAnswer:
+        """Refuses a failed answer before its status line is sent."""
+        is_engine = request.work_class.kind is UpstreamKind.ENGINE
+        if is_engine and answer.status >= 500:
+            failure = UpstreamOutcomeUnknownError(
+                f"the engine answered with status {answer.status}"
             )
-            raise RefusedError(
-                Refusal(RefusalReason.UPSTREAM_ERROR, str(error), Ran.UNKNOWN)
-            ) from error
-        return Answer(self, placement, upstream, started)
+            answer.abort(failure)
+            raise RefusedError(_refusal_of(failure, is_sent=True))
+        try:
+            answer.prepare()
+        except UpstreamError as error:
+            raise RefusedError(_refusal_of(error, is_sent=True)) from error
+        return answer
+
+    def _end_without_answer(
+        self,
+        run: _Run,
+        placement: Placement,
+        control: UpstreamDispatchControl,
+        started: float,
+        error: UpstreamError,
+        is_sent: bool,
+    ) -> Exception:
+        """Records a dispatch without answer and returns what to raise."""
+        if is_sent:
+            # The request may wait or run at an engine that can't tell.
+            control.cancel_at_upstream()
+        end = DispatchEnd(
+            Outcome(
+                complete=False,
+                started=is_sent,
+                duration_s=self._clock.monotonic() - started,
+            ),
+            caller_gone=isinstance(error, CallerGoneError),
+            reason=RefusalReason(error.reason)
+            if isinstance(error, AnswerInterruptedError)
+            else None,
+        )
+        self._release(placement, end)
+        if isinstance(error, UpstreamNotStartedError):
+            return error
+        return RefusedError(_refusal_of(error, is_sent))
+
+    def _release_failed(self, placement: Placement, started: float) -> None:
+        outcome = Outcome(
+            complete=False, duration_s=self._clock.monotonic() - started
+        )
+        self._release(placement, DispatchEnd(outcome))
+
+    def _finish(
+        self,
+        run: _Run,
+        placement: Placement,
+        answer: DispatchedAnswer,
+        end: DispatchEnd,
+    ) -> None:
+        """Records the end of a dispatch that brought an answer."""
+        complete = end.outcome.complete
+        self._release(placement, end)
+        self._keep(run, complete, answer.status, answer.content_type)
+        self._explanations.note(
+            run.request,
+            "answered",
+            status=end.status,
+            complete=complete,
+            tokens=end.outcome.output_tokens,
+        )
+        self._end(
+            run, ClaimOutcome.FINISHED if complete else ClaimOutcome.UNKNOWN
+        )
+
+    def _release(self, placement: Placement, end: DispatchEnd) -> None:
+        self._metrics.streams.dec()
+        self._scheduler.release(placement, end.outcome)
+        self._records.record(placement, end)
+
+    def _keep(
+        self, run: _Run, complete: bool, status: int, content_type: str
+    ) -> None:
+        request = run.request
+        if run.recorder is None:
+            return
+        if complete:
+            self._answers.finish(
+                request.request_id,
+                request.customer,
+                status,
+                content_type,
+                run.recorder,
+            )
+        else:
+            self._answers.abandon(request.request_id)
+
+    def _end(self, run: _Run, outcome: ClaimOutcome) -> None:
+        if run.ended:
+            return
+        run.ended = True
+        self._explanations.note(
+            run.request, "ended", outcome=outcome.name.lower()
+        )
+        if outcome is not ClaimOutcome.FINISHED:
+            self._answers.abandon(run.request.request_id)
+        try:
+            run.claim.settle(outcome)
+        finally:
+            self._count(-1)
 
-    def _build_call(self, placement: Placement, now: float) -> UpstreamCall:
+    def _count(self, change: int) -> None:
+        with self._lock:
+            self._in_progress += change
+
+    def _build_call(self, placement: Placement) -> UpstreamCall:
         request = placement.request
-        headers = {
-            REQUEST_ID_HEADER: request.request_id,
-            "Content-Type": request.content_type,
-        }
+        work_class = request.work_class
+        is_engine = work_class.kind is UpstreamKind.ENGINE
+        headers = {} if is_engine else dict(request.headers)
+        headers[REQUEST_ID_HEADER] = request.request_id
+        headers["Content-Type"] = request.content_type
         if placement.version:
             headers[VERSION_HEADER] = placement.version
         if request.key:
-            headers["Idempotency-Key"] = request.key
-        is_engine = request.work_class.kind is UpstreamKind.ENGINE
+            headers[KEY_HEADER] = request.key
+        progress_s = self._timing.progress_timeout_s
+        silent_after_s = max(progress_s, 2 * work_class.first_token_target_s)
+        if is_engine and not request.stream:
+            silent_after_s += _document_time(request)
         return UpstreamCall(
             address=placement.vm.address,
             method="POST" if is_engine else request.method,
             path="/v1/chat/completions" if is_engine else request.service_path,
             headers=headers,
             body=request.body,
-            first_byte_timeout_s=request.deadline_at - now,
+            silent_after_s=silent_after_s,
+            progress_timeout_s=max(
+                progress_s,
+                _SILENT_INTERVALS * work_class.token_interval_target_s,
+            ),
+            can_probe=is_engine,
         )
 
 
-def meets_target(
-    request: Request, first_token_s: float, elapsed_s: float, outcome: Outcome
-) -> bool:
-    """Returns whether a whole answer met the target of its class."""
+def _document_time(request: Request) -> float:
+    """Returns the longest plausible time of an answer in one document."""
     work_class = request.work_class
-    if request.received_at + elapsed_s > request.deadline_at:
-        return False
-    if first_token_s > work_class.first_token_target_s:
-        return False
-    if outcome.output_tokens < 2 or outcome.first_token_s is None:
-        return True
-    generating_s = outcome.duration_s - outcome.first_token_s
-    interval_s = generating_s / (outcome.output_tokens - 1)
-    return interval_s <= work_class.token_interval_target_s
+    tokens = request.max_output_tokens or (
+        _DOCUMENT_SLACK * work_class.typical_output_tokens
+    )
+    return _DOCUMENT_SLACK * tokens * work_class.token_interval_target_s
+
+
+def _refusal_of(error: UpstreamError, is_sent: bool) -> Refusal:
+    ran = Ran.UNKNOWN if is_sent else Ran.NO
+    if isinstance(error, AnswerInterruptedError):
+        return Refusal(RefusalReason(error.reason), str(error), ran)
+    if isinstance(error, AnswerTruncatedError):
+        return Refusal(RefusalReason.TRUNCATED, str(error), ran)
+    return Refusal(RefusalReason.UPSTREAM_ERROR, str(error), ran)
+
+
+def _refused(reason: RefusalReason, message: str) -> RefusedError:
+    return RefusedError(Refusal(reason, message, retry_after_s=1.0))
+
+
+def create_pipeline(
+    scheduler: Scheduler,
+    client: UpstreamClient,
+    metrics: Metrics,
+    clock: Clock,
+    settings: Settings,
+    *,
+    membership: ClaimMembership,
+    peers: PeerNetwork,
+    classes: Callable[[], Mapping[str, WorkClass]],
+    table: TableStore | None = None,
+    version_policy: VersionPolicy | None = None,
+    spill: SpillPolicy | None = None,
+    explanations: ExplanationLog | None = None,
+) -> RequestPipeline:
+    """Builds the pipeline and registers its peer handlers.
+
+    The handlers are `Claim`, `Settle`, `Forward` and `FetchAnswer`.
+
+    Args:
+        scheduler: Gives slots.
+        client: Connections to upstreams.
+        metrics: Metrics of the node.
+        clock: Source of time.
+        settings: Settings of the node.
+        membership: Nodes and zones.
+        peers: Calls between nodes.
+        classes: Returns the classes in force.
+        table: Table service; without one, calls that must not be repeated
+            are refused.
+        version_policy: Gets the result of each dispatch.
+        spill: Chooses other nodes for requests that were refused here.
+        explanations: Steps of recent requests.
+    """
+    store_claims = None
+    if table is not None:
+        store_claims = create_store_claims(table, settings, clock)
+    pipeline = RequestPipeline(
+        scheduler,
+        client,
+        metrics,
+        clock,
+        settings.timing,
+        claims=create_claims(settings, membership, peers, clock),
+        store_claims=store_claims,
+        forwarder=Forwarder(membership, peers, metrics, clock),
+        version_policy=version_policy,
+        spill=spill,
+        explanations=explanations,
+        on_leaving=membership.mark_leaving,
+    )
+    server = ForwardServer(
+        pipeline.run_forwarded, classes, pipeline.answers, clock
+    )
+    peers.register("Forward", server.serve_forward)
+    peers.register("FetchAnswer", server.serve_fetch)
+    return pipeline
--- a/src/tanagerport/upstream_client.py
+++ b/src/tanagerport/upstream_client.py
@@ -1,27 +1,45 @@
 """Calls to upstreams, with proof of whether a failed call started."""
 
 import dataclasses
+import http.client
+import json
 import socket
 import threading
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
+import structlog
 import urllib3
 
+from tanagerport.body_decoders import (
+    BodyDecoder,
+    ChunkedDecoder,
+    LengthDecoder,
+    UnboundedDecoder,
+)
+from tanagerport.call_watch import CallWatch, SilentConnectionError
+from tanagerport.clock import Clock, SystemClock
+from tanagerport.connection_pool import ConnectionPool, PooledConnection
 from tanagerport.exceptions import (
     AnswerTruncatedError,
+    UpstreamError,
     UpstreamNotStartedError,
     UpstreamOutcomeUnknownError,
 )
 from tanagerport.model import RetryReason
-from tanagerport.settings import TimingSettings, split_address
+from tanagerport.settings import TimingSettings
 
 _READ_BYTES = 65536
-_POOL_CONNECTIONS = 64
+# A head that began to arrive must be whole within this time.
+_HEAD_TIMEOUT_S = 2.0
+_PROBE_TIMEOUT_S = 1.0
+_PROBE_PATH = "/load"
 NOT_STARTED_HEADER = "X-Not-Started"
 LEAVING_HEADER = "X-Leaving"
 REQUEST_ID_HEADER = "X-Request-Id"
 VERSION_HEADER = "X-Model-Version"
 
+_log = structlog.get_logger(__name__)
+
 
 @dataclasses.dataclass(frozen=True)
 class UpstreamCall:
@@ -33,7 +51,10 @@
         path: Path and query.
         headers: Headers to send.
         body: Body to send.
-        first_byte_timeout_s: Bound until the answer's headers, in seconds.
+        silent_after_s: Silence before the answer's headers after which the
+            connection is suspected, in seconds.
+        progress_timeout_s: Longest silence within the answer, in seconds.
+        can_probe: Whether the upstream answers `GET /load`.
     """
 
     address: str
@@ -41,17 +62,34 @@
     path: str
     headers: Mapping[str, str]
     body: bytes
-    first_byte_timeout_s: float
+    silent_after_s: float = 2.0
+    progress_timeout_s: float = 2.0
+    can_probe: bool = False
 
 
 class UpstreamAnswer:
     """An answer whose headers have arrived."""
 
     def __init__(
-        self, response: urllib3.BaseHTTPResponse, progress_timeout_s: float
+        self,
+        pool: ConnectionPool,
+        connection: PooledConnection,
+        sock: socket.socket,
+        response: http.client.HTTPResponse,
+        watch: CallWatch,
+        progress_timeout_s: float,
     ) -> None:
+        self._pool = pool
+        self._connection = connection
+        self._socket = sock
         self._response = response
-        self._set_read_timeout(progress_timeout_s)
+        self._watch = watch
+        self._progress_timeout_s = progress_timeout_s
+        self._decoder = _choose_decoder(response)
+        self._ended = False
+        # What arrived together with the headers.
+        sock.settimeout(0)
+        self._pending = response.fp.read1(_READ_BYTES) if response.fp else b""
 
     @property
     def status(self) -> int:
@@ -61,40 +99,74 @@
     @property
     def headers(self) -> Mapping[str, str]:
         """HTTP headers; names compare without case."""
-        return self._response.headers
+        return self._response.headers  # type: ignore[return-value]
 
     @property
     def is_leaving(self) -> bool:
         """Whether the upstream said that it is leaving."""
         return self.headers.get(LEAVING_HEADER) == "true"
 
-    def chunks(self) -> Iterator[bytes]:
-        """Yields the body as it arrives.
+    def read(self) -> bytes:
+        """Returns the next bytes of the body, none at its end.
 
         Raises:
             AnswerTruncatedError: The body ended early or made no progress.
+            AnswerInterruptedError: The node ended the call.
+            CallerGoneError: The caller closed its connection.
         """
-        try:
-            yield from self._response.stream(_READ_BYTES)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            self.close()
-            raise AnswerTruncatedError(
-                f"answer ended early: {error}"
-            ) from error
+        decoder = self._decoder
+        while not decoder.is_complete:
+            data = self._pending or self._receive()
+            self._pending = b""
+            if not data:
+                decoder.end()
+                break
+            body = decoder.feed(data)
+            if body:
+                return body
+        return b""
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yields the body as it arrives; raises as `read` does."""
+        while chunk := self.read():
+            yield chunk
 
     def close(self) -> None:
         """Closes the connection, which cancels an unfinished answer."""
+        if self._ended:
+            return
+        self._ended = True
+        self._watch.detach()
         self._response.close()
+        self._connection.close()
+        self._socket.close()
 
     def release(self) -> None:
         """Returns the connection of a whole answer to the pool."""
-        self._response.release_conn()
+        if self._response.will_close or not self._decoder.is_reusable:
+            self.close()
+        if self._ended:
+            return
+        self._ended = True
+        self._watch.detach()
+        self._response.close()
+        self._pool.put(self._connection)
 
-    def _set_read_timeout(self, seconds: float) -> None:
-        connection = self._response.connection
-        sock = getattr(connection, "sock", None)
-        if sock is not None:
-            sock.settimeout(seconds)
+    def _receive(self) -> bytes:
+        try:
+            self._watch.wait_readable(self._progress_timeout_s)
+            data = self._socket.recv(_READ_BYTES)
+        except SilentConnectionError as error:
+            raise AnswerTruncatedError(
+                f"no byte arrived for {self._progress_timeout_s:.1f} s"
+            ) from error
+        except OSError as error:
+            raise AnswerTruncatedError(
+                f"answer ended early: {error}"
+            ) from error
+        self._watch.note_progress()
+        self._pool.progress_at = self._watch.progress_at
+        return data
 
 
 class UpstreamClient:
@@ -102,18 +174,28 @@
 
     Args:
         timing: Connection and progress bounds.
+        clock: Source of time.
+        on_silent: Called with the address of each silent connection.
     """
 
-    def __init__(self, timing: TimingSettings) -> None:
+    def __init__(
+        self,
+        timing: TimingSettings,
+        clock: Clock | None = None,
+        on_silent: Callable[[str], None] | None = None,
+    ) -> None:
         self._timing = timing
+        self._clock = clock or SystemClock()
+        self._on_silent = on_silent
         self._lock = threading.Lock()
-        self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
+        self._pools: dict[str, ConnectionPool] = {}
 
-    def open(self, call: UpstreamCall) -> UpstreamAnswer:
+    def open(self, call: UpstreamCall, watch: CallWatch) -> UpstreamAnswer:
         """Sends a call and waits for the answer's headers.
 
         Args:
             call: What to send.
+            watch: Bounds of the call.
 
         Returns:
             The answer, whose body has not been read.
@@ -122,36 +204,18 @@
             UpstreamNotStartedError: The call provably did not start.
             UpstreamOutcomeUnknownError: The call failed after bytes of it
                 may have been written.
+            AnswerInterruptedError: The node ended the call.
+            CallerGoneError: The caller closed its connection.
         """
         pool = self._pool(call.address)
-        timeout = urllib3.Timeout(
-            connect=self._timing.connect_timeout_s,
-            read=max(call.first_byte_timeout_s, 0.001),
-        )
+        connection = pool.take()
+        sent_at = self._clock.monotonic()
         try:
-            response = pool.urlopen(
-                call.method,
-                call.path,
-                body=call.body,
-                headers=dict(call.headers),
-                timeout=timeout,
-                retries=False,
-                redirect=False,
-                preload_content=False,
-            )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as error:
-            raise UpstreamNotStartedError(
-                f"{call.address} did not accept a connection",
-                RetryReason.CONNECT_FAILED,
-            ) from error
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise UpstreamOutcomeUnknownError(
-                f"{call.address} failed after the request was sent: {error}"
-            ) from error
-        answer = UpstreamAnswer(response, self._timing.progress_timeout_s)
+            answer = self._exchange(pool, connection, call, watch, sent_at)
+        except BaseException:
+            watch.detach()
+            connection.close()
+            raise
         if (
             answer.status == 503
             and answer.headers.get(NOT_STARTED_HEADER) == "true"
@@ -163,26 +227,168 @@
             )
         return answer
 
+    def control(self, address: str, path: str) -> str:
+        """Posts a command about a request to an engine.
+
+        Args:
+            address: `ip:port` of the engine.
+            path: Path of the command, such as `/requests/ID/cancel`.
+
+        Returns:
+            State that the engine answered; empty if it did not answer.
+        """
+        document = self._ask(address, "POST", path)
+        return str(document.get("state", "")) if document else ""
+
+    def idle_connections(self, address: str) -> int:
+        """Returns the number of idle connections to an upstream."""
+        return self._pool(address).idle
+
+    def close_old(self) -> None:
+        """Closes idle connections that are too old."""
+        with self._lock:
+            pools = list(self._pools.values())
+        for pool in pools:
+            pool.close_old()
+
     def forget(self, address: str) -> None:
         """Closes the pooled connections of an upstream that is gone."""
         with self._lock:
             pool = self._pools.pop(address, None)
         if pool is not None:
-            pool.close()
+            pool.close_idle()
+
+    def _exchange(
+        self,
+        pool: ConnectionPool,
+        connection: PooledConnection,
+        call: UpstreamCall,
+        watch: CallWatch,
+        sent_at: float,
+    ) -> UpstreamAnswer:
+        sock = connection.sock
+        try:
+            self._send(connection, call)
+            watch.attach(sock)
+            self._wait_for_head(pool, call, watch, sent_at)
+            sock.settimeout(_HEAD_TIMEOUT_S)
+            response = connection.read_head()
+        except (
+            OSError,
+            http.client.HTTPException,
+            urllib3.exceptions.HTTPError,
+        ) as error:
+            watch.check()
+            raise UpstreamOutcomeUnknownError(
+                f"{call.address} failed after the request was sent: {error}"
+            ) from error
+        watch.note_progress()
+        pool.progress_at = watch.progress_at
+        return UpstreamAnswer(
+            pool, connection, sock, response, watch, call.progress_timeout_s
+        )
 
-    def _pool(self, address: str) -> urllib3.HTTPConnectionPool:
+    def _send(self, connection: PooledConnection, call: UpstreamCall) -> None:
+        connection.written = 0
+        connection.sock.settimeout(call.progress_timeout_s)
+        try:
+            connection.request(
+                call.method,
+                call.path,
+                body=call.body,
+                headers=call.headers,
+                preload_content=False,
+            )
+        except OSError as error:
+            if connection.written:
+                raise
+            raise UpstreamNotStartedError(
+                f"{call.address} closed an idle connection",
+                RetryReason.POOLED_CONNECTION_CLOSED,
+            ) from error
+
+    def _wait_for_head(
+        self,
+        pool: ConnectionPool,
+        call: UpstreamCall,
+        watch: CallWatch,
+        sent_at: float,
+    ) -> None:
+        """Waits for the first byte of the answer.
+
+        The deadline bounds the wait. A connection that stays silent while
+        others to the same upstream work is given up before.
+        """
+        while True:
+            try:
+                watch.wait_readable(call.silent_after_s)
+                return
+            except SilentConnectionError:
+                others_work = pool.progress_at > sent_at
+                if not others_work and call.can_probe:
+                    probe = self._ask(call.address, "GET", _PROBE_PATH, True)
+                    others_work = probe is not None
+                if not others_work:
+                    watch.note_progress()
+                    continue
+            pool.close_idle()
+            if self._on_silent is not None:
+                self._on_silent(call.address)
+            raise UpstreamOutcomeUnknownError(
+                f"connection to {call.address} was silent for "
+                f"{call.silent_after_s:.1f} s while others worked"
+            )
+
+    def _ask(
+        self, address: str, method: str, path: str, new: bool = False
+    ) -> dict[str, object] | None:
+        """Makes a short call and returns its JSON document, if any."""
+        pool = self._pool(address)
+        deadline_at = self._clock.monotonic() + _PROBE_TIMEOUT_S
+        try:
+            connection = pool.connect() if new else pool.take()
+        except UpstreamNotStartedError:
+            return None
+        watch = CallWatch(self._clock, deadline_at)
+        call = UpstreamCall(
+            address,
+            method,
+            path,
+            {},
+            b"",
+            silent_after_s=_PROBE_TIMEOUT_S,
+            progress_timeout_s=_PROBE_TIMEOUT_S,
+        )
+        try:
+            answer = self._exchange(pool, connection, call, watch, deadline_at)
+            document = json.loads(b"".join(answer.chunks()) or b"{}")
+            answer.release()
+        except (UpstreamError, ValueError) as error:
+            watch.detach()
+            connection.close()
+            _log.debug("short_call_failed", path=path, error=str(error))
+            return None
+        return document if isinstance(document, dict) else None
+
+    def _pool(self, address: str) -> ConnectionPool:
         with self._lock:
             pool = self._pools.get(address)
             if pool is None:
-                host, port = split_address(address)
-                pool = urllib3.HTTPConnectionPool(
-                    host,
-                    port,
-                    maxsize=_POOL_CONNECTIONS,
-                    block=False,
-                    socket_options=[
-                        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                    ],
+                pool = ConnectionPool(
+                    address,
+                    self._timing.connect_timeout_s,
+                    self._timing.connection_max_age_s,
+                    self._clock,
                 )
                 self._pools[address] = pool
             return pool
+
+
+def _choose_decoder(response: http.client.HTTPResponse) -> BodyDecoder:
+    if response.fp is None:
+        return LengthDecoder(0)
+    if response.chunked:
+        return ChunkedDecoder()
+    if response.length is not None:
+        return LengthDecoder(response.length)
+    return UnboundedDecoder()
--- a/tests/simulated_zones.py
+++ b/tests/simulated_zones.py
@@ -85,12 +85,12 @@
         del window_s
         return zone != self._node.zone and not self.is_zone_reachable(zone)
 
-    def losses(self, zone: str, window_s: float) -> Sequence[float]:
+    def lost_nodes(self, zone: str, window_s: float) -> Sequence[str]:
         earliest = self._node.zones.clock.monotonic() - window_s
         return [
-            at
-            for lost_zone, at in self._node.losses_seen
-            if lost_zone == zone and at > earliest
+            node_id
+            for node_id, at in self._node.losses_seen
+            if node_id.startswith(zone) and at > earliest
         ]
 
     def _view(self, node_id: str) -> NodeView:
@@ -104,7 +104,8 @@
             "region",
             "127.0.0.1:1",
             liveness=NodeLiveness.LIVE if heard else NodeLiveness.UNREACHABLE,
-            young=heard and age_s < WINDOW_S,
+            boot_id=str(node.started_at) if node and heard else "",
+            young=not heard or age_s < WINDOW_S,
         )
 
 
@@ -213,10 +214,9 @@
 
     def _note_loss(self, node_id: str) -> None:
         now = self.clock.monotonic()
-        zone = node_id.partition("-")[0]
         for other_id, other in self.running.items():
             if other_id != node_id and self.connected(node_id, other_id):
-                other.losses_seen.append((zone, now))
+                other.losses_seen.append((node_id, now))
 
 
 @dataclasses.dataclass
