--- /dev/null
+++ b/tests/test_pipeline.py
@@ -0,0 +1,533 @@
+"""Tests of one request's path, against upstreams that fail on purpose."""
+
+import dataclasses
+import itertools
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from scripted_upstream import (
+    Received,
+    Script,
+    ScriptedUpstream,
+    chunk,
+    completion,
+    echo,
+    end_events,
+    send_document,
+    send_stream_head,
+    stream,
+    token_event,
+)
+from tanagerport.clock import FakeClock, SystemClock
+from tanagerport.exceptions import (
+    AnswerInterruptedError,
+    AnswerTruncatedError,
+    CallerGoneError,
+    RefusedError,
+    StoreUnavailableError,
+)
+from tanagerport.interfaces import VersionSample
+from tanagerport.metrics import Metrics
+from tanagerport.model import (
+    VM,
+    Ran,
+    Refusal,
+    RefusalReason,
+    Request,
+    UpstreamKind,
+    VMRole,
+    WorkClass,
+)
+from tanagerport.pipeline import RequestPipeline
+from tanagerport.platform_memory import MemoryTableStore
+from tanagerport.retries import RetryBudget
+from tanagerport.scheduler import DispatchControl, Outcome, Placement
+from tanagerport.settings import TimingSettings
+from tanagerport.store_claims import StoreClaims
+from tanagerport.upstream_client import UpstreamClient
+
+_ENGINE = WorkClass(
+    "caption-hint",
+    0,
+    UpstreamKind.ENGINE,
+    "tutor",
+    first_token_target_s=0.1,
+    token_interval_target_s=0.01,
+)
+_BOOKING = WorkClass(
+    "booking", 1, UpstreamKind.SERVICE, "booking", idempotent=False
+)
+_TIMING = TimingSettings(progress_timeout_s=0.3, connection_max_age_s=60)
+
+
+class _Scheduler:
+    """Gives the upstreams in order and records what it is told."""
+
+    def __init__(self, upstreams: list[str]) -> None:
+        self.vms = [
+            VM(f"vm-{index}", VMRole.ENGINE, "z", "r", address)
+            for index, address in enumerate(upstreams)
+        ]
+        self.outcomes: list[Outcome] = []
+        self.controls: list[DispatchControl] = []
+        self.refusal: Refusal | None = None
+        self._ids = itertools.count(1)
+
+    def acquire(
+        self, request: Request, excluded: frozenset[str] = frozenset()
+    ) -> Placement:
+        if self.refusal:
+            raise RefusedError(self.refusal)
+        vm = next((vm for vm in self.vms if vm.vm_id not in excluded), None)
+        if vm is None:
+            raise RefusedError(Refusal(RefusalReason.NO_UPSTREAM, "none"))
+        return Placement(next(self._ids), request, vm, "v1")
+
+    def attach(self, placement: Placement, control: DispatchControl) -> None:
+        del placement
+        self.controls.append(control)
+
+    def release(self, placement: Placement, outcome: Outcome) -> None:
+        del placement
+        self.outcomes.append(outcome)
+
+    def stop_admitting(self) -> None:
+        """Does nothing."""
+
+
+class _Policy:
+    def __init__(self) -> None:
+        self.samples: list[VersionSample] = []
+
+    def choose_version(self, request: Request) -> str:
+        del request
+        return ""
+
+    def is_convicted(self, model: str, version: str) -> bool:
+        del model, version
+        return False
+
+    def record(self, sample: VersionSample) -> None:
+        self.samples.append(sample)
+
+
+class _Bench:
+    """A pipeline in front of scripted upstreams."""
+
+    def __init__(self) -> None:
+        self.upstreams: list[ScriptedUpstream] = []
+        self.scheduler = _Scheduler([])
+        self.policy = _Policy()
+        self.metrics = Metrics()
+        self.table = MemoryTableStore()
+        self.client = UpstreamClient(
+            _TIMING,
+            on_silent=lambda _: self.metrics.silent_connections.inc(),
+        )
+        self.pipeline = RequestPipeline(
+            self.scheduler,
+            self.client,
+            self.metrics,
+            SystemClock(),
+            _TIMING,
+            store_claims=StoreClaims(self.table, "node-1", SystemClock()),
+            version_policy=self.policy,
+        )
+        self._ids = itertools.count(1)
+
+    def add(self, script: Script) -> ScriptedUpstream:
+        upstream = ScriptedUpstream(script)
+        self.upstreams.append(upstream)
+        self.scheduler.vms = _Scheduler(
+            [item.address for item in self.upstreams]
+        ).vms
+        return upstream
+
+    def request(
+        self,
+        work_class: WorkClass = _ENGINE,
+        deadline_s: float = 10.0,
+        is_stream: bool = False,
+        key: str | None = None,
+    ) -> Request:
+        now = SystemClock().monotonic()
+        return Request(
+            f"request-{next(self._ids)}",
+            work_class,
+            "customer",
+            b"{}",
+            now,
+            now + deadline_s,
+            stream=is_stream,
+            key=key,
+            prompt="p" * 40,
+            max_output_tokens=3,
+        )
+
+    def refusal(self, request: Request) -> Refusal:
+        with pytest.raises(RefusedError) as caught:
+            self.pipeline.run(request)
+        return caught.value.refusal
+
+    def value(self, name: str, **labels: str) -> float:
+        sample = self.metrics.registry.get_sample_value(name, labels)
+        return sample or 0.0
+
+
+@pytest.fixture
+def bench() -> Iterator[_Bench]:
+    bench = _Bench()
+    yield bench
+    assert bench.pipeline.in_progress == 0
+    assert bench.value("tanagerport_open_streams") == 0
+    for upstream in bench.upstreams:
+        upstream.stop()
+
+
+def _document(request: Received, sock: socket.socket) -> None:
+    send_document(sock, completion(request), headers=echo(request))
+
+
+def _hang(request: Received, sock: socket.socket) -> None:
+    del request
+    sock.recv(1)
+
+
+class TestRetries:
+    """Guards against a second run of what may have started."""
+
+    def test_refused_connection_is_retried_elsewhere(
+        self, bench: _Bench
+    ) -> None:
+        bench.add(_document).stop()
+        second = bench.add(_document)
+        answer = bench.pipeline.run(bench.request())
+        assert b"x x x" in b"".join(answer)
+        assert len(second.received) == 1
+        assert [item.started for item in bench.scheduler.outcomes] == [
+            False,
+            True,
+        ]
+        name = "tanagerport_retries_total"
+        assert bench.value(name, reason="connect_failed") == 1
+
+    def test_not_started_is_retried_within_the_budget(
+        self, bench: _Bench
+    ) -> None:
+        def refuse(request: Received, sock: socket.socket) -> None:
+            del request
+            send_document(sock, {}, 503, "X-Not-Started: true\r\n")
+
+        bench.add(refuse)
+        second = bench.add(_document)
+        refusals = []
+        for _ in range(20):
+            try:
+                b"".join(bench.pipeline.run(bench.request()))
+            except RefusedError as error:
+                refusals.append(error.refusal)
+        assert {item.reason for item in refusals} == {
+            RefusalReason.RETRY_BUDGET_EXHAUSTED
+        }
+        assert {item.ran for item in refusals} == {Ran.NO}
+        retries = bench.value("tanagerport_retries_total", reason="not_started")
+        assert len(second.received) == retries
+        assert 5 <= retries <= 8
+
+    def test_budget_is_a_share_of_requests(self) -> None:
+        budget = RetryBudget(FakeClock())
+        while budget.take():
+            pass
+        for _ in range(100):
+            budget.record_request()
+        assert sum(budget.take() for _ in range(100)) in (9, 10)
+
+    @pytest.mark.parametrize("status", [500, 503])
+    def test_failure_after_the_request_is_not_retried(
+        self, bench: _Bench, status: int
+    ) -> None:
+        first = bench.add(lambda request, sock: send_document(sock, {}, status))
+        second = bench.add(_document)
+        refusal = bench.refusal(bench.request())
+        assert refusal.reason is RefusalReason.UPSTREAM_ERROR
+        assert refusal.ran is Ran.UNKNOWN
+        assert (len(first.received), len(second.received)) == (1, 0)
+        assert bench.value("tanagerport_wasted_prefill_tokens_total") == 10
+        assert [item.failed for item in bench.policy.samples] == [True]
+
+    def test_closed_connection_after_the_request_is_unknown(
+        self, bench: _Bench
+    ) -> None:
+        bench.add(lambda request, sock: sock.shutdown(socket.SHUT_RDWR))
+        second = bench.add(_document)
+        assert bench.refusal(bench.request()).ran is Ran.UNKNOWN
+        assert not second.received
+
+
+class TestWholeAnswers:
+    """Guards against a part, or another's answer, taken for the whole."""
+
+    def test_whole_stream_counts(self, bench: _Bench) -> None:
+        bench.add(stream)
+        request = bench.request(is_stream=True)
+        body = b"".join(bench.pipeline.run(request))
+        assert body.endswith(b"data: [DONE]\n\n")
+        outcome = bench.scheduler.outcomes[0]
+        assert outcome.complete
+        assert (outcome.output_tokens, outcome.cached_tokens) == (3, 1)
+        assert bench.value("tanagerport_wasted_prefill_tokens_total") == 0
+
+    def test_connections_are_used_again(self, bench: _Bench) -> None:
+        upstream = bench.add(stream)
+        for _ in range(3):
+            b"".join(bench.pipeline.run(bench.request(is_stream=True)))
+        assert upstream.connections == 1
+
+    def test_truncated_document_is_refused(self, bench: _Bench) -> None:
+        def truncate(request: Received, sock: socket.socket) -> None:
+            send_document(
+                sock, completion(request), headers=echo(request), missing=4
+            )
+            sock.shutdown(socket.SHUT_RDWR)
+
+        bench.add(truncate)
+        refusal = bench.refusal(bench.request())
+        assert refusal.reason is RefusalReason.TRUNCATED
+        assert (refusal.http_status, refusal.ran) == (502, Ran.UNKNOWN)
+
+    def test_answer_of_another_request_is_refused(self, bench: _Bench) -> None:
+        bench.add(
+            lambda request, sock: send_document(
+                sock, completion(request), headers="X-Request-Id: other\r\n"
+            )
+        )
+        assert bench.refusal(bench.request()).reason is RefusalReason.TRUNCATED
+
+    @pytest.mark.parametrize("positions", [[0, 2], [0, 0], [1], [0, 1]])
+    def test_broken_stream_ends_in_an_error(
+        self, bench: _Bench, positions: list[int]
+    ) -> None:
+        def break_off(request: Received, sock: socket.socket) -> None:
+            send_stream_head(sock, request)
+            for position in positions:
+                sock.sendall(chunk(token_event(request.request_id, position)))
+            sock.shutdown(socket.SHUT_RDWR)
+
+        bench.add(break_off)
+        answer = bench.pipeline.run(bench.request(is_stream=True))
+        with pytest.raises(AnswerTruncatedError):
+            list(answer)
+        assert not bench.scheduler.outcomes[0].complete
+
+    def test_silent_stream_ends_and_is_cancelled(self, bench: _Bench) -> None:
+        def stop(request: Received, sock: socket.socket) -> None:
+            send_stream_head(sock, request)
+            sock.sendall(chunk(token_event(request.request_id, 0)))
+            sock.recv(1)
+
+        upstream = bench.add(stop)
+        request = bench.request(is_stream=True)
+        answer = bench.pipeline.run(request)
+        with pytest.raises(AnswerTruncatedError, match="no byte"):
+            list(answer)
+        assert upstream.commands == [f"/requests/{request.request_id}/cancel"]
+
+
+class TestInterruptions:
+    """Guards against work that goes on after nobody waits for it."""
+
+    def _endless(self, request: Received, sock: socket.socket) -> None:
+        send_stream_head(sock, request)
+        for position in itertools.count():
+            sock.sendall(chunk(token_event(request.request_id, position)))
+            if threading.Event().wait(0.01):
+                return
+
+    def test_deadline_ends_a_stream(self, bench: _Bench) -> None:
+        upstream = bench.add(self._endless)
+        answer = bench.pipeline.run(
+            bench.request(is_stream=True, deadline_s=0.2)
+        )
+        with pytest.raises(AnswerInterruptedError) as caught:
+            list(answer)
+        assert caught.value.reason == RefusalReason.DEADLINE_PASSED
+        assert upstream.commands[0].endswith("/cancel")
+
+    def test_deadline_ends_a_wait(self, bench: _Bench) -> None:
+        bench.add(_hang)
+        refusal = bench.refusal(bench.request(deadline_s=0.1))
+        assert refusal.reason is RefusalReason.DEADLINE_PASSED
+        assert refusal.ran is Ran.UNKNOWN
+
+    def test_caller_that_leaves_cancels(self, bench: _Bench) -> None:
+        node_side, caller = socket.socketpair()
+
+        def leave(request: Received, sock: socket.socket) -> None:
+            caller.close()
+            _hang(request, sock)
+
+        upstream = bench.add(leave)
+        with node_side, pytest.raises(RefusedError):
+            bench.pipeline.run(bench.request(), node_side)
+        assert upstream.commands[0].endswith("/cancel")
+        assert bench.value("tanagerport_callers_gone_total") == 1
+        assert not bench.policy.samples
+
+    def test_caller_that_left_is_not_dispatched(self, bench: _Bench) -> None:
+        upstream = bench.add(_document)
+        node_side, caller = socket.socketpair()
+        caller.close()
+        with node_side, pytest.raises(RefusedError) as caught:
+            bench.pipeline.run(bench.request(), node_side)
+        assert caught.value.refusal.ran is Ran.NO
+        assert isinstance(caught.value.__cause__, CallerGoneError)
+        assert not upstream.received
+
+    def test_cancelled_dispatch_names_the_reason(self, bench: _Bench) -> None:
+        upstream = bench.add(self._endless)
+        answer = bench.pipeline.run(bench.request(is_stream=True))
+        body = iter(answer)
+        next(body)
+        bench.scheduler.controls[0].cancel(RefusalReason.PREEMPTED)
+        with pytest.raises(AnswerInterruptedError) as caught:
+            list(body)
+        assert caught.value.reason == RefusalReason.PREEMPTED
+        assert upstream.commands[0].endswith("/cancel")
+
+    def test_paused_stream_does_not_time_out(self, bench: _Bench) -> None:
+        resumed = threading.Event()
+
+        def pause(request: Received, sock: socket.socket) -> None:
+            send_stream_head(sock, request)
+            sock.sendall(chunk(token_event(request.request_id, 0)))
+            resumed.wait(10)
+            sock.sendall(chunk(token_event(request.request_id, 1)))
+            end = end_events(request.request_id, 2)
+            sock.sendall(chunk(end) + chunk(b""))
+
+        upstream = bench.add(pause)
+        answer = bench.pipeline.run(bench.request(is_stream=True))
+        body = iter(answer)
+        next(body)
+        control = bench.scheduler.controls[0]
+        assert control.can_pause
+        assert control.pause()
+        # Longer than the progress bound.
+        timer = threading.Timer(3 * _TIMING.progress_timeout_s, resumed.set)
+        timer.start()
+        assert b"".join(body).endswith(b"[DONE]\n\n")
+        assert control.resume()
+        assert [item.rpartition("/")[2] for item in upstream.commands] == [
+            "pause",
+            "resume",
+        ]
+
+
+class TestConnections:
+    """Guards against connections that hang while others work."""
+
+    def test_silent_connection_is_given_up_before_the_deadline(
+        self, bench: _Bench
+    ) -> None:
+        def first_hangs(request: Received, sock: socket.socket) -> None:
+            if request.connection == 1 and len(upstream.received) > 1:
+                _hang(request, sock)
+            _document(request, sock)
+
+        upstream = bench.add(first_hangs)
+        b"".join(bench.pipeline.run(bench.request()))
+        refusal = bench.refusal(bench.request(deadline_s=60))
+        assert refusal.ran is Ran.UNKNOWN
+        assert "silent" in refusal.message
+        assert bench.value("tanagerport_silent_connections_total") == 1
+        assert len(upstream.received) == 2
+        b"".join(bench.pipeline.run(bench.request()))
+        assert upstream.received[-1].connection > 1
+
+    def test_old_connections_are_closed(self) -> None:
+        clock = FakeClock()
+        upstream = ScriptedUpstream(_document)
+        bench = _Bench()
+        bench.client = UpstreamClient(_TIMING, clock)
+        assert bench.client.control(upstream.address, "/requests/1/cancel")
+        assert bench.client.idle_connections(upstream.address) == 1
+        clock.advance(_TIMING.connection_max_age_s + 1)
+        bench.client.close_old()
+        assert bench.client.idle_connections(upstream.address) == 0
+        upstream.stop()
+
+    def test_idle_connection_that_was_closed_is_not_used(
+        self, bench: _Bench
+    ) -> None:
+        closed = threading.Event()
+
+        def close(request: Received, sock: socket.socket) -> None:
+            _document(request, sock)
+            sock.shutdown(socket.SHUT_RDWR)
+            closed.set()
+
+        upstream = bench.add(close)
+        for _ in range(3):
+            b"".join(bench.pipeline.run(bench.request()))
+            closed.wait(10)
+        assert len(upstream.received) == 3
+
+
+class _FailingTable(MemoryTableStore):
+    """Table whose next writes fail after or before they took effect."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.down = False
+
+    def transact(self, conditions: object, writes: object) -> None:
+        if self.down:
+            raise StoreUnavailableError("down")
+        super().transact(conditions, writes)  # type: ignore[arg-type]
+
+
+class TestCallsThatMustNotBeRepeated:
+    """Guards against a second deposit charge."""
+
+    def _service(self, request: Received, sock: socket.socket) -> None:
+        send_document(sock, {"key": request.headers["idempotency-key"]})
+
+    def test_call_without_key_gets_one(self, bench: _Bench) -> None:
+        bench.add(self._service)
+        answer = bench.pipeline.run(bench.request(_BOOKING))
+        key = dict(answer.headers)["Idempotency-Key"]
+        assert key.encode() in b"".join(answer)
+
+    def test_resend_is_refused(self, bench: _Bench) -> None:
+        upstream = bench.add(self._service)
+        request = bench.request(_BOOKING, key="key-1")
+        b"".join(bench.pipeline.run(request))
+        resend = dataclasses.replace(request, request_id="resend")
+        refusal = bench.refusal(resend)
+        assert refusal.reason is RefusalReason.DUPLICATE_FINISHED
+        assert len(upstream.received) == 1
+
+    def test_call_with_unknown_outcome_is_answered_as_unknown(
+        self, bench: _Bench
+    ) -> None:
+        upstream = bench.add(lambda request, sock: sock.shutdown(2))
+        request = bench.request(_BOOKING, key="key-1")
+        assert bench.refusal(request).ran is Ran.UNKNOWN
+        resend = dataclasses.replace(request, request_id="resend")
+        refusal = bench.refusal(resend)
+        assert refusal.reason is RefusalReason.CLAIM_UNKNOWN
+        assert len(upstream.received) == 1
+
+    def test_call_that_was_not_dispatched_can_be_resent(
+        self, bench: _Bench
+    ) -> None:
+        upstream = bench.add(self._service)
+        bench.scheduler.refusal = Refusal(RefusalReason.QUEUE_FULL, "full")
+        request = bench.request(_BOOKING, key="key-1")
+        assert bench.refusal(request).ran is Ran.NO
+        bench.scheduler.refusal = None
+        b"".join(bench.pipeline.run(request))
+        assert len(upstream.received) == 1
