--- a/src/tanagerport/node.py
+++ b/src/tanagerport/node.py
@@ -20,7 +20,7 @@
 from tanagerport.model import VM, RefusalReason, WorkClass
 from tanagerport.operator_api import OperatorBackend, create_operator_api
 from tanagerport.peers import Peers
-from tanagerport.pipeline import RequestPipeline
+from tanagerport.pipeline import RequestPipeline, create_pipeline
 from tanagerport.platform import Platform, create_platform
 from tanagerport.rollout import MoverSettings, MoverTask, create_version_mover
 from tanagerport.scheduler import Scheduler, StaticScheduler
@@ -89,9 +89,16 @@
         self._drain_requested = threading.Event()
         self._caller_server = HttpServer(
             settings.listen,
-            CallerApplication(self, parts.pipeline, parts.metrics, clock),
+            CallerApplication(
+                self,
+                parts.pipeline,
+                parts.metrics,
+                clock,
+                settings.customers,
+            ),
             threads=settings.caller_threads,
             max_body_bytes=settings.max_body_bytes,
+            on_evicted=parts.metrics.evicted_callers.inc,
         )
         self._operator_server = HttpServer(
             settings.operator_listen,
@@ -260,16 +267,31 @@
         return control.membership.upstreams(settings.zone)
 
     scheduler = StaticScheduler(upstreams, clock, settings.queue_limit)
+    explanations = ExplanationLog(clock)
     parts = NodeParts(
         platform=platform,
         control=control,
         scheduler=scheduler,
-        pipeline=RequestPipeline(
-            scheduler, UpstreamClient(settings.timing), metrics, clock
+        pipeline=create_pipeline(
+            scheduler,
+            UpstreamClient(
+                settings.timing,
+                clock,
+                lambda address: metrics.silent_connections.inc(),
+            ),
+            metrics,
+            clock,
+            settings,
+            membership=control.membership,
+            peers=control.peers,
+            classes=lambda: control.configuration.classes,
+            table=platform.table,
+            version_policy=policy,
+            explanations=explanations,
         ),
         policy=policy,
         mover=_create_mover(settings, platform, control, policy, clock),
-        explanations=ExplanationLog(clock),
+        explanations=explanations,
         class_status=ClassStatusTracker(clock),
         metrics=metrics,
     )
