Wait for each close in the idle connection test

Cause: the event stayed set after the first close, so the second call could race the close of its connection.

--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -472,7 +472,8 @@
         upstream = bench.add(close)
         for _ in range(3):
             b"".join(bench.pipeline.run(bench.request()))
-            closed.wait(10)
+            assert closed.wait(10)
+            closed.clear()
         assert len(upstream.received) == 3
 
 
