--- a/src/tanagerport/bench.py
+++ b/src/tanagerport/bench.py
@@ -1,5 +1,6 @@
 """Bench: the same trace through the naive router and through real nodes."""
 
+import dataclasses
 import json
 import pathlib
 import sys
@@ -10,6 +11,7 @@
 
 from tanagerport.bench_judge import (
     History,
+    compare_small_customers,
     count_violations,
     goodput_by_tier,
     median_first_token_s,
@@ -17,9 +19,20 @@
     wasted_prefill_tokens,
 )
 from tanagerport.bench_processes import BenchError
-from tanagerport.bench_runner import Side, dump_history, run_side
-from tanagerport.bench_scenarios import SCENARIOS, SCENARIOS_BY_NAME, Scenario
-from tanagerport.bench_trace import TraceOptions, make_trace
+from tanagerport.bench_runner import dump_history, run_side
+from tanagerport.bench_scenarios import (
+    LARGE_CUSTOMER,
+    SCENARIOS,
+    SCENARIOS_BY_NAME,
+    Scenario,
+)
+from tanagerport.bench_stage import Side
+from tanagerport.bench_trace import (
+    TracedRequest,
+    TraceOptions,
+    make_trace,
+    merge_traces,
+)
 
 
 def define_bench_flags(values: flags.FlagValues) -> None:
@@ -84,16 +97,7 @@
     Raises:
         BenchError: A process did not start.
     """
-    trace = make_trace(
-        TraceOptions(
-            phases=scenario.phases,
-            classes=scenario.classes,
-            customers=scenario.customers,
-            zones=[zone.name for zone in scenario.zones],
-            resend_share=scenario.resend_share,
-        ),
-        seed,
-    )
+    trace = scenario_trace(scenario, seed)
     result: dict[str, Any] = {"scenario": scenario.name, "seed": seed}
     for side in sides:
         history = run_side(side, scenario, trace, seed)
@@ -101,9 +105,34 @@
             name = f"{scenario.name}-{seed}-{side}.json"
             dump_history(history, pathlib.Path(dump) / name)
         result[side.value] = summarize(history)
+        if scenario.large_load:
+            result[side.value]["small_customers"] = compare_small_customers(
+                history.calls, LARGE_CUSTOMER
+            )
     return result
 
 
+def scenario_trace(scenario: Scenario, seed: int) -> list[TracedRequest]:
+    """Returns the requests of a scenario and seed."""
+    options = TraceOptions(
+        phases=scenario.phases(scenario.load),
+        classes=scenario.classes,
+        customers=scenario.customers,
+        zones=[zone.name for zone in scenario.zones],
+        resend_share=scenario.resend_share,
+    )
+    trace = make_trace(options, seed)
+    if scenario.large_load:
+        large = dataclasses.replace(
+            options,
+            phases=scenario.phases(scenario.large_load),
+            customers={LARGE_CUSTOMER: 1.0},
+        )
+        # Another seed, or both would draw the same markers.
+        trace = merge_traces(trace, make_trace(large, -seed - 1))
+    return trace
+
+
 def summarize(history: History) -> dict[str, Any]:
     """Returns the figures of one side."""
     return {
--- a/src/tanagerport/bench_caller.py
+++ b/src/tanagerport/bench_caller.py
@@ -15,6 +15,7 @@
 # Callers wait this much longer than their deadline before they give up, so
 # that a refusal at the deadline is still read.
 _GRACE_S = 0.5
+_TIMEOUT = "timeout"
 
 
 @dataclasses.dataclass
@@ -73,6 +74,11 @@
             return _service_marker(self.text) == self.request.marker
         return self.has_end_marker and self.text == self.expected
 
+    @property
+    def is_broken(self) -> bool:
+        """Whether the connection broke before the answer's end."""
+        return bool(self.failure) and self.failure != _TIMEOUT
+
     @property
     def first_token_s(self) -> float | None:
         """Seconds from sending to the first token, or to a service's end."""
@@ -213,7 +219,7 @@
         async with asyncio.timeout(limit_s):
             await _exchange(record, targets())
     except TimeoutError:
-        record.failure = record.failure or "timeout"
+        record.failure = record.failure or _TIMEOUT
     except OSError as error:
         record.failure = f"connection broke: {error}"
     record.ended_at = time.monotonic()
--- a/src/tanagerport/bench_judge.py
+++ b/src/tanagerport/bench_judge.py
@@ -8,6 +8,7 @@
 import dataclasses
 import statistics
 from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
 
 from tanagerport.bench_caller import CallRecord
 
@@ -202,7 +203,7 @@
             and call.sent_at < stopped <= call.ended_at
             and not call.is_whole
             and not call.reason
-            and call.failure != "timeout"
+            and call.is_broken
         )
     return count
 
@@ -263,6 +264,31 @@
     return result
 
 
+def compare_small_customers(
+    calls: Sequence[CallRecord], large_customer: str
+) -> dict[str, Any]:
+    """Compares the other customers' goodput without and with a large one.
+
+    Without are the calls that ended before the large customer's first call
+    was sent, with are those sent between its first and last call. `ratio`
+    is the goodput with over the goodput without, by tier.
+    """
+    large = [c.sent_at for c in calls if c.request.customer == large_customer]
+    small = [c for c in calls if c.request.customer != large_customer]
+    first, last = min(large), max(large)
+    without = goodput_by_tier([c for c in small if c.ended_at < first])
+    during = goodput_by_tier([c for c in small if first <= c.sent_at <= last])
+    return {
+        "without": without,
+        "with": during,
+        "ratio": {
+            tier: round(during[tier] / share, 4)
+            for tier, share in without.items()
+            if share and tier in during
+        },
+    }
+
+
 def wasted_prefill_tokens(history: History) -> int:
     """Returns prompt tokens that engines prefilled for nothing.
 
--- a/src/tanagerport/bench_processes.py
+++ b/src/tanagerport/bench_processes.py
@@ -1,10 +1,9 @@
 """Processes of one bench run: nodes, routers and simulated upstreams."""
 
-import asyncio
-import dataclasses
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -20,7 +19,9 @@
 _STOP_TIMEOUT_S = 2.0
 _ADMIN_TIMEOUT_S = 5.0
 _LOG_TAIL_BYTES = 2000
+_PORTS = (15_000, 32_000)
 
+_random = random.SystemRandom()
 _http = urllib3.PoolManager(maxsize=16, retries=False)
 
 
@@ -47,19 +48,12 @@
         self.addresses: dict[str, str] = json.loads(line)
 
     def stop(self) -> None:
-        """Ends the process."""
-        assert self._process.stdin is not None
-        self._process.stdin.close()
-        _end(self._process)
-
-
-@dataclasses.dataclass(frozen=True)
-class NodeAddresses:
-    """Addresses of one node's listeners."""
-
-    callers: str
-    operators: str
-    peers: str
+        """Ends the process, which keeps nothing that must be saved."""
+        self._process.kill()
+        self._process.wait()
+        for pipe in (self._process.stdin, self._process.stdout):
+            if pipe is not None:
+                pipe.close()
 
 
 class NodeProcess:
@@ -149,15 +143,23 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Returns `ip:port` addresses that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Returns `ip:port` addresses that were free a moment ago.
+
+    They lie below the range from which the system takes the ports of
+    outgoing connections, so that none of those takes them before use.
+    """
+    found: list[str] = []
+    while len(found) < count:
+        port = _random.randrange(*_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        address = f"127.0.0.1:{port}"
+        if address not in found:
+            found.append(address)
+    return found
 
 
 def exchange_json(
@@ -188,20 +190,6 @@
         return response.status, None
 
 
-async def set_faults(address: str, document: object) -> None:
-    """Sets faults of a simulator through `POST /admin/faults`.
-
-    Raises:
-        BenchError: The simulator did not take them.
-    """
-    url = f"http://{address}/admin/faults"
-    status, answer = await asyncio.to_thread(
-        exchange_json, "POST", url, document
-    )
-    if status != 200:
-        raise BenchError(f"{url} answered {status}: {answer}")
-
-
 def _end(process: subprocess.Popen[Any]) -> None:
     try:
         process.wait(_STOP_TIMEOUT_S)
--- a/src/tanagerport/bench_scenarios.py
+++ b/src/tanagerport/bench_scenarios.py
@@ -93,18 +93,16 @@
 
 
 class Action(enum.StrEnum):
-    """What a fault does to its target."""
+    """What a fault does."""
 
     UPSTREAM_FAULTS = "upstream_faults"
-    SILENCE_LINKS = "silence_links"
-    CUT_LINK = "cut_link"
-    RESTORE_LINK = "restore_link"
-    KILL_NODE = "kill_node"
-    STOP_NODE = "stop_node"
-    LIST_LEAVING = "list_leaving"
     PLATFORM_FAULTS = "platform_faults"
+    LIST_LEAVING = "list_leaving"
+    SILENCE_LINKS = "silence_links"
     CUT_ZONE = "cut_zone"
     RESTORE_ZONE = "restore_zone"
+    KILL_NODE = "kill_node"
+    STOP_NODE = "stop_node"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -136,8 +134,11 @@
         customers: Customers and their share of requests.
         faults: Faults in order of time.
         profiles: Engine profiles that differ from `PROFILE`, by VM id.
-        proxied: Whether fault proxies stand before the upstreams.
+        proxied: Whether all links of nodes lead through fault proxies.
         resend_share: Share of keyed requests that are sent twice.
+        resend_broken: Whether callers resend, with the same key, after
+            their connection broke.
+        large_load: Offered load of one more customer, like `load`.
         booking_weight: Weight of non-idempotent calls.
         naive_violates: Invariants that `naive` is expected to violate.
     """
@@ -160,6 +161,8 @@
     )
     proxied: bool = False
     resend_share: float = 0.0
+    resend_broken: bool = False
+    large_load: tuple[tuple[float, float], ...] = ()
     booking_weight: float = 0.05
     naive_violates: tuple[str, ...] = ()
 
@@ -173,11 +176,14 @@
             for item in CLASSES
         )
 
-    @property
-    def phases(self) -> tuple[Phase, ...]:
-        """Rates over time."""
+    def phases(self, load: tuple[tuple[float, float], ...]) -> list[Phase]:
+        """Returns rates over time for an offered load."""
         rate = capacity_requests_per_s(self)
-        return tuple(Phase(until_s, load * rate) for until_s, load in self.load)
+        return [Phase(until_s, share * rate) for until_s, share in load]
+
+    def profile_of(self, vm_id: str) -> EngineProfile:
+        """Returns the profile of an engine."""
+        return self.profiles.get(vm_id, PROFILE)
 
 
 def engine_id(zone: str, number: int) -> str:
@@ -211,6 +217,28 @@
 
 
 _SLOW_ENGINE = engine_id("lm-burnaby", 1)
+_TWO_NODES = (
+    dataclasses.replace(ZONES[0], nodes=2),
+    dataclasses.replace(ZONES[1], nodes=2),
+    ZONES[2],
+)
+LARGE_CUSTOMER = "school-board"
+# The VM list shows a leaving upstream this much later than the upstream says
+# so itself, well beyond the 3 s after which it must get no new work.
+_VM_LIST_LAG_S = 4.5
+
+
+def _on_all_engines(
+    at_s: float, details: Mapping[str, object]
+) -> tuple[Fault, ...]:
+    return tuple(
+        Fault(
+            at_s, Action.UPSTREAM_FAULTS, engine_id(zone.name, number), details
+        )
+        for zone in ZONES
+        for number in range(1, zone.engines + 1)
+    )
+
 
 SCENARIOS = (
     Scenario("steady"),
@@ -231,22 +259,104 @@
     Scenario(
         "stale_load",
         load=((3.0, 0.4), (8.0, 0.9)),
-        faults=tuple(
-            Fault(
-                2.0,
-                Action.UPSTREAM_FAULTS,
-                engine_id(zone.name, number),
-                {"stale_load": True},
-            )
-            for zone in ZONES
-            for number in range(1, zone.engines + 1)
-        )
-        + (
+        faults=(
+            *_on_all_engines(2.0, {"stale_load": True}),
             Fault(
                 4.0, Action.UPSTREAM_FAULTS, _SLOW_ENGINE, {"slow_factor": 3.0}
             ),
         ),
     ),
+    Scenario(
+        "large_customer",
+        load=((8.0, 0.5),),
+        large_load=((3.5, 0.0), (7.0, 1.5)),
+    ),
+    Scenario(
+        "silent_connection",
+        load=((8.0, 0.5),),
+        proxied=True,
+        faults=(
+            Fault(2.5, Action.SILENCE_LINKS, "engine-lm-burnaby"),
+            Fault(4.0, Action.SILENCE_LINKS, "entry-"),
+            Fault(5.0, Action.SILENCE_LINKS, "service-"),
+        ),
+        booking_weight=0.15,
+        naive_violates=("answer_integrity",),
+    ),
+    Scenario(
+        "node_death",
+        load=((8.0, 0.5),),
+        zones=_TWO_NODES,
+        resend_broken=True,
+        faults=(Fault(3.0, Action.KILL_NODE, node_id("lm-burnaby", 1)),),
+        booking_weight=0.15,
+        naive_violates=("dispatch_once",),
+    ),
+    Scenario(
+        "duplicate_resend",
+        load=((7.0, 0.45),),
+        zones=_TWO_NODES,
+        resend_share=0.35,
+        booking_weight=0.2,
+        naive_violates=("dispatch_once", "non_idempotent_once"),
+    ),
+    Scenario(
+        "graceful_stop",
+        load=((8.0, 0.5),),
+        zones=_TWO_NODES,
+        faults=(
+            Fault(2.5, Action.STOP_NODE, node_id("lm-burnaby", 1)),
+            Fault(4.5, Action.STOP_NODE, node_id("lm-surrey", 2)),
+        ),
+        booking_weight=0.15,
+        naive_violates=("stop_cut",),
+    ),
+    Scenario(
+        "leaving_upstream",
+        load=((8.0, 0.5),),
+        faults=(
+            Fault(1.5, Action.UPSTREAM_FAULTS, _SLOW_ENGINE, {"leaving": True}),
+            Fault(1.5 + _VM_LIST_LAG_S, Action.LIST_LEAVING, _SLOW_ENGINE),
+        ),
+        naive_violates=("leaving_new_work",),
+    ),
+    Scenario(
+        "zone_partition",
+        load=((8.0, 0.45),),
+        zones=_TWO_NODES,
+        proxied=True,
+        faults=(
+            Fault(2.5, Action.CUT_ZONE, "isl-nanaimo"),
+            Fault(5.5, Action.RESTORE_ZONE, "isl-nanaimo"),
+        ),
+        resend_share=0.1,
+        booking_weight=0.15,
+        naive_violates=("answer_integrity", "dispatch_once"),
+    ),
+    Scenario(
+        "store_outage",
+        load=((8.0, 0.5),),
+        faults=(
+            Fault(2.0, Action.PLATFORM_FAULTS, "table", {"down": True}),
+            Fault(5.5, Action.PLATFORM_FAULTS, "table", {"down": False}),
+        ),
+        resend_share=0.1,
+        booking_weight=0.25,
+        naive_violates=("dispatch_once", "non_idempotent_once"),
+    ),
+    Scenario(
+        "lost_store_answer",
+        load=((8.0, 0.5),),
+        faults=(
+            Fault(2.0, Action.PLATFORM_FAULTS, "table", {"lose_answers": True}),
+            Fault(
+                5.5, Action.PLATFORM_FAULTS, "table", {"lose_answers": False}
+            ),
+        ),
+        resend_share=0.1,
+        booking_weight=0.25,
+        naive_violates=("dispatch_once", "non_idempotent_once"),
+    ),
 )
 
 SCENARIOS_BY_NAME = {item.name: item for item in SCENARIOS}
--- a/src/tanagerport/bench_trace.py
+++ b/src/tanagerport/bench_trace.py
@@ -129,9 +129,20 @@
         requests.append(request)
         if request.key and source.random() < options.resend_share:
             delay_s = source.uniform(*options.resend_after_s)
-            requests.append(
-                dataclasses.replace(request, at_s=at_s + delay_s, attempt=2)
+            # The load balancer may lead a resend anywhere.
+            resend = dataclasses.replace(
+                request,
+                at_s=at_s + delay_s,
+                attempt=2,
+                zone=source.choice(list(options.zones)),
             )
+            requests.append(resend)
+    return merge_traces(requests)
+
+
+def merge_traces(*traces: Sequence[TracedRequest]) -> list[TracedRequest]:
+    """Returns the requests of all traces in order of time."""
+    requests = [request for trace in traces for request in trace]
     requests.sort(key=lambda item: item.at_s)
     return [
         dataclasses.replace(item, index=index)
--- a/src/tanagerport/fault_proxy.py
+++ b/src/tanagerport/fault_proxy.py
@@ -129,7 +129,9 @@
                 self._pump(link, reader, upstream_writer, self._count_sent),
                 self._pump(link, upstream_reader, writer, self._count_back),
             )
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.CancelledError):
+            # Connections end when the proxy's loop ends; asyncio would
+            # report the cancelled handler as an error of the program.
             pass
         finally:
             self._links.discard(link)
--- a/src/tanagerport/naive.py
+++ b/src/tanagerport/naive.py
@@ -6,12 +6,14 @@
 as it is read, without checks of order.
 """
 
+import contextlib
 import itertools
 import json
 import os
 import signal
 import sys
 import threading
+import time
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 import urllib3
@@ -21,6 +23,7 @@
     SERVICES_PREFIX,
     make_request_id,
 )
+from tanagerport.exceptions import PlatformError
 from tanagerport.http_server import (
     Environ,
     HttpServer,
@@ -30,10 +33,12 @@
     status_line,
 )
 from tanagerport.model import VM, VMState
+from tanagerport.platform_http import HttpVMList
 from tanagerport.settings import Settings, load_settings
 from tanagerport.upstream_client import VERSION_HEADER
 
 _TRIES = 3
+_POLL_S = 1.0
 _FIRST_BYTE_TIMEOUT_S = 2.0
 _READ_TIMEOUT_S = 5.0
 _READ_BYTES = 65536
@@ -60,6 +65,14 @@
         self._pool = urllib3.PoolManager(
             maxsize=_POOL_CONNECTIONS, block=False, retries=False
         )
+        self._vm_list = HttpVMList(settings.platform.vm_list_url or "", _POLL_S)
+
+    def poll(self) -> None:
+        """Reads the platform until the process ends."""
+        while True:
+            with contextlib.suppress(PlatformError):
+                self._vms = self._vm_list.list_vms()
+            time.sleep(_POLL_S)
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -67,7 +80,8 @@
         """Answers one request."""
         path = environ["PATH_INFO"]
         if path in ("/healthz", "/readyz"):
-            return json_response(start_response, 200, {"ready": True})
+            status = 200 if self._vms else 503
+            return json_response(start_response, status, {})
         body = read_body(environ)
         if path == CHAT_PATH:
             name, upstream_path = json.loads(body)["model"], path
@@ -188,12 +202,14 @@
     """Serves until SIGTERM, then stops at once."""
     stop = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stop.set())
+    router = NaiveRouter(settings)
     server = HttpServer(
         settings.listen,
-        NaiveRouter(settings),
+        router,
         threads=settings.caller_threads,
         max_body_bytes=settings.max_body_bytes,
     )
+    threading.Thread(target=router.poll, daemon=True).start()
     server.start()
     stop.wait()
     # Threads that still relay an answer would keep the process alive.
