Report what a node costs and how its rollouts stand

Cause: operators had no metric for the control plane's processor time and traffic, nor for the state of rollouts.

--- a/src/tanagerport/control_plane.py
+++ b/src/tanagerport/control_plane.py
@@ -67,6 +67,11 @@
         """Whether the node knows the highest configuration version."""
         return self.spread.is_ready
 
+    @property
+    def cpu_seconds(self) -> float:
+        """Processor time of the event loop's thread."""
+        return self._loop.cpu_seconds
+
     def add_task(self, name: str, factory: TaskFactory) -> None:
         """Adds a supervised task; before `start`."""
         self._tasks[name] = factory
--- a/src/tanagerport/node.py
+++ b/src/tanagerport/node.py
@@ -11,6 +11,7 @@
 from tanagerport.configuration import ConfigurationStore
 from tanagerport.control_metrics import ControlCollector
 from tanagerport.control_plane import ControlPlane
+from tanagerport.cost_metrics import CostCollector
 from tanagerport.explain import ExplanationLog
 from tanagerport.frontend import CallerApplication
 from tanagerport.http_server import HttpServer
@@ -261,6 +262,7 @@
     control = ControlPlane(settings, platform, clock)
     metrics = Metrics()
     metrics.registry.register(ControlCollector(control))
+    metrics.registry.register(CostCollector(control))
     policy = create_version_policy(control.configuration, clock)
 
     def upstreams() -> Sequence[VM]:
--- a/src/tanagerport/peers.py
+++ b/src/tanagerport/peers.py
@@ -92,6 +92,8 @@
         self._connections: dict[str, PeerConnection] = {}
         self._peers: dict[str, _Peer] = {}
         self._sequence = 0
+        self._bytes_sent = 0
+        self._bytes_received = 0
         self._random = random.Random(settings.node_id)
         # An unspecified address names no host that a peer could reach.
         self._listens_everywhere = ipaddress.ip_address(
@@ -110,6 +112,11 @@
             item.replacements for item in list(self._connections.values())
         )
 
+    @property
+    def heartbeat_bytes(self) -> tuple[int, int]:
+        """Bytes of encoded heartbeats sent and received."""
+        return self._bytes_sent, self._bytes_received
+
     def register(self, method: str, handler: Callable[[Any], Any]) -> None:
         """Sets the handler of a method; it runs in a thread of a pool."""
         self._registry.register(method, handler)
@@ -318,9 +325,11 @@
             heartbeat.region = self._settings.region
         for part in self._parts:
             part.fill(heartbeat, view)
+        self._bytes_sent += heartbeat.ByteSize()
         return heartbeat
 
     def _receive(self, heartbeat: Heartbeat) -> None:
+        self._bytes_received += heartbeat.ByteSize()
         for part in self._parts:
             try:
                 part.receive(heartbeat)
--- a/src/tanagerport/supervisor.py
+++ b/src/tanagerport/supervisor.py
@@ -4,6 +4,7 @@
 import concurrent.futures
 import random
 import threading
+import time
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, TypeVar
 
@@ -54,6 +55,14 @@
         """Whether the caller runs in the loop's thread."""
         return threading.current_thread() is self._thread
 
+    @property
+    def cpu_seconds(self) -> float:
+        """Processor time of the loop's thread, without its helpers."""
+        ident = self._thread.ident
+        if ident is None or not self._thread.is_alive():
+            return 0.0
+        return time.clock_gettime(time.pthread_getcpuclockid(ident))
+
     def start(self) -> None:
         """Starts the thread."""
         self._loop.set_default_executor(
