--- a/src/tanagerport/body_decoders.py
+++ b/src/tanagerport/body_decoders.py
@@ -5,13 +5,14 @@
 """
 
 import enum
+import re
 from typing import Protocol
 
 from tanagerport.exceptions import AnswerTruncatedError
 
 _MAX_SIZE_LINE = 256
 _MAX_TRAILER_BYTES = 8192
-_MAX_CHUNK_BYTES = 1 << 32
+_SIZE = re.compile(rb"[0-9a-fA-F]{1,8}")
 
 
 class BodyDecoder(Protocol):
@@ -181,15 +182,9 @@
 def _parse_size(line: bytes) -> int:
     digits = line.split(b";", 1)[0].strip()
     # int() also takes signs, underscores and a 0x prefix.
-    if not digits.isalnum():
+    if not _SIZE.fullmatch(digits):
         raise _malformed(line)
-    try:
-        size = int(digits, 16)
-    except ValueError as error:
-        raise _malformed(line) from error
-    if size > _MAX_CHUNK_BYTES:
-        raise _malformed(line)
-    return size
+    return int(digits, 16)
 
 
 def _malformed(line: bytes) -> AnswerTruncatedError:
--- a/src/tanagerport/claims.py
+++ b/src/tanagerport/claims.py
@@ -5,6 +5,7 @@
 import enum
 import threading
 import uuid
+from typing import Protocol
 
 from tanagerport.clock import Clock
 from tanagerport.interfaces import PeerNetwork
@@ -16,8 +17,10 @@
     SettleReply,
     SettleRequest,
 )
+from tanagerport.platform_api import TableStore
 from tanagerport.settings import Settings
 from tanagerport.settlements import Settlements
+from tanagerport.zone_start import ZoneStart
 
 # About 300 bytes a record. The planned size needs 64,000: 35 requests/s and
 # node, 3 homes, 600 s.
@@ -28,12 +31,18 @@
 # The claimant accepts a key time of up to `KEY_TIME_LEAD_S` in the future;
 # the rest covers the clock skew between nodes.
 _KEY_TIME_MARGIN_S = 60.0
-# After this time a node has heard the ages of all nodes of its zone.
-_ZONE_KNOWN_AFTER_S = 60.0
 _UUID_LENGTH = 36
 _TIMED_UUID_VERSION = 7
 
 
+class FirstStart(Protocol):
+    """Knowledge of the zone's start."""
+
+    @property
+    def is_first(self) -> bool:
+        """Whether the zone had no claims before this node started."""
+
+
 class ClaimState(enum.Enum):
     """State of a claimed key."""
 
@@ -62,6 +71,7 @@
         membership: Nodes of this zone.
         clock: Source of time.
         window_s: How long a key is remembered, in seconds.
+        zone_start: Whether this node started together with its zone.
         max_records: Further claims get `FULL`; none is evicted early.
     """
 
@@ -71,17 +81,18 @@
         membership: ClaimMembership,
         clock: Clock,
         window_s: float,
+        zone_start: FirstStart,
         max_records: int = _MAX_RECORDS,
     ) -> None:
         self._homes = homes
         self._membership = membership
         self._clock = clock
         self._window_s = window_s
+        self._zone_start = zone_start
         self._max_records = max_records
         self._lifetime_s = window_s + _RECORD_MARGIN_S
         self._remembers_since = clock.time()
         self._started_at = clock.monotonic()
-        self._started_with_zone = False
         self._lock = threading.Lock()
         # Both are in order of expiry, since all entries live equally long.
         self._records: collections.OrderedDict[_Key, _Record] = (
@@ -104,7 +115,7 @@
             young=not self._remembers(message.key),
             age_ms=int((self._clock.monotonic() - self._started_at) * 1000),
             lost_nodes=self._membership.lost_nodes(zone, self._window_s),
-            first_start=self._is_first_start(zone),
+            first_start=self._zone_start.is_first,
             zones_cut_off=any_zone_cut_off(self._membership, self._window_s),
         )
         if message.zone != zone or tuple(message.members) != members:
@@ -175,26 +186,6 @@
             and made_at > self._remembers_since + _KEY_TIME_MARGIN_S
         )
 
-    def _is_first_start(self, zone: str) -> bool:
-        """Returns whether the zone had no claims before this node started.
-
-        A node that started together with its whole zone remembers all
-        claims of the zone, however short its memory is.
-        """
-        if self._started_with_zone:
-            return True
-        nodes = self._membership.nodes(zone)
-        heard = [node for node in nodes if node.boot_id]
-        # A minority of nodes that never answered may not have started.
-        is_first = 2 * len(heard) > len(nodes) and all(
-            node.young for node in heard
-        )
-        age_s = self._clock.monotonic() - self._started_at
-        if is_first and age_s >= min(_ZONE_KNOWN_AFTER_S, self._window_s / 2):
-            # The nodes do not all come of age in the same second.
-            self._started_with_zone = True
-        return is_first
-
     def _expiry(self) -> float:
         return self._clock.monotonic() + self._lifetime_s
 
@@ -231,20 +222,27 @@
     membership: ClaimMembership,
     peers: PeerNetwork,
     clock: Clock,
+    table: TableStore,
 ) -> KeyClaims:
     """Builds both sides of the claims and registers the peer handlers.
 
+    The table service is used once, to learn whether the zone is new.
+
     Args:
         settings: Settings of the node.
         membership: Nodes and zones.
         peers: Calls between nodes.
         clock: Source of time.
+        table: Table service.
     """
     window_s = settings.timing.claim_window_s
     homes = KeyHomes(membership, clock, window_s)
-    table = ClaimTable(homes, membership, clock, window_s)
-    peers.register("Claim", table.claim)
-    peers.register("Settle", table.settle)
+    view = membership.self_view
+    zone_start = ZoneStart(table, view.zone, view.node_id, view.boot_id, clock)
+    zone_start.start()
+    claims = ClaimTable(homes, membership, clock, window_s, zone_start)
+    peers.register("Claim", claims.claim)
+    peers.register("Settle", claims.settle)
     settlements = Settlements(peers)
     return KeyClaims(
         homes, membership, peers, settlements, clock, window_s, key_time
--- a/src/tanagerport/key_claims.py
+++ b/src/tanagerport/key_claims.py
@@ -334,7 +334,7 @@
     if not poll.members:
         return _Result.NO_QUORUM
     first = {}
-    # A zone whose nodes were all replaced is as young as a new one.
+    # Two losses in the zone's first minutes may have taken all copies.
     if len(poll.lost_nodes) < poll.majority:
         first = {
             node_id: reply
--- a/src/tanagerport/pipeline.py
+++ b/src/tanagerport/pipeline.py
@@ -561,7 +561,7 @@
     membership: ClaimMembership,
     peers: PeerNetwork,
     classes: Callable[[], Mapping[str, WorkClass]],
-    table: TableStore | None = None,
+    table: TableStore,
     version_policy: VersionPolicy | None = None,
     spill: SpillPolicy | None = None,
     explanations: ExplanationLog | None = None,
@@ -579,23 +579,19 @@
         membership: Nodes and zones.
         peers: Calls between nodes.
         classes: Returns the classes in force.
-        table: Table service; without one, calls that must not be repeated
-            are refused.
+        table: Table service.
         version_policy: Gets the result of each dispatch.
         spill: Chooses other nodes for requests that were refused here.
         explanations: Steps of recent requests.
     """
-    store_claims = None
-    if table is not None:
-        store_claims = create_store_claims(table, settings, clock)
     pipeline = RequestPipeline(
         scheduler,
         client,
         metrics,
         clock,
         settings.timing,
-        claims=create_claims(settings, membership, peers, clock),
-        store_claims=store_claims,
+        claims=create_claims(settings, membership, peers, clock, table),
+        store_claims=create_store_claims(table, settings, clock),
         forwarder=Forwarder(membership, peers, metrics, clock),
         version_policy=version_policy,
         spill=spill,
--- a/src/tanagerport/relay.py
+++ b/src/tanagerport/relay.py
@@ -14,6 +14,7 @@
 _POSITION = re.compile(rb'"n":\s*(\d+)')
 _USAGE = re.compile(rb'"usage":\s*(\{[^{}]*\})')
 _DELTA = b'"delta"'
+_USAGE_FIELD = b'"usage"'
 # The usage event and the end marker fit into this many bytes.
 _RECENT_BYTES = 4096
 _MAX_EVENT_BYTES = 1024 * 1024
@@ -91,10 +92,7 @@
         found = _USAGE.findall(self._recent)
         if not found:
             return Usage(completion_tokens=self._tokens)
-        try:
-            return _USAGE_DECODER.decode(found[-1])
-        except msgspec.DecodeError:
-            return Usage(completion_tokens=self._tokens)
+        return _parse_usage(found[-1])
 
     def feed(self, data: bytes) -> bytes:
         """Takes the next bytes and returns the whole events among them.
@@ -158,6 +156,17 @@
                     f"{self._tokens}"
                 )
             self._tokens += 1
+        if _USAGE_FIELD in events:
+            self._check_usage(events)
+
+    def _check_usage(self, events: bytes) -> None:
+        """Compares the engine's count, which shows a lost last token."""
+        for usage in map(_parse_usage, _USAGE.findall(events)):
+            if usage.completion_tokens not in (0, self._tokens):
+                raise AnswerTruncatedError(
+                    f"{self._tokens} of {usage.completion_tokens} tokens "
+                    "arrived"
+                )
 
     def _drop_foreign(self, events: bytes) -> bytes:
         """Returns the events without those of other requests."""
@@ -179,6 +188,13 @@
         return bool(parsed.id) and parsed.id != self._request_id
 
 
+def _parse_usage(document: bytes) -> Usage:
+    try:
+        return _USAGE_DECODER.decode(document)
+    except msgspec.DecodeError as error:
+        raise AnswerTruncatedError(f"malformed usage: {error}") from error
+
+
 def relay_events(chunks: Iterable[bytes], check: EventCheck) -> Iterator[bytes]:
     """Yields the whole events of a stream and checks its end.
 
--- a/tests/simulated_zones.py
+++ b/tests/simulated_zones.py
@@ -11,7 +11,9 @@
 from tanagerport.key_claims import KeyClaims
 from tanagerport.key_homes import KeyHomes
 from tanagerport.model import Request, UpstreamKind, WorkClass
+from tanagerport.platform_memory import MemoryTableStore
 from tanagerport.settlements import Settlements
+from tanagerport.zone_start import ZoneStart
 
 WINDOW_S = 100.0
 _CLASS = WorkClass("caption-hint", 0, UpstreamKind.ENGINE, "tutor")
@@ -28,7 +30,13 @@
         membership: Any = _Membership(self)
         homes = KeyHomes(membership, zones.clock, WINDOW_S)
         self.homes = homes
-        self.table = zones.table_type(homes, membership, zones.clock, WINDOW_S)
+        zone_start = ZoneStart(
+            zones.store, self.zone, node_id, zones.next_boot_id(), zones.clock
+        )
+        zone_start.check()
+        self.table = zones.table_type(
+            homes, membership, zones.clock, WINDOW_S, zone_start
+        )
         self.settlements = _Settlements(self)  # type: ignore[arg-type]
         self.claims = KeyClaims(
             homes,
@@ -119,6 +127,7 @@
         age_s: float = 3 * WINDOW_S,
     ) -> None:
         self.clock = FakeClock()
+        self.store = MemoryTableStore()
         self.table_type = table_type
         self.zone_names = sorted(sizes)
         self.listed: list[str] = [
@@ -133,10 +142,16 @@
         self.delay_next_to: str = ""
         self.before_call: Callable[[], None] | None = None
         self._request_ids = 0
+        self._boot_ids = 0
         for node_id in self.listed:
             self.running[node_id] = SimulatedNode(self, node_id)
         self.clock.advance(age_s)
 
+    def next_boot_id(self) -> str:
+        """Returns an identity for a new process."""
+        self._boot_ids += 1
+        return f"boot-{self._boot_ids}"
+
     def connected(self, one: str, other: str) -> bool:
         """Returns whether two nodes run and reach each other."""
         return (
