--- a/src/tanagerport/spread.py
+++ b/src/tanagerport/spread.py
@@ -108,6 +108,7 @@
         self._digests: dict[str, int] = {}
         self._ahead: set[str] = set()
         self._is_ready = False
+        self._is_store_reachable = False
         # Without a platform the settings state the VMs, perhaps none.
         self._needs_vms = settings.platform.vm_list_url is not None
         self._fetch_wanted: asyncio.Event | None = None
@@ -124,6 +125,11 @@
             ) and self._knows_highest()
         return self._is_ready
 
+    @property
+    def is_store_reachable(self) -> bool:
+        """Whether the last read of the store succeeded."""
+        return self._is_store_reachable
+
     @property
     def peer_versions(self) -> Mapping[str, int]:
         """Configuration version by node id, as last heard."""
@@ -202,11 +208,18 @@
 
     async def run_store_reader(self) -> None:
         """Task that polls the store's head."""
+        is_reachable = True
         while True:
             try:
                 await asyncio.to_thread(self.read_store)
             except PlatformError as error:
-                _log.warning("config_store_unavailable", error=str(error))
+                if is_reachable:
+                    _log.warning("config_store_unavailable", error=str(error))
+                is_reachable = False
+            else:
+                if not is_reachable:
+                    _log.info("config_store_reachable")
+                is_reachable = True
             await asyncio.sleep(
                 self._settings.timing.head_poll_s
                 * self._random.uniform(*_JITTER)
@@ -230,7 +243,12 @@
         Raises:
             PlatformError: The store can't be reached.
         """
-        version = self._store.sync()
+        try:
+            version = self._store.sync()
+        except PlatformError:
+            self._is_store_reachable = False
+            raise
+        self._is_store_reachable = True
         if version == 0:
             self._bootstrap(self._settings.classes)
 
