Count outcomes by class for the status

Cause: the status showed every class as 'no requests'.

After: each dispatch that ended and each request that was refused without running counts for its class.

--- a/src/tanagerport/dispatch_records.py
+++ b/src/tanagerport/dispatch_records.py
@@ -1,5 +1,6 @@
 """What is learned from each dispatch: metrics and samples of versions."""
 
+from tanagerport.class_status import ClassStatusTracker
 from tanagerport.clock import Clock
 from tanagerport.dispatched_answer import DispatchEnd
 from tanagerport.interfaces import VersionPolicy, VersionSample
@@ -18,6 +19,7 @@
         metrics: Metrics of the node.
         clock: Source of time.
         version_policy: Gets a sample of each dispatch to an engine.
+        class_status: Counts outcomes by class.
     """
 
     def __init__(
@@ -25,10 +27,12 @@
         metrics: Metrics,
         clock: Clock,
         version_policy: VersionPolicy | None,
+        class_status: ClassStatusTracker | None = None,
     ) -> None:
         self._metrics = metrics
         self._clock = clock
         self._version_policy = version_policy
+        self._class_status = class_status
 
     def record(self, placement: Placement, end: DispatchEnd) -> None:
         """Records the end of a dispatch."""
@@ -37,12 +41,22 @@
             self._metrics.callers_gone.inc()
         if outcome.started and not outcome.complete:
             self._metrics.wasted_prefill.inc(_prompt_tokens(request))
-        self._observe(request, outcome)
+        is_met = self._observe(request, outcome)
+        if self._class_status is not None and outcome.started:
+            self._class_status.record(request.work_class.name, is_met)
         self._sample(placement, end)
 
-    def _observe(self, request: Request, outcome: Outcome) -> None:
+    def record_refusal(self, request: Request) -> None:
+        """Records a request that did not run."""
+        if self._class_status is not None:
+            self._class_status.record(
+                request.work_class.name, met=False, refused=True
+            )
+
+    def _observe(self, request: Request, outcome: Outcome) -> bool:
+        """Updates the metrics; returns whether the target was met."""
         if outcome.first_token_s is None:
-            return
+            return False
         name = request.work_class.name
         elapsed_s = self._clock.monotonic() - request.received_at
         queued_s = elapsed_s - outcome.duration_s
@@ -51,10 +65,12 @@
         interval_s = token_interval(request, outcome)
         if interval_s is not None:
             self._metrics.token_interval.labels(name).observe(interval_s)
-        if outcome.complete and meets_target(
+        is_met = outcome.complete and meets_target(
             request, first_token_s, elapsed_s, outcome
-        ):
+        )
+        if is_met:
             self._metrics.goodput.labels(request.work_class.tier).inc()
+        return is_met
 
     def _sample(self, placement: Placement, end: DispatchEnd) -> None:
         """Tells the version policy how the version did.
--- a/src/tanagerport/node.py
+++ b/src/tanagerport/node.py
@@ -270,6 +270,7 @@
 
     scheduler = StaticScheduler(upstreams, clock, settings.queue_limit)
     explanations = ExplanationLog(clock)
+    class_status = ClassStatusTracker(clock)
     parts = NodeParts(
         platform=platform,
         control=control,
@@ -290,11 +291,12 @@
             table=platform.table,
             version_policy=policy,
             explanations=explanations,
+            class_status=class_status,
         ),
         policy=policy,
         mover=_create_mover(settings, platform, control, policy, clock),
         explanations=explanations,
-        class_status=ClassStatusTracker(clock),
+        class_status=class_status,
         metrics=metrics,
     )
     return Node(settings, parts, clock)
--- a/src/tanagerport/pipeline.py
+++ b/src/tanagerport/pipeline.py
@@ -10,6 +10,7 @@
 from tanagerport.answers import Answer, AnswerKeeper, AnswerRecorder
 from tanagerport.call_watch import CallWatch
 from tanagerport.claims import create_claims
+from tanagerport.class_status import ClassStatusTracker
 from tanagerport.clock import Clock
 from tanagerport.dispatch_control import UpstreamDispatchControl
 from tanagerport.dispatch_records import DispatchRecords
@@ -109,6 +110,7 @@
         forwarder: Calls to other nodes; None forwards and replays nothing.
         version_policy: Gets the result of each dispatch.
         spill: Chooses other nodes for requests that were refused here.
+        class_status: Counts outcomes by class.
         on_leaving: Called with the id of an upstream that says that it is
             leaving.
     """
@@ -128,6 +130,7 @@
         forwarder: Forwarder | None = None,
         version_policy: VersionPolicy | None = None,
         spill: SpillPolicy | None = None,
+        class_status: ClassStatusTracker | None = None,
         on_leaving: Callable[[str], None] | None = None,
     ) -> None:
         self._scheduler = scheduler
@@ -140,7 +143,9 @@
         self._answers = answers or AnswerKeeper(clock)
         self._explanations = explanations or ExplanationLog(clock)
         self._forwarder = forwarder
-        self._records = DispatchRecords(metrics, clock, version_policy)
+        self._records = DispatchRecords(
+            metrics, clock, version_policy, class_status
+        )
         self._spill = spill
         self._on_leaving = on_leaving
         self._budget = RetryBudget(clock)
@@ -206,6 +211,8 @@
             return self._place_or_forward(run)
         except RefusedError as error:
             not_run = error.refusal.ran is Ran.NO
+            if not_run:
+                self._records.record_refusal(request)
             self._end(
                 run,
                 ClaimOutcome.NOT_RUN if not_run else ClaimOutcome.UNKNOWN,
@@ -565,6 +572,7 @@
     version_policy: VersionPolicy | None = None,
     spill: SpillPolicy | None = None,
     explanations: ExplanationLog | None = None,
+    class_status: ClassStatusTracker | None = None,
 ) -> RequestPipeline:
     """Builds the pipeline and registers its peer handlers.
 
@@ -583,6 +591,7 @@
         version_policy: Gets the result of each dispatch.
         spill: Chooses other nodes for requests that were refused here.
         explanations: Steps of recent requests.
+        class_status: Counts outcomes by class.
     """
     pipeline = RequestPipeline(
         scheduler,
@@ -596,6 +605,7 @@
         version_policy=version_policy,
         spill=spill,
         explanations=explanations,
+        class_status=class_status,
         on_leaving=membership.mark_leaving,
     )
     server = ForwardServer(
