--- /dev/null
+++ b/src/tanagerport/preemption.py
@@ -0,0 +1,339 @@
+"""Slots for the top tier from lower-tier generations, here and at peers."""
+
+import threading
+from collections.abc import Callable, Iterable, Sequence
+from typing import Protocol
+
+import structlog
+
+from tanagerport.admission import Ticket
+from tanagerport.clock import Clock
+from tanagerport.exceptions import PeerError
+from tanagerport.interfaces import PeerNetwork
+from tanagerport.model import RefusalReason
+from tanagerport.peer_pb2 import ReclaimReply, ReclaimRequest
+from tanagerport.upstream_use import Dispatch, UpstreamUse
+
+_log = structlog.get_logger(__name__)
+
+# A peer answers at once or after one pause call to an engine.
+_RECLAIM_TIMEOUT_S = 0.3
+# A peer that had nothing to give is not asked again for this long. It holds
+# lower tiers back for longer, so that its answer stays true.
+_NEGATIVE_S = 0.25
+HOLD_BACK_S = 0.5
+# Loans that would end sooner are not made.
+_MIN_LOAN_S = 0.2
+_MAX_UPSTREAMS_ASKED = 64
+_MAX_RECLAIMS = 16
+
+
+class PreemptionHost(Protocol):
+    """What preemption needs of the scheduler; all under its lock."""
+
+    def suitable(self, ticket: Ticket) -> Sequence[UpstreamUse]:
+        """Returns upstreams that may serve a request."""
+
+    def find_use(self, vm_id: str) -> UpstreamUse | None:
+        """Returns the use of an upstream."""
+
+    def top_tier_waiting(self, use: UpstreamUse) -> int:
+        """Returns top-tier requests that wait for an upstream's models."""
+
+    def on_stopped(
+        self,
+        use: UpstreamUse,
+        dispatch: Dispatch,
+        paused: bool,
+        lent_until: float | None,
+    ) -> None:
+        """Takes the slot of a paused or cancelled dispatch.
+
+        Args:
+            use: Upstream.
+            dispatch: Dispatch that stopped.
+            paused: Whether it was paused; it was cancelled otherwise.
+            lent_until: End of the loan if the slot goes to a peer.
+        """
+
+    def lend(self, use: UpstreamUse, until: float) -> None:
+        """Lends a free slot to a peer."""
+
+    def loan_end(self, use: UpstreamUse, now: float) -> float:
+        """Returns until when a slot may be lent."""
+
+    def hold_back(self, use: UpstreamUse, until: float) -> None:
+        """Dispatches no lower tier to an upstream until then."""
+
+    def on_borrowed(self, vm_id: str, until: float) -> None:
+        """Adds a slot that a peer gave up."""
+
+    def peers_serving(self, vm_ids: Iterable[str]) -> Sequence[str]:
+        """Returns live peers that serve any of the upstreams.
+
+        Those that stated more lower-tier generations come first.
+        """
+
+
+def choose_victim(
+    uses: Iterable[UpstreamUse],
+) -> tuple[UpstreamUse, Dispatch] | None:
+    """Returns the generation that is stopped with the least harm.
+
+    The lowest tier goes first; within it one that can be paused, and then
+    the one that started last, which has the least to lose.
+    """
+    best: tuple[UpstreamUse, Dispatch] | None = None
+    best_key: tuple[int, bool, float] | None = None
+    for use in uses:
+        for dispatch in use.victims():
+            control = dispatch.control
+            if control is None or dispatch.is_changing:
+                continue
+            key = (dispatch.tier, control.can_pause, dispatch.started_at)
+            if best_key is None or key > best_key:
+                best_key, best = key, (use, dispatch)
+    return best
+
+
+class Preemptor:
+    """Makes room for top-tier requests.
+
+    Calls to engines and peers are made without the scheduler's lock.
+
+    Args:
+        host: Scheduler.
+        lock: Lock of the scheduler.
+        peers: Calls to other nodes.
+        node_id: This node.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        host: PreemptionHost,
+        lock: threading.Lock,
+        peers: PeerNetwork,
+        node_id: str,
+        clock: Clock,
+    ) -> None:
+        self._host = host
+        self._lock = lock
+        self._peers = peers
+        self._node_id = node_id
+        self._clock = clock
+        self._reclaims = threading.BoundedSemaphore(_MAX_RECLAIMS)
+        self._negative_until: dict[tuple[str, str], float] = {}
+        self.paused = 0
+        self.cancelled = 0
+        self.reclaimed = 0
+
+    def make_room(self, ticket: Ticket) -> bool:
+        """Stops a lower-tier generation, here or at a peer.
+
+        Args:
+            ticket: Waiting top-tier request.
+
+        Returns:
+            Whether a slot was freed or may be soon. If not, no lower-tier
+            generation runs anywhere reachable, and the time is noted in the
+            ticket.
+        """
+        with self._lock:
+            if ticket.is_decided:
+                return True
+            uses = self._host.suitable(ticket)
+            changing, running = _count_victims(uses)
+            waiting = max(map(self._host.top_tier_waiting, uses), default=0)
+            # Each waiting request needs one slot only.
+            if changing and changing >= waiting:
+                return True
+            victim = choose_victim(uses)
+            if victim is not None:
+                victim[1].is_changing = True
+        if victim is not None:
+            self._stop(*victim, lent_until=None)
+            return True
+        remains = self._reclaim(ticket, uses) or running > 0
+        if not remains:
+            ticket.no_victims_at = self._clock.monotonic()
+        return remains
+
+    def handle_reclaim(self, message: ReclaimRequest) -> ReclaimReply:
+        """Gives a slot to a peer's request of a more important tier."""
+        victim = None
+        with self._lock:
+            now = self._clock.monotonic()
+            found = map(self._host.find_use, message.upstream_ids)
+            uses = [use for use in found if use is not None]
+            for use in uses:
+                self._host.hold_back(use, now + HOLD_BACK_S)
+            reply = self._lend_free(uses, now)
+            if reply is None:
+                victim = choose_victim(
+                    use
+                    for use in uses
+                    if self._host.loan_end(use, now) >= now + _MIN_LOAN_S
+                )
+                if victim is not None:
+                    victim[1].is_changing = True
+        if victim is not None:
+            reply = self._lend_victim(*victim)
+        with self._lock:
+            _, running = _count_victims(uses)
+        reply = reply or ReclaimReply()
+        reply.lower_tier_remains = running > 0
+        return reply
+
+    def _lend_free(
+        self, uses: Iterable[UpstreamUse], now: float
+    ) -> ReclaimReply | None:
+        for use in uses:
+            if use.free <= 0 or self._host.top_tier_waiting(use):
+                continue
+            until = self._host.loan_end(use, now)
+            if until < now + _MIN_LOAN_S:
+                continue
+            self._host.lend(use, until)
+            return _granted(use, until - now)
+        return None
+
+    def _lend_victim(
+        self, use: UpstreamUse, dispatch: Dispatch
+    ) -> ReclaimReply | None:
+        with self._lock:
+            until = self._host.loan_end(use, self._clock.monotonic())
+        self._stop(use, dispatch, until)
+        lifetime_s = until - self._clock.monotonic()
+        return _granted(use, lifetime_s) if lifetime_s > 0 else None
+
+    def _stop(
+        self, use: UpstreamUse, dispatch: Dispatch, lent_until: float | None
+    ) -> None:
+        control = dispatch.control
+        assert control is not None
+        request_id = dispatch.placement.request.request_id
+        paused = False
+        try:
+            paused = control.can_pause and control.pause()
+            if not paused:
+                control.cancel(RefusalReason.PREEMPTED)
+        finally:
+            with self._lock:
+                self.paused += paused
+                self.cancelled += not paused
+                self._host.on_stopped(use, dispatch, paused, lent_until)
+        _log.info(
+            "generation_preempted",
+            request_id=request_id,
+            upstream=use.vm.vm_id,
+            paused=paused,
+        )
+
+    def _reclaim(self, ticket: Ticket, uses: Sequence[UpstreamUse]) -> bool:
+        """Asks peers for a slot; returns whether one may come of it."""
+        vm_ids = [use.vm.vm_id for use in uses][:_MAX_UPSTREAMS_ASKED]
+        model = ticket.request.work_class.model
+        with self._lock:
+            peers = self._host.peers_serving(vm_ids)
+        if not self._reclaims.acquire(blocking=False):
+            return True
+        try:
+            return self._ask_peers(ticket, model, peers, vm_ids)
+        finally:
+            self._reclaims.release()
+
+    def _ask_peers(
+        self,
+        ticket: Ticket,
+        model: str,
+        peers: Sequence[str],
+        vm_ids: Sequence[str],
+    ) -> bool:
+        remains = False
+        for node_id in peers:
+            now = self._clock.monotonic()
+            if ticket.is_decided:
+                return True
+            if now < self._negative_until.get((node_id, model), 0.0):
+                continue
+            reply = self._ask(node_id, model, vm_ids)
+            if reply is None:
+                continue
+            if reply.granted:
+                with self._lock:
+                    self.reclaimed += 1
+                    self._host.on_borrowed(
+                        reply.upstream_id, now + reply.lifetime_ms / 1000
+                    )
+                return True
+            if reply.lower_tier_remains:
+                remains = True
+            else:
+                self._negative_until[node_id, model] = now + _NEGATIVE_S
+        return remains
+
+    def _ask(
+        self, node_id: str, model: str, vm_ids: Sequence[str]
+    ) -> ReclaimReply | None:
+        message = ReclaimRequest(
+            node_id=self._node_id, tier=0, model=model, upstream_ids=vm_ids
+        )
+        try:
+            return self._peers.call(
+                node_id, "Reclaim", message, _RECLAIM_TIMEOUT_S
+            )
+        except PeerError as error:
+            _log.info("reclaim_failed", node=node_id, error=str(error))
+            return None
+
+
+class ResumeOrder:
+    """Which paused generation goes on first.
+
+    Args:
+        remaining_s: Returns the expected seconds that a generation still
+            needs.
+    """
+
+    def __init__(self, remaining_s: Callable[[Dispatch], float]) -> None:
+        self._remaining_s = remaining_s
+
+    def effective_tier(self, dispatch: Dispatch, now: float) -> int:
+        """Returns the tier of a paused generation's queue place.
+
+        One that would miss its deadline by waiting longer goes before its
+        own tier, but never before the top tier.
+        """
+        request = dispatch.placement.request
+        slack_s = request.deadline_at - now - self._remaining_s(dispatch)
+        is_urgent = slack_s < 2 * self._remaining_s(dispatch)
+        return max(1, dispatch.tier - 1) if is_urgent else dispatch.tier
+
+    def choose(self, paused: Iterable[Dispatch], now: float) -> Dispatch | None:
+        """Returns the generation to resume first."""
+        return min(
+            (item for item in paused if not item.is_changing),
+            key=lambda item: (
+                self.effective_tier(item, now),
+                item.placement.request.deadline_at,
+            ),
+            default=None,
+        )
+
+
+def _count_victims(uses: Iterable[UpstreamUse]) -> tuple[int, int]:
+    changing = running = 0
+    for use in uses:
+        for dispatch in use.victims():
+            running += 1
+            changing += dispatch.is_changing
+    return changing, running
+
+
+def _granted(use: UpstreamUse, lifetime_s: float) -> ReclaimReply:
+    return ReclaimReply(
+        granted=True,
+        upstream_id=use.vm.vm_id,
+        lifetime_ms=int(lifetime_s * 1000),
+    )
--- /dev/null
+++ b/src/tanagerport/sampling.py
@@ -0,0 +1,160 @@
+"""Samples of upstreams' speed from dispatches in progress and ended."""
+
+from tanagerport.estimates import LengthEstimator
+from tanagerport.limits import SampleKind, classify_seconds
+from tanagerport.scheduler import Outcome
+from tanagerport.slots import SlotHolder
+from tanagerport.upstream_use import Dispatch, UpstreamUse
+
+# Window over which the token interval of a running answer is measured.
+_WINDOW_S = 0.25
+_MIN_WINDOW_TOKENS = 4
+# An answer without a token for this many intervals counts as missed.
+_STALLED_INTERVALS = 8
+# A first token that stays out counts again after this long, so that a hung
+# upstream keeps losing slots.
+_LATE_REPEAT_S = 0.25
+
+
+class Sampler:
+    """Turns observations into samples. Not safe for concurrent use.
+
+    Args:
+        holder: Brakes of this node.
+        lengths: Expected output by class.
+    """
+
+    def __init__(self, holder: SlotHolder, lengths: LengthEstimator) -> None:
+        self._holder = holder
+        self._lengths = lengths
+
+    def sample_running(
+        self, use: UpstreamUse, dispatch: Dispatch, now: float
+    ) -> None:
+        """Takes samples from a dispatch in progress."""
+        progress = dispatch.progress
+        if progress is None or not dispatch.holds_slot:
+            return
+        first_token_s = progress.first_token_s
+        if first_token_s is None:
+            self._sample_waiting(use, dispatch, now)
+            return
+        if not dispatch.first_token_sampled:
+            self._sample_first_token(use, dispatch, first_token_s, now)
+            dispatch.sampled_at = now
+            dispatch.sampled_tokens = progress.output_tokens
+        elif now - dispatch.sampled_at >= _WINDOW_S:
+            self._sample_window(use, dispatch, progress.output_tokens, now)
+
+    def sample_ended(
+        self,
+        use: UpstreamUse,
+        dispatch: Dispatch,
+        outcome: Outcome,
+        now: float,
+    ) -> None:
+        """Takes samples from a dispatch that ended."""
+        request = dispatch.placement.request
+        if not outcome.started or outcome.first_token_s is None:
+            return
+        if not dispatch.is_generation:
+            if outcome.complete:
+                self._sample_first_token(use, dispatch, outcome.duration_s, now)
+            return
+        if not request.stream:
+            self._sample_whole(use, dispatch, outcome, now)
+            return
+        if not dispatch.first_token_sampled:
+            self._sample_first_token(use, dispatch, outcome.first_token_s, now)
+        if dispatch.progress is None and outcome.output_tokens > 1:
+            generating_s = outcome.duration_s - outcome.first_token_s
+            interval_s = generating_s / (outcome.output_tokens - 1)
+            # The time of a pause is not the engine's.
+            if not dispatch.paused_at:
+                self._sample_interval(use, dispatch, interval_s, now)
+
+    def forget_window(self, dispatch: Dispatch, now: float) -> None:
+        """Starts a new window after a pause."""
+        dispatch.sampled_at = now
+        if dispatch.progress is not None:
+            dispatch.sampled_tokens = dispatch.progress.output_tokens
+
+    def _sample_waiting(
+        self, use: UpstreamUse, dispatch: Dispatch, now: float
+    ) -> None:
+        target_s = dispatch.placement.request.work_class.first_token_target_s
+        waited_s = now - dispatch.started_at
+        if (
+            classify_seconds(waited_s, target_s) is SampleKind.MISSED
+            and now - dispatch.late_sampled_at >= _LATE_REPEAT_S
+        ):
+            dispatch.late_sampled_at = now
+            self._add(use, dispatch, SampleKind.MISSED, now)
+
+    def _sample_first_token(
+        self,
+        use: UpstreamUse,
+        dispatch: Dispatch,
+        seconds: float,
+        now: float,
+    ) -> None:
+        dispatch.first_token_sampled = True
+        use.speed.record_first_token(dispatch.uncached_tokens, seconds)
+        target_s = dispatch.placement.request.work_class.first_token_target_s
+        self._add(use, dispatch, classify_seconds(seconds, target_s), now)
+
+    def _sample_window(
+        self, use: UpstreamUse, dispatch: Dispatch, tokens: int, now: float
+    ) -> None:
+        window_s = now - dispatch.sampled_at
+        produced = tokens - dispatch.sampled_tokens
+        stalled_s = _STALLED_INTERVALS * use.interval_target_s(now)
+        if produced < _MIN_WINDOW_TOKENS and window_s < stalled_s:
+            return
+        self._sample_interval(use, dispatch, window_s / max(produced, 1), now)
+        dispatch.sampled_at, dispatch.sampled_tokens = now, tokens
+
+    def _sample_interval(
+        self,
+        use: UpstreamUse,
+        dispatch: Dispatch,
+        seconds: float,
+        now: float,
+    ) -> None:
+        use.speed.record_interval(seconds)
+        kind = classify_seconds(seconds, use.interval_target_s(now))
+        self._add(use, dispatch, kind, now)
+
+    def _sample_whole(
+        self,
+        use: UpstreamUse,
+        dispatch: Dispatch,
+        outcome: Outcome,
+        now: float,
+    ) -> None:
+        """Judges an answer that arrives in one piece."""
+        if not outcome.complete or dispatch.paused_at:
+            return
+        request = dispatch.placement.request
+        work_class = request.work_class
+        tokens = outcome.output_tokens or self._lengths.mean(request)
+        target_s = (
+            work_class.first_token_target_s
+            + tokens * work_class.token_interval_target_s
+        )
+        kind = classify_seconds(outcome.duration_s, target_s)
+        self._add(use, dispatch, kind, now)
+        if tokens > 1:
+            use.speed.record_interval(outcome.duration_s / tokens)
+
+    def _add(
+        self,
+        use: UpstreamUse,
+        dispatch: Dispatch,
+        kind: SampleKind,
+        now: float,
+    ) -> None:
+        limited = dispatch.limited or use.free <= use.reserve
+        use.samples.add(kind, limited)
+        brake = self._holder.brake(use.vm.vm_id)
+        brake.record(kind, use.in_use, now)
--- a/src/tanagerport/scheduler.py
+++ b/src/tanagerport/scheduler.py
@@ -4,7 +4,7 @@
 import itertools
 import threading
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 from tanagerport.clock import Clock
 from tanagerport.exceptions import RefusedError
@@ -66,6 +66,23 @@
         """Cancels the dispatch; its caller gets an error with the reason."""
 
 
+@runtime_checkable
+class DispatchProgress(Protocol):
+    """What a dispatch has produced so far.
+
+    A `DispatchControl` that also offers this lets the scheduler see a slow
+    upstream before its answers end.
+    """
+
+    @property
+    def first_token_s(self) -> float | None:
+        """Seconds from dispatch to the first token; None before it."""
+
+    @property
+    def output_tokens(self) -> int:
+        """Tokens received so far."""
+
+
 class Scheduler(Protocol):
     """Gives slots to requests in order of importance."""
 
--- a/src/tanagerport/slot_coordinator.py
+++ b/src/tanagerport/slot_coordinator.py
@@ -268,6 +268,14 @@
         holder.support_since = max(holder.support_since, since)
         holder.support_until = max(holder.support_until, until)
 
+    def forget_support(self, node_id: str) -> None:
+        """Drops the confirmations of a node whose process restarted."""
+        for state in self._states.values():
+            holder = state.holders.get(node_id)
+            if holder is not None:
+                holder.support_since, holder.support_until = None, 0.0
+                state.dirty = True
+
     def acknowledge(self, node_id: str, stamp: int) -> None:
         """Records that a holder applied the grants of a message.
 
@@ -326,23 +334,30 @@
         """
         own_id = self._serving.self_id
         entries: dict[str, GrantEntry] = {}
-        chosen: list[tuple[_UpstreamState, int]] = []
+        chosen: list[_HolderState] = []
         expires_at = now + self._lifetime_s
         for vm_id in self._serving.shared(own_id, node_id):
             state = self._states.get(vm_id)
             if state is None:
                 continue
             self._allocate_if_needed(vm_id, state, now)
+            holder = state.holder(node_id)
+            limit = state.estimator.limit
+            share = self._serving.share(vm_id, node_id, limit)
             if node_id not in state.members:
+                # A message without a grant lets the holder use its share.
+                self._record(holder, stamp, share, float("inf"))
                 continue
-            limit = state.estimator.limit
+            holder.outstanding(now)
+            if not holder.sent and node_id != own_id:
+                # Until the first grant arrives the static share is in use.
+                holder.sent.append(_Sent(0, share, float("inf")))
             safe = state.safe.update(limit, now)
-            slots = state.holder(node_id).target
-            entries[vm_id] = GrantEntry(slots, limit, safe)
-            chosen.append((state, slots))
+            entries[vm_id] = GrantEntry(holder.target, limit, safe)
+            chosen.append(holder)
             expires_at = min(expires_at, self._support_end(state, now))
-        for state, slots in chosen:
-            self._record(state.holder(node_id), stamp, slots, expires_at)
+        for vm_id, holder in zip(entries, chosen, strict=True):
+            self._record(holder, stamp, entries[vm_id].slots, expires_at)
         return Grants(entries, expires_at)
 
     def _support_end(self, state: _UpstreamState, now: float) -> float:
@@ -361,7 +376,7 @@
         holder: _HolderState, stamp: int, slots: int, expires_at: float
     ) -> None:
         last = holder.sent[-1] if holder.sent else None
-        if last is not None and last.slots == slots:
+        if last is not None and last.stamp and last.slots == slots:
             last.expires_at = max(last.expires_at, expires_at)
         else:
             holder.sent.append(_Sent(stamp, slots, expires_at))
--- a/src/tanagerport/slot_exchange.py
+++ b/src/tanagerport/slot_exchange.py
@@ -135,12 +135,18 @@
         now = self._clock.monotonic()
         part = heartbeat.slots
         peer = self._peers.setdefault(heartbeat.node_id, _Peer())
+        former_epoch = peer.epoch
         if not _accept(peer, part.epoch, part.stamp, now):
             return
+        if former_epoch not in (0, part.epoch):
+            self._coordinator.forget_support(heartbeat.node_id)
         peer.lower_tier_running = part.lower_tier_running
         self._take_reports(heartbeat, now)
         echoed_at = self._echo_time(part.echo_epoch, part.echo, now)
         if echoed_at is not None:
+            if part.stamp < self._lifetime_s * _MICROSECONDS:
+                # A process this young has divided no share but its own.
+                self._holder.note_fresh(heartbeat.node_id)
             self._confirm(heartbeat, echoed_at, now)
             self._take_grants(heartbeat, echoed_at, now)
 
@@ -194,9 +200,11 @@
     ) -> None:
         part = heartbeat.slots
         peer_id, own_id = heartbeat.node_id, self._serving.self_id
-        self._coordinator.acknowledge(peer_id, part.echo)
         if part.support != self._serving.digest(own_id, peer_id):
+            # The peer follows another coordinator for some upstream, so it
+            # need not have applied the grants that it received.
             return
+        self._coordinator.acknowledge(peer_id, part.echo)
         ages = dict(zip(part.young_hashes, part.young_ages_ms, strict=False))
         for vm_id in self._serving.shared(own_id, peer_id):
             age_ms = ages.get(upstream_hash(vm_id))
--- a/src/tanagerport/slots.py
+++ b/src/tanagerport/slots.py
@@ -253,11 +253,18 @@
     Args:
         serving: Who serves and coordinates each upstream.
         lifetime_s: Lifetime of a grant.
+        started_at: Monotonic seconds when this process started. Until a
+            grant lifetime later its static share may still be granted to
+            others, because of reports of an earlier process of this node.
     """
 
-    def __init__(self, serving: ServingMap, lifetime_s: float) -> None:
+    def __init__(
+        self, serving: ServingMap, lifetime_s: float, started_at: float
+    ) -> None:
         self._serving = serving
         self._lifetime_s = lifetime_s
+        self._starting_until = started_at + lifetime_s
+        self._fresh_peers: set[str] = set()
         self._bounds: dict[str, _Bound] = {}
         self._leases: dict[str, Lease] = {}
         self._last_heard: dict[str, tuple[GrantEntry, float]] = {}
@@ -352,7 +359,15 @@
         coordinator = self._serving.coordinator(vm.vm_id)
         lease = self._leases.get(coordinator) if coordinator else None
         entry = lease.entries.get(vm.vm_id) if lease else None
-        if lease is None or entry is None:
+        if (
+            lease is None
+            or entry is None
+            or (
+                # Its own coordinator does not know what was granted before.
+                coordinator == self._serving.self_id
+                and self._is_starting(vm.vm_id, now)
+            )
+        ):
             return self.fallback_share(vm, now)
         if now < lease.valid_until:
             return entry.slots
@@ -371,6 +386,8 @@
 
     def fallback_share(self, vm: VM, now: float) -> int:
         """Returns the static share of the last safe limit."""
+        if self._is_starting(vm.vm_id, now):
+            return 0
         limit = vm.slots
         heard = self._last_heard.get(vm.vm_id)
         if heard is not None:
@@ -380,6 +397,19 @@
                 limit = min(limit, vm.slots)
         return self._serving.share(vm.vm_id, self._serving.self_id, limit)
 
+    def note_fresh(self, node_id: str) -> None:
+        """Records that a peer has not granted this node's share away."""
+        self._fresh_peers.add(node_id)
+
+    def _is_starting(self, upstream_id: str, now: float) -> bool:
+        if now >= self._starting_until:
+            return False
+        own_id = self._serving.self_id
+        return not all(
+            node_id == own_id or node_id in self._fresh_peers
+            for node_id in self._serving.serving(upstream_id)
+        )
+
     def borrow(self, upstream_id: str, until: float) -> None:
         """Adds a slot that a peer gave up for this node."""
         self._loans_of(upstream_id).borrowed.append(until)
--- /dev/null
+++ b/src/tanagerport/zone_scheduler.py
@@ -0,0 +1,1042 @@
+"""Scheduler that shares the slots of upstreams with the zone's nodes."""
+
+import concurrent.futures
+import itertools
+import threading
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Any
+
+import structlog
+
+from tanagerport.admission import (
+    ModelQueue,
+    QueueBounds,
+    Ticket,
+    is_unreachable,
+    retry_after_s,
+)
+from tanagerport.clock import Clock
+from tanagerport.decisions import DecisionLog
+from tanagerport.estimates import LengthEstimator, prompt_tokens
+from tanagerport.exceptions import RefusedError
+from tanagerport.interfaces import (
+    MembershipView,
+    NodeView,
+    PeerNetwork,
+    VersionPolicy,
+)
+from tanagerport.link_budget import LinkBudget
+from tanagerport.metrics import Metrics
+from tanagerport.model import Refusal, RefusalReason, Request, UpstreamKind
+from tanagerport.peer_pb2 import Heartbeat
+from tanagerport.preemption import Preemptor, ResumeOrder
+from tanagerport.prefix_cache import CacheEvent, PrefixIndex
+from tanagerport.routing import (
+    Router,
+    RoutingDecision,
+    SpillChooser,
+    VersionMatcher,
+)
+from tanagerport.sampling import Sampler
+from tanagerport.scheduler import (
+    DispatchControl,
+    DispatchProgress,
+    Outcome,
+    Placement,
+)
+from tanagerport.settings import Settings
+from tanagerport.slot_coordinator import SlotCoordinator
+from tanagerport.slot_exchange import SlotExchange
+from tanagerport.slot_pool import ServeKey, SlotPool, key_of, keys_of
+from tanagerport.slots import TIERS, ServingMap, SlotHolder
+from tanagerport.upstream_use import Dispatch, UpstreamUse
+
+_log = structlog.get_logger(__name__)
+
+_TICK_S = 0.05
+_SAMPLE_S = 0.1
+_HOUSEKEEPING_S = 10.0
+# Tickets that are passed over because they can't use the free upstreams.
+_MAX_PASSED_OVER = 4
+# A waiting top-tier request looks for a slot again after these times: soon
+# where one was freed, later where none runs that could be stopped.
+_PREEMPT_AGAIN_S = 0.02
+_RECLAIM_AGAIN_S = 0.1
+_NO_VICTIMS_MAX_AGE_S = 0.3
+_WAIT_S = 1.0
+_ASSUMED_INTERVAL_S = 0.02
+_DURATION_WEIGHT = 0.1
+# Prefill of a token costs an engine about a tenth of decoding one.
+_PREFILL_COST = 0.1
+_BYTES_PER_TOKEN = 4
+_WORKERS = 4
+_MODELS_PER_HEARTBEAT = 8
+
+
+class ZoneScheduler:
+    """Implements `Scheduler`; use `create_zone_scheduler` to build one.
+
+    Args:
+        settings: Settings of the node.
+        membership: Nodes and upstreams.
+        peers: Calls and heartbeats between nodes.
+        versions: Choice of versions.
+        metrics: Metrics of the node.
+        clock: Source of time.
+        run_background: Whether a thread renews grants and limits. Without
+            it, callers use `tick`.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        membership: MembershipView,
+        peers: PeerNetwork,
+        versions: VersionPolicy,
+        metrics: Metrics,
+        clock: Clock,
+        run_background: bool = True,
+    ) -> None:
+        self._settings = settings
+        self._membership = membership
+        self._versions = versions
+        self._metrics = metrics
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._run_background = run_background
+        self._thread: threading.Thread | None = None
+        self._workers: concurrent.futures.ThreadPoolExecutor | None = None
+        self._stopped = threading.Event()
+        self._draining = False
+        self._ids = itertools.count(1)
+        self._next_tick = self._next_sample = self._next_cleaning = 0.0
+        self._queues: dict[ServeKey, ModelQueue] = {}
+        self._durations: dict[str, float] = {}
+        self._actions: list[Callable[[], None]] = []
+        self._slots_shown: dict[str, int] = {}
+        self._log = DecisionLog()
+        self._bounds = QueueBounds(
+            settings.queue_limit, settings.caller_threads
+        )
+        lifetime_s = settings.timing.grant_lifetime_s
+        now = clock.monotonic()
+        self._serving = ServingMap(
+            membership, settings.upstream_nodes, lifetime_s
+        )
+        self._holder = SlotHolder(self._serving, lifetime_s, now)
+        self._coordinator = SlotCoordinator(self._serving, lifetime_s)
+        self._pool = SlotPool(
+            membership,
+            self._serving,
+            self._holder,
+            self._coordinator,
+            self._waiting_by_tier,
+            clock,
+        )
+        self._exchange = SlotExchange(
+            self._serving,
+            self._holder,
+            self._coordinator,
+            self._pool,
+            lifetime_s,
+            clock,
+        )
+        self._lengths = LengthEstimator()
+        self._sampler = Sampler(self._holder, self._lengths)
+        self._prefixes = PrefixIndex(clock)
+        self._matcher = VersionMatcher(versions)
+        self._router = Router(self._prefixes, self._lengths, self._matcher)
+        self._resume_order = ResumeOrder(self._remaining_s)
+        self._budget = LinkBudget(
+            settings.link_bytes_per_s, settings.region, clock
+        )
+        self._spill = SpillChooser(membership, self._budget, clock)
+        self._preemptor = Preemptor(
+            self, self._lock, peers, settings.node_id, clock
+        )
+
+    @property
+    def link_budget(self) -> LinkBudget:
+        """Budget of bytes to other regions."""
+        return self._budget
+
+    # Interface of the pipeline.
+
+    def acquire(
+        self, request: Request, excluded: frozenset[str] = frozenset()
+    ) -> Placement:
+        """Waits for a slot.
+
+        Args:
+            request: Request to dispatch.
+            excluded: Upstreams that already failed this request.
+
+        Returns:
+            The slot; `release` must follow.
+
+        Raises:
+            RefusedError: The request can't be served in time.
+        """
+        version = self._versions.choose_version(request)
+        with self._lock:
+            now = self._begin()
+            ticket = self._submit(request, excluded, version, now)
+            if not ticket.is_decided:
+                ticket.event = threading.Event()
+        self._run_actions()
+        if not ticket.is_decided:
+            self._start_background()
+            self._wait(ticket)
+        if ticket.refusal is not None:
+            raise RefusedError(ticket.refusal)
+        assert ticket.placement is not None
+        return ticket.placement
+
+    def attach(self, placement: Placement, control: DispatchControl) -> None:
+        """Gives the scheduler control over a dispatch that started."""
+        with self._lock:
+            dispatch = self._find(placement)
+            if dispatch is not None:
+                dispatch.control = control
+                if isinstance(control, DispatchProgress):
+                    dispatch.progress = control
+
+    def release(self, placement: Placement, outcome: Outcome) -> None:
+        """Gives a slot back and records what the dispatch showed."""
+        with self._lock:
+            now = self._begin()
+            use = self._pool.uses.get(placement.vm.vm_id)
+            dispatch = (
+                use.dispatches.pop(placement.placement_id, None)
+                if use
+                else None
+            )
+            if use is None or dispatch is None:
+                return
+            if dispatch.is_paused:
+                use.paused.remove(dispatch)
+            self._pool.give(use, dispatch, now)
+            self._bounds.leave(dispatch.tier)
+            self._record(use, dispatch, outcome, now)
+            self._serve(use, now)
+        self._run_actions()
+
+    def stop_admitting(self) -> None:
+        """Refuses waiting and new requests with `draining`."""
+        with self._lock:
+            self._draining = True
+            now = self._clock.monotonic()
+            for queue in self._queues.values():
+                for tier in range(TIERS):
+                    while (ticket := queue.take(tier, now)) is not None:
+                        self._refuse(
+                            ticket, RefusalReason.DRAINING,
+                            "the node is draining", now,
+                        )  # fmt: skip
+
+    # Interface of the node and of operators.
+
+    def close(self) -> None:
+        """Stops the background thread."""
+        self._stopped.set()
+        if self._thread is not None:
+            self._thread.join()
+        if self._workers is not None:
+            self._workers.shutdown(wait=False)
+
+    def tick(self) -> None:
+        """Renews grants and limits and serves waiting requests."""
+        with self._lock:
+            self._tick(self._clock.monotonic())
+        self._run_actions()
+
+    def should_spill(self, request: Request) -> str | None:
+        """Returns a zone that should serve the request, or None.
+
+        The zone's free slot and the link's bytes are taken; the caller
+        forwards the request or lets both expire.
+        """
+        with self._lock:
+            now = self._begin()
+            if not self._needs_spill(request, now):
+                return None
+            zone = self._spill.choose(request, self._lengths.mean(request))
+            if zone is not None:
+                self._log_start(request, now)
+                self._log.add(request.request_id, now, "spilled", zone=zone)
+            return zone
+
+    def take_cache_events(
+        self, upstream_id: str, events: Iterable[CacheEvent], gap: bool
+    ) -> None:
+        """Takes cache events that an engine published."""
+        self._prefixes.apply_events(upstream_id, events, gap)
+
+    def explain(self, request_id: str) -> Mapping[str, Any] | None:
+        """Returns what was decided on a request; None when unknown."""
+        with self._lock:
+            return self._log.explain(request_id)
+
+    def snapshot(self) -> Mapping[str, Any]:
+        """Returns limits, slots and queues for the status command."""
+        with self._lock:
+            now = self._clock.monotonic()
+            return {
+                "upstreams": {
+                    vm_id: self._describe(use, now)
+                    for vm_id, use in sorted(self._pool.uses.items())
+                },
+                "waiting": {
+                    name: list(queue.waiting)
+                    for (_, name), queue in sorted(self._queues.items())
+                },
+                "threads_held": self._bounds.held,
+                "preempted": {
+                    "paused": self._preemptor.paused,
+                    "cancelled": self._preemptor.cancelled,
+                    "reclaimed": self._preemptor.reclaimed,
+                },
+            }
+
+    def fill(self, heartbeat: Heartbeat, peer: NodeView) -> None:
+        """Adds slot reports and grants, or free slots for other zones."""
+        with self._lock:
+            now = self._begin()
+            if peer.zone == self._settings.zone:
+                self._exchange.fill(heartbeat, peer)
+            else:
+                self._fill_free_slots(heartbeat, now)
+
+    def receive(self, heartbeat: Heartbeat) -> None:
+        """Takes slot reports and grants, or free slots of other zones."""
+        with self._lock:
+            now = self._begin()
+            if heartbeat.zone == self._settings.zone:
+                self._exchange.receive(heartbeat)
+                self._pool.update_all(now)
+                self._serve_all(now)
+            else:
+                self._spill.take_free_slots(
+                    heartbeat.zone,
+                    heartbeat.node_id,
+                    heartbeat.free_slots_by_model,
+                )
+        self._run_actions()
+
+    @property
+    def handle_reclaim(self) -> Callable[[Any], Any]:
+        """Handler of `Reclaim`."""
+        return self._preemptor.handle_reclaim
+
+    # Interface of preemption; the lock is held.
+
+    def suitable(self, ticket: Ticket) -> Sequence[UpstreamUse]:
+        """Returns upstreams that may serve a request."""
+        model = ticket.request.work_class.model
+        return [
+            use
+            for use in self._pool.serving_uses(
+                key_of(ticket.request.work_class)
+            )
+            if self._is_allowed(use, ticket)
+            and self._matcher.version_at(use, model, ticket.version) is not None
+        ]
+
+    def find_use(self, vm_id: str) -> UpstreamUse | None:
+        """Returns the use of an upstream."""
+        return self._pool.uses.get(vm_id)
+
+    def top_tier_waiting(self, use: UpstreamUse) -> int:
+        """Returns top-tier requests that wait for an upstream's models."""
+        return sum(
+            self._queues[key].waiting[0]
+            for key in keys_of(use)
+            if key in self._queues
+        )
+
+    def on_stopped(
+        self,
+        use: UpstreamUse,
+        dispatch: Dispatch,
+        paused: bool,
+        lent_until: float | None,
+    ) -> None:
+        """Takes the slot of a paused or cancelled dispatch."""
+        now = self._clock.monotonic()
+        dispatch.is_changing = False
+        if lent_until is not None:
+            self._holder.lend(use.vm.vm_id, lent_until)
+        if dispatch.placement.placement_id in use.dispatches:
+            if paused:
+                dispatch.is_paused, dispatch.paused_at = True, now
+                use.paused.append(dispatch)
+            self._pool.give(use, dispatch, now)
+            self._log.add(
+                dispatch.placement.request.request_id,
+                now,
+                "paused" if paused else "cancelled",
+                upstream=use.vm.vm_id,
+                lent=lent_until is not None,
+            )
+        self._pool.update(use, now)
+        self._serve(use, now)
+
+    def lend(self, use: UpstreamUse, until: float) -> None:
+        """Lends a free slot to a peer."""
+        self._holder.lend(use.vm.vm_id, until)
+        self._pool.update(use, self._clock.monotonic())
+
+    def loan_end(self, use: UpstreamUse, now: float) -> float:
+        """Returns until when a slot may be lent."""
+        return self._holder.lease_end(use.vm, now)
+
+    def hold_back(self, use: UpstreamUse, until: float) -> None:
+        """Dispatches no lower tier to an upstream until then."""
+        use.held_back_until = until
+        self._pool.update(use, self._clock.monotonic())
+
+    def on_borrowed(self, vm_id: str, until: float) -> None:
+        """Adds a slot that a peer gave up."""
+        now = self._clock.monotonic()
+        use = self._pool.uses.get(vm_id)
+        if use is not None:
+            self._holder.borrow(vm_id, until)
+            self._pool.update(use, now)
+            self._serve(use, now)
+
+    def peers_serving(self, vm_ids: Iterable[str]) -> Sequence[str]:
+        """Returns live peers that serve any of the upstreams."""
+        serving = {
+            node for vm_id in vm_ids for node in self._serving.serving(vm_id)
+        }
+        live = [
+            view.node_id
+            for view in self._membership.live_nodes(self._settings.zone)
+            if view.node_id in serving
+            and view.node_id != self._settings.node_id
+        ]
+        running = self._exchange.lower_tier_running
+        return sorted(live, key=lambda node_id: (-running(node_id), node_id))
+
+    # Admission.
+
+    def _submit(
+        self,
+        request: Request,
+        excluded: frozenset[str],
+        version: str,
+        now: float,
+    ) -> Ticket:
+        key = key_of(request.work_class)
+        ticket = self._make_ticket(request, excluded, now)
+        ticket.version = self._match_version(key, version)
+        self._log_start(request, now)
+        refusal = self._check(ticket, key, now)
+        if refusal is not None:
+            self._refuse(ticket, *refusal, now)
+            return ticket
+        self._bounds.enter(ticket.tier)
+        queue = self._queues.get(key)
+        if queue is None:
+            queue = self._queues[key] = ModelQueue()
+        queue.push(ticket)
+        self._serve_key(key, now)
+        if not ticket.is_decided:
+            self._check_wait(ticket, key, queue, now)
+        return ticket
+
+    def _make_ticket(
+        self, request: Request, excluded: frozenset[str], now: float
+    ) -> Ticket:
+        work_class = request.work_class
+        is_engine = work_class.kind is UpstreamKind.ENGINE
+        output = self._lengths.mean(request) if is_engine else 1.0
+        cost = output + prompt_tokens(request) * _PREFILL_COST
+        duration_s = self._durations.get(work_class.name)
+        if duration_s is None:
+            duration_s = output * _ASSUMED_INTERVAL_S
+        return Ticket(
+            request,
+            excluded,
+            cost,
+            duration_s,
+            request.received_at + work_class.first_token_target_s,
+            now,
+        )
+
+    def _check(
+        self, ticket: Ticket, key: ServeKey, now: float
+    ) -> tuple[RefusalReason, str] | None:
+        if self._draining:
+            return RefusalReason.DRAINING, "the node is draining"
+        if ticket.request.deadline_at <= now:
+            return RefusalReason.DEADLINE_PASSED, "the deadline has passed"
+        if not any(
+            self._matcher.version_at(use, key[1], ticket.version) is not None
+            for use in self._pool.serving_uses(key)
+            if self._is_allowed(use, ticket)
+        ):
+            return (
+                RefusalReason.NO_UPSTREAM,
+                f"no upstream serves {key[1]!r} to this request",
+            )
+        queue = self._queues.get(key)
+        waiting = queue.waiting[ticket.tier] if queue else 0
+        # Each waiting top-tier request holds a thread, which bounds them.
+        if ticket.tier > 0 and self._bounds.is_full(ticket.tier, waiting):
+            return (
+                RefusalReason.QUEUE_FULL,
+                f"the queue of tier {ticket.tier} is full",
+            )
+        return None
+
+    def _check_wait(
+        self, ticket: Ticket, key: ServeKey, queue: ModelQueue, now: float
+    ) -> None:
+        """Refuses what can't be met, except in the top tier."""
+        wait_s = self._expected_wait_s(ticket, key, queue)
+        self._log.add(
+            ticket.request.request_id,
+            now,
+            "waits",
+            position=sum(queue.waiting[: ticket.tier + 1]),
+            expected_wait_s=round(wait_s, 3),
+        )
+        remaining_s = ticket.request.deadline_at - now
+        if ticket.tier > 0 and is_unreachable(
+            wait_s, ticket.slot_seconds, remaining_s
+        ):
+            queue.remove(ticket)
+            self._bounds.leave(ticket.tier)
+            self._refuse(
+                ticket,
+                RefusalReason.DEADLINE_UNREACHABLE,
+                f"a wait of {wait_s:.1f} s is expected and the deadline is"
+                f" in {remaining_s:.1f} s",
+                now,
+                wait_s,
+            )
+
+    def _expected_wait_s(
+        self, ticket: Ticket, key: ServeKey, queue: ModelQueue
+    ) -> float:
+        slots = max(1, self._pool.usable_slots(key))
+        ahead = max(0.0, queue.work_ahead(ticket) - ticket.slot_seconds)
+        return ahead / slots
+
+    def _wait(self, ticket: Ticket) -> None:
+        event = ticket.event
+        assert event is not None
+        while not ticket.is_decided:
+            pause_s = _WAIT_S
+            if ticket.tier == 0:
+                freed = self._preemptor.make_room(ticket)
+                self._run_actions()
+                pause_s = _PREEMPT_AGAIN_S if freed else _RECLAIM_AGAIN_S
+            remaining_s = ticket.request.deadline_at - self._clock.monotonic()
+            event.wait(max(0.0, min(pause_s, remaining_s)))
+            with self._lock:
+                now = self._begin()
+                if not ticket.is_decided:
+                    self._check_waiting(ticket, now)
+            self._run_actions()
+
+    def _check_waiting(self, ticket: Ticket, now: float) -> None:
+        key = key_of(ticket.request.work_class)
+        remaining_s = ticket.request.deadline_at - now
+        reason, message, wait_s = None, "", 0.0
+        if remaining_s <= 0:
+            reason = RefusalReason.DEADLINE_PASSED
+            message = "the deadline passed before a slot was free"
+        elif (
+            ticket.tier == 0
+            and now - ticket.no_victims_at < _NO_VICTIMS_MAX_AGE_S
+        ):
+            wait_s = self._expected_wait_s(ticket, key, self._queues[key])
+            if is_unreachable(wait_s, ticket.slot_seconds, remaining_s):
+                reason = RefusalReason.DEADLINE_UNREACHABLE
+                message = (
+                    "no lower tier runs in the zone and a wait of"
+                    f" {wait_s:.1f} s is expected"
+                )
+        if reason is not None:
+            self._queues[key].remove(ticket)
+            self._bounds.leave(ticket.tier)
+            self._refuse(ticket, reason, message, now, wait_s)
+
+    def _refuse(
+        self,
+        ticket: Ticket,
+        reason: RefusalReason,
+        message: str,
+        now: float,
+        wait_s: float = 0.0,
+    ) -> None:
+        ticket.refusal = Refusal(
+            reason, message, retry_after_s=retry_after_s(wait_s)
+        )
+        self._log.add(
+            ticket.request.request_id,
+            now,
+            "refused",
+            reason=reason.value,
+            message=message,
+        )
+        ticket.wake()
+
+    # Placement.
+
+    def _serve_all(self, now: float) -> None:
+        for use in self._pool.uses.values():
+            if use.paused:
+                self._resume(use, now)
+        for key in self._ordered(self._queues):
+            self._serve_key(key, now)
+
+    def _serve(self, use: UpstreamUse, now: float) -> None:
+        """Gives free slots of an upstream to whoever is next."""
+        if use.paused:
+            self._resume(use, now)
+        if use.free > 0:
+            for key in self._ordered(keys_of(use)):
+                self._serve_key(key, now)
+
+    def _ordered(self, keys: Iterable[ServeKey]) -> list[ServeKey]:
+        """Returns the keys with waiting requests, highest tier first."""
+        queues = self._queues
+        waiting = [(queues[key].top_tier, key) for key in keys if key in queues]
+        return [key for tier, key in sorted(waiting) if tier < TIERS]
+
+    def _serve_key(self, key: ServeKey, now: float) -> None:
+        queue = self._queues[key]
+        for tier in range(queue.top_tier, TIERS):
+            if not len(self._pool.free_list(key, tier)):
+                if tier > 0:
+                    return
+                continue
+            self._serve_tier(key, queue, tier, now)
+
+    def _serve_tier(
+        self, key: ServeKey, queue: ModelQueue, tier: int, now: float
+    ) -> None:
+        free = self._pool.free_list(key, tier)
+        passed_over: list[Ticket] = []
+        while len(free) and len(passed_over) < _MAX_PASSED_OVER:
+            ticket = queue.take(tier, now)
+            if ticket is None:
+                break
+            if self._is_hopeless(ticket, now):
+                continue
+            decision = self._route(ticket, key, now)
+            if decision is None:
+                passed_over.append(ticket)
+            else:
+                self._place(ticket, queue, decision, now)
+        for ticket in passed_over:
+            queue.push(ticket)
+
+    def _is_hopeless(self, ticket: Ticket, now: float) -> bool:
+        """Refuses a taken ticket that can't be answered in time."""
+        remaining_s = ticket.request.deadline_at - now
+        if remaining_s <= 0:
+            reason = RefusalReason.DEADLINE_PASSED
+        elif ticket.tier > 0 and is_unreachable(
+            0.0, ticket.slot_seconds, remaining_s
+        ):
+            reason = RefusalReason.DEADLINE_UNREACHABLE
+        else:
+            return False
+        self._bounds.leave(ticket.tier)
+        self._refuse(
+            ticket, reason, "no slot was free in time", now, remaining_s
+        )
+        return True
+
+    def _route(
+        self, ticket: Ticket, key: ServeKey, now: float
+    ) -> RoutingDecision | None:
+        if now - ticket.queued_at > _TICK_S:
+            # The version may have been convicted while the request waited.
+            wanted = self._versions.choose_version(ticket.request)
+            ticket.version = self._match_version(key, wanted)
+        return self._router.choose(
+            ticket.request,
+            ticket.version,
+            self._pool.uses,
+            self._pool.free_list(key, ticket.tier),
+            lambda use: self._is_allowed(use, ticket),
+        )
+
+    def _place(
+        self,
+        ticket: Ticket,
+        queue: ModelQueue,
+        decision: RoutingDecision,
+        now: float,
+    ) -> None:
+        request, best = ticket.request, decision.best
+        use = best.use
+        placement = Placement(next(self._ids), request, use.vm, best.version)
+        work_class = request.work_class
+        dispatch = Dispatch(
+            placement,
+            best.uncached_tokens,
+            best.cached_bytes,
+            decision.hashes,
+            ticket.cost,
+            ticket.slot_seconds,
+            now,
+            limited=use.free <= 1,
+        )
+        use.dispatches[placement.placement_id] = dispatch
+        use.see_class(work_class.name, work_class.token_interval_target_s, now)
+        self._pool.take(use, dispatch, now)
+        if decision.hashes:
+            self._prefixes.add(use.vm.vm_id, work_class.model, decision.hashes)
+        queue.charge(ticket.tier, request.customer, ticket.cost)
+        self._log.add(
+            request.request_id,
+            now,
+            "placed",
+            upstream=use.vm.vm_id,
+            version=best.version,
+            expected_finish_s=best.finish_s,
+            alternatives=decision.alternatives,
+            probe=decision.is_probe,
+        )
+        ticket.placement = placement
+        ticket.wake()
+
+    @staticmethod
+    def _is_allowed(use: UpstreamUse, ticket: Ticket) -> bool:
+        return not use.is_leaving and use.vm.vm_id not in ticket.excluded
+
+    def _match_version(self, key: ServeKey, wanted: str) -> str:
+        """Returns the version, or the default where none has it loaded."""
+        if not wanted or key[0] is not UpstreamKind.ENGINE:
+            return ""
+        for use in self._pool.serving_uses(key):
+            if self._matcher.version_at(use, key[1], wanted) is not None:
+                return wanted
+        return ""
+
+    # Paused generations.
+
+    def _resume(self, use: UpstreamUse, now: float) -> None:
+        while use.paused and use.free > 0:
+            dispatch = self._resume_order.choose(use.paused, now)
+            if dispatch is None:
+                return
+            tier = self._resume_order.effective_tier(dispatch, now)
+            waiting = min(
+                (
+                    self._queues[key].top_tier
+                    for key in keys_of(use)
+                    if key in self._queues
+                ),
+                default=TIERS,
+            )
+            if waiting < tier or not use.is_free_for(dispatch.tier, now):
+                return
+            use.paused.remove(dispatch)
+            dispatch.is_paused, dispatch.is_changing = False, True
+            self._pool.take(use, dispatch, now)
+            self._actions.append(
+                lambda item=dispatch: self._confirm_resume(use, item)  # type: ignore[misc]
+            )
+
+    def _confirm_resume(self, use: UpstreamUse, dispatch: Dispatch) -> None:
+        control = dispatch.control
+        assert control is not None
+        resumed = control.resume()
+        if not resumed:
+            control.cancel(RefusalReason.PREEMPTED)
+        with self._lock:
+            now = self._clock.monotonic()
+            dispatch.is_changing = False
+            self._sampler.forget_window(dispatch, now)
+            if not resumed and (
+                dispatch.placement.placement_id in use.dispatches
+            ):
+                self._pool.give(use, dispatch, now)
+            self._log.add(
+                dispatch.placement.request.request_id,
+                now,
+                "resumed" if resumed else "cancelled",
+                upstream=use.vm.vm_id,
+                paused_s=round(now - dispatch.paused_at, 3),
+            )
+            if not resumed:
+                self._serve(use, now)
+        self._run_actions()
+
+    def _remaining_s(self, dispatch: Dispatch) -> float:
+        request = dispatch.placement.request
+        tokens = self._lengths.mean(request)
+        if dispatch.progress is not None:
+            tokens = max(1.0, tokens - dispatch.progress.output_tokens)
+        use = self._pool.uses[dispatch.placement.vm.vm_id]
+        return tokens * use.speed.interval_s
+
+    # Observations.
+
+    def _record(
+        self,
+        use: UpstreamUse,
+        dispatch: Dispatch,
+        outcome: Outcome,
+        now: float,
+    ) -> None:
+        request = dispatch.placement.request
+        queue = self._queues[key_of(request.work_class)]
+        if not outcome.started:
+            queue.charge(dispatch.tier, request.customer, -dispatch.cost)
+            self._prefixes.correct(
+                use.vm.vm_id, request.work_class.model, dispatch.hashes, 0
+            )
+        self._sampler.sample_ended(use, dispatch, outcome, now)
+        if outcome.complete:
+            self._record_whole(use, dispatch, outcome, queue)
+        self._log.add(
+            request.request_id,
+            now,
+            "ended",
+            complete=outcome.complete,
+            first_token_s=outcome.first_token_s,
+            duration_s=outcome.duration_s,
+        )
+
+    def _record_whole(
+        self,
+        use: UpstreamUse,
+        dispatch: Dispatch,
+        outcome: Outcome,
+        queue: ModelQueue,
+    ) -> None:
+        request = dispatch.placement.request
+        name = request.work_class.name
+        duration_s = self._durations.get(name, outcome.duration_s)
+        self._durations[name] = duration_s + _DURATION_WEIGHT * (
+            outcome.duration_s - duration_s
+        )
+        if dispatch.is_generation and outcome.output_tokens > 0:
+            self._lengths.record(request.work_class, outcome.output_tokens)
+            actual = (
+                outcome.output_tokens + prompt_tokens(request) * _PREFILL_COST
+            )
+            queue.charge(
+                dispatch.tier, request.customer, actual - dispatch.cost
+            )
+        # Zero may mean that the answer does not state it.
+        use.reports_cache |= outcome.cached_tokens > 0
+        if dispatch.hashes and use.reports_cache:
+            cached_bytes = outcome.cached_tokens * _BYTES_PER_TOKEN
+            if cached_bytes < dispatch.expected_cached_bytes:
+                self._speed_up_forgetting(use, dispatch, cached_bytes)
+
+    def _speed_up_forgetting(
+        self, use: UpstreamUse, dispatch: Dispatch, cached_bytes: float
+    ) -> None:
+        """Drops what was thought cached; this prompt itself now is."""
+        model = dispatch.placement.request.work_class.model
+        self._prefixes.correct(
+            use.vm.vm_id, model, dispatch.hashes, cached_bytes
+        )
+
+    # Periodic work.
+
+    def _begin(self) -> float:
+        """Returns the time, after periodic work that is due."""
+        now = self._clock.monotonic()
+        if now >= self._next_tick:
+            self._tick(now)
+        return now
+
+    def _tick(self, now: float) -> None:
+        self._next_tick = now + _TICK_S
+        self._pool.refresh(now)
+        if now >= self._next_sample:
+            self._next_sample = now + _SAMPLE_S
+            self._sample(now)
+        self._exchange.grant_locally()
+        self._pool.update_all(now)
+        if now >= self._next_cleaning:
+            self._next_cleaning = now + _HOUSEKEEPING_S
+            self._clean()
+        self._serve_all(now)
+
+    def _sample(self, now: float) -> None:
+        for use in self._pool.uses.values():
+            for dispatch in use.dispatches.values():
+                self._sampler.sample_running(use, dispatch, now)
+
+    def _clean(self) -> None:
+        for queue in self._queues.values():
+            queue.forget_idle()
+        region = self._settings.region
+        nodes = [
+            view
+            for view in self._membership.live_nodes()
+            if view.region == region
+        ]
+        self._budget.set_sharers(len(nodes))
+        for vm_id, use in self._pool.uses.items():
+            if self._slots_shown.get(vm_id) != use.usable:
+                self._slots_shown[vm_id] = use.usable
+                self._metrics.slots.labels(vm_id).set(use.usable)
+
+    def _start_background(self) -> None:
+        if not self._run_background or self._thread is not None:
+            return
+        with self._lock:
+            if self._thread is None:
+                self._thread = threading.Thread(
+                    target=self._run_ticks, name="scheduler", daemon=True
+                )
+                self._thread.start()
+
+    def _run_ticks(self) -> None:
+        while not self._stopped.wait(_TICK_S):
+            try:
+                self.tick()
+            except Exception:
+                # Without the ticks waiting requests would never be served.
+                _log.exception("scheduler_tick_failed")
+
+    def _run_actions(self) -> None:
+        """Runs engine calls that were decided under the lock."""
+        if not self._actions:
+            return
+        with self._lock:
+            actions, self._actions = self._actions, []
+            if actions and self._run_background and self._workers is None:
+                self._workers = concurrent.futures.ThreadPoolExecutor(
+                    _WORKERS, thread_name_prefix="scheduler-resume"
+                )
+        for action in actions:
+            if self._workers is not None:
+                self._workers.submit(action)
+            else:
+                action()
+
+    # Helpers.
+
+    def _find(self, placement: Placement) -> Dispatch | None:
+        use = self._pool.uses.get(placement.vm.vm_id)
+        return use.dispatches.get(placement.placement_id) if use else None
+
+    def _log_start(self, request: Request, now: float) -> None:
+        self._log.start(
+            request.request_id,
+            request.work_class.name,
+            request.work_class.tier,
+            request.customer,
+            now,
+        )
+
+    def _waiting_by_tier(
+        self, key: ServeKey
+    ) -> tuple[Sequence[int], Sequence[int]]:
+        queue = self._queues.get(key)
+        if queue is None:
+            return (0,) * TIERS, (0,) * TIERS
+        return queue.waiting, [queue.customers(tier) for tier in range(TIERS)]
+
+    def _needs_spill(self, request: Request, now: float) -> bool:
+        key = key_of(request.work_class)
+        tier = request.work_class.tier
+        ticket = self._make_ticket(request, frozenset(), now)
+        uses = self.suitable(ticket)
+        queue = self._queues.get(key)
+        if not uses:
+            return True
+        if len(self._pool.free_list(key, tier)) and (
+            queue is None or queue.top_tier > tier
+        ):
+            return False
+        if tier == 0 and any(True for use in uses for _ in use.victims(key[1])):
+            return False
+        wait_s = self._expected_wait_s(ticket, key, queue) if queue else 0.0
+        speed = min(uses, key=lambda use: use.speed.first_token_s(0)).speed
+        first_token_s = wait_s + speed.first_token_s(prompt_tokens(request))
+        return now + first_token_s > ticket.first_token_due
+
+    def _fill_free_slots(self, heartbeat: Heartbeat, now: float) -> None:
+        free = {}
+        for key in self._pool_keys():
+            count = sum(
+                max(0, use.free - use.reserve)
+                for use in self._pool.serving_uses(key)
+            )
+            queue = self._queues.get(key)
+            if count and (queue is None or not len(queue)):
+                free[key[1]] = count
+        ordered = sorted(free)
+        # With many models each heartbeat states the next few of them.
+        start = int(now) * _MODELS_PER_HEARTBEAT
+        for offset in range(min(len(ordered), _MODELS_PER_HEARTBEAT)):
+            name = ordered[(start + offset) % len(ordered)]
+            heartbeat.free_slots_by_model[name] = free[name]
+
+    def _pool_keys(self) -> set[ServeKey]:
+        return {key for use in self._pool.uses.values() for key in keys_of(use)}
+
+    def _describe(self, use: UpstreamUse, now: float) -> Mapping[str, Any]:
+        vm = use.vm
+        own = self._serving.coordinator(vm.vm_id) == self._settings.node_id
+        limit = (
+            self._coordinator.limit(vm)
+            if own
+            else self._holder.last_limit(vm.vm_id) or vm.slots
+        )
+        base_s, prefill_s, interval_s = use.speed.parameters
+        return {
+            "limit": limit,
+            "coordinator": self._serving.coordinator(vm.vm_id),
+            "granted": self._holder.granted(vm, now),
+            "has_grant": self._holder.has_grant(vm, now),
+            "usable": use.usable,
+            "in_use": list(use.in_use_by_tier),
+            "paused": len(use.paused),
+            "waiting": self._waiting_of(use),
+            "leaving": use.is_leaving,
+            "first_token_s": round(base_s, 4),
+            "prefill_s_per_token": round(prefill_s, 6),
+            "token_interval_s": round(interval_s, 5),
+        }
+
+    def _waiting_of(self, use: UpstreamUse) -> list[int]:
+        waiting = [0] * TIERS
+        for key in keys_of(use):
+            for tier, count in enumerate(self._waiting_by_tier(key)[0]):
+                waiting[tier] += count
+        return waiting
+
+
+def create_zone_scheduler(
+    settings: Settings,
+    membership: MembershipView,
+    peers: PeerNetwork,
+    versions: VersionPolicy,
+    metrics: Metrics,
+    clock: Clock,
+    run_background: bool = True,
+) -> ZoneScheduler:
+    """Builds a scheduler and registers its messages.
+
+    Args:
+        settings: Settings of the node.
+        membership: Nodes and upstreams.
+        peers: Calls and heartbeats between nodes.
+        versions: Choice of versions.
+        metrics: Metrics of the node.
+        clock: Source of time.
+        run_background: Whether a thread renews grants and limits; False
+            for tests that call `tick`.
+    """
+    scheduler = ZoneScheduler(
+        settings, membership, peers, versions, metrics, clock, run_background
+    )
+    peers.register("Reclaim", scheduler.handle_reclaim)
+    peers.add_heartbeat_part(scheduler)
+    return scheduler
