--- a/src/tanagerport/call_watch.py
+++ b/src/tanagerport/call_watch.py
@@ -131,6 +131,44 @@
         if poller.poll(0):
             raise CallerGoneError("the caller closed its connection")
 
+    def after_read(self) -> float:
+        """Notes that bytes arrived and checks the call.
+
+        Returns:
+            Monotonic seconds.
+
+        Raises:
+            AnswerInterruptedError: The call must end.
+        """
+        now = self._clock.monotonic()
+        self._progress_at = now
+        if self._cancelled is not None or now >= self._deadline_at:
+            self.check()
+        return now
+
+    def after_silence(self, silence_s: float) -> float:
+        """Checks a call for which no bytes arrived.
+
+        Args:
+            silence_s: Longest time without bytes, in seconds.
+
+        Returns:
+            Seconds until the deadline.
+
+        Raises:
+            AnswerInterruptedError: The call must end.
+            CallerGoneError: The caller closed its connection.
+            SilentConnectionError: No byte arrived within the bound.
+        """
+        self.check()
+        self.check_caller()
+        now = self._clock.monotonic()
+        if self._paused:
+            self._progress_at = now
+        elif now - self._progress_at >= silence_s:
+            raise SilentConnectionError
+        return self._deadline_at - now
+
     def wait_readable(self, silence_s: float) -> None:
         """Waits until the connection has bytes or has ended.
 
--- a/src/tanagerport/http_server.py
+++ b/src/tanagerport/http_server.py
@@ -3,6 +3,8 @@
 import http
 import json
 import logging
+import socket
+import struct
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -40,6 +42,7 @@
     """Reads strictly, and reports protocol errors as JSON."""
 
     header_reader = staticmethod(read_headers)
+    _writes_directly = False
     server: "_Server"
 
     def parse_request(self) -> None:
@@ -66,6 +69,28 @@
             super().respond()
         finally:
             self.server.receiving.leave(self.conn)
+            if self._writes_directly:
+                self.conn.socket.settimeout(self.server.timeout)
+
+    def write(self, chunk: bytes) -> None:
+        """Writes a chunk without the buffer of cheroot.
+
+        Its buffer is written in Python, and a socket timeout of Python costs
+        a second system call for each write; the kernel's bound does not.
+        """
+        if not self.chunked_write or not chunk:
+            super().write(chunk)
+            return
+        sock = self.conn.socket
+        if not self._writes_directly:
+            self._writes_directly = True
+            sock.settimeout(None)
+            sock.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_SNDTIMEO,
+                struct.pack("ll", int(self.server.timeout), 0),
+            )
+        sock.sendall(b"%x\r\n%b\r\n" % (len(chunk), chunk))
 
     def simple_response(self, status: str | int, msg: str = "") -> None:
         status, reason, ran = _describe_error(str(status))
--- a/src/tanagerport/upstream_client.py
+++ b/src/tanagerport/upstream_client.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import socket
+import struct
 import threading
 from collections.abc import Callable, Iterator, Mapping
 
@@ -28,7 +29,11 @@
 from tanagerport.model import RetryReason
 from tanagerport.settings import TimingSettings
 
-_READ_BYTES = 65536
+_READ_BYTES = 16384
+# Bounds of one read. Between reads without bytes, the caller, the deadline
+# and the progress are checked.
+_MAX_SLICE_S = 0.5
+_MIN_SLICE_S = 0.001
 # A head that began to arrive must be whole within this time.
 _HEAD_TIMEOUT_S = 2.0
 _PROBE_TIMEOUT_S = 1.0
@@ -90,6 +95,9 @@
         # What arrived together with the headers.
         sock.settimeout(0)
         self._pending = response.fp.read1(_READ_BYTES) if response.fp else b""
+        sock.settimeout(None)
+        self._slice_s = 0.0
+        self._set_slice(min(_MAX_SLICE_S, progress_timeout_s / 2))
 
     @property
     def status(self) -> int:
@@ -153,20 +161,45 @@
         self._pool.put(self._connection)
 
     def _receive(self) -> bytes:
+        """Reads from the socket.
+
+        The kernel bounds the read: a wait for readiness before each one
+        would cost another system call and another turn of the interpreter
+        lock for each token.
+        """
+        while True:
+            try:
+                data = self._socket.recv(_READ_BYTES)
+            except BlockingIOError:
+                self._check_silence()
+                continue
+            except OSError as error:
+                self._watch.check()
+                raise AnswerTruncatedError(
+                    f"answer ended early: {error}"
+                ) from error
+            self._pool.progress_at = self._watch.after_read()
+            return data
+
+    def _check_silence(self) -> None:
         try:
-            self._watch.wait_readable(self._progress_timeout_s)
-            data = self._socket.recv(_READ_BYTES)
+            left_s = self._watch.after_silence(self._progress_timeout_s)
         except SilentConnectionError as error:
             raise AnswerTruncatedError(
                 f"no byte arrived for {self._progress_timeout_s:.1f} s"
             ) from error
-        except OSError as error:
-            raise AnswerTruncatedError(
-                f"answer ended early: {error}"
-            ) from error
-        self._watch.note_progress()
-        self._pool.progress_at = self._watch.progress_at
-        return data
+        if left_s < self._slice_s:
+            self._set_slice(left_s)
+
+    def _set_slice(self, seconds: float) -> None:
+        """Sets how long one read waits before the call is checked."""
+        self._slice_s = max(seconds, _MIN_SLICE_S)
+        whole_s, rest_s = divmod(self._slice_s, 1)
+        self._socket.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_RCVTIMEO,
+            struct.pack("ll", int(whole_s), int(rest_s * 1e6)),
+        )
 
 
 class UpstreamClient:
