--- a/src/tanagerport/detection_measurement.py
+++ b/src/tanagerport/detection_measurement.py
@@ -209,7 +209,7 @@
 
 GOOD = Fault()
 GOOD_WORKLOADS = {
-    "burst": Workload(),
+    "burst_of_4_s": Workload(),
     "burst_of_24_s": Workload(burst_s=24.0, full_s=40.0),
     "burst_new_upstreams": Workload(separate=True),
     "burst_and_crashes": Workload(crashes=3),
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -172,7 +172,7 @@
         ],
     )
     def test_refused_targets(
-        self, api: Api, path: str, document: dict[str, Any], place: str
+        self, api: Api, path: str, document: Any, place: str
     ) -> None:
         """Guards against changes that can't have an effect."""
         document = (
