Measure the pooled verdicts as well

Cause: the measurement ran only the nodes' own tests, while the controller also convicts on pooled evidence.

--- a/src/tanagerport/detection_measurement.py
+++ b/src/tanagerport/detection_measurement.py
@@ -14,13 +14,25 @@
 import sys
 from collections.abc import Sequence
 
+import msgspec
+
+from tanagerport.clock import FakeClock
 from tanagerport.detection import VersionMonitor
+from tanagerport.evidence import (
+    EVIDENCE_PREFIX,
+    EvidencePool,
+    make_node_evidence,
+)
 from tanagerport.interfaces import VersionSample
+from tanagerport.model import VersionMove
+from tanagerport.platform_api import Write
+from tanagerport.platform_memory import MemoryTableStore
 
 _OLD, _NEW, _MODEL = "old", "new", "model"
 _NOISE_SIGMA = 0.25
 _STALL_RATE = 0.01
 _STALL_FACTOR = 3.0
+_REPORT_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -84,7 +96,7 @@
     """What the monitors of one rollout decided.
 
     Attributes:
-        convicted: Whether any node convicted the version.
+        convicted: Whether a node or the pooled evidence convicted it.
         samples: Samples of the new version over all nodes until then.
         at_s: Second of the rollout; None without a verdict.
         reason: Reason of the verdict.
@@ -120,6 +132,11 @@
             )
         )
         self._new_samples = 0
+        self._table = MemoryTableStore()
+        self._move = VersionMove(_MODEL, _OLD, _NEW, total_s, 0.0)
+        self._clock = FakeClock()
+        self._pool = EvidencePool(self._table, self._move, self._clock)
+        self._reported_at = 0.0
 
     def run(self) -> RolloutResult:
         workload = self._workload
@@ -132,12 +149,28 @@
             sample = self._sample(now)
             _, _, *targets = _CLASSES[sample.class_name]
             verdict = monitor.record(sample, (targets[0], targets[1]))
+            if now >= self._reported_at + _REPORT_S:
+                self._reported_at = now
+                self._report()
+            verdict = verdict or self._pool.verdict
             if verdict is not None:
                 return RolloutResult(
                     True, self._new_samples, now, verdict.reason
                 )
         return RolloutResult(False, self._new_samples, None, "")
 
+    def _report(self) -> None:
+        """Pools all nodes' evidence as the rollout controller does."""
+        for index, monitor in enumerate(self._monitors):
+            evidence = make_node_evidence(
+                self._move, "i", 0, monitor.evidence, monitor.traffic
+            )
+            key = f"{EVIDENCE_PREFIX}{_MODEL}/n{index}"
+            content = msgspec.json.encode(evidence)
+            self._table.transact([], [Write(key, content)])
+        self._clock.advance(_REPORT_S)
+        self._pool.refresh()
+
     def _share(self, now: float) -> float:
         if now < 0:
             return 0.0
