Add version and configuration scenarios to the bench

Operators of the bench use the nodes' interface; naive operators write the store without conditions. Classes in force are judged by calls that name them, rollouts by the store's log and the engines' logs.

Rollouts end missed on this commit, since the static scheduler does not ask the version policy yet.

--- a/src/tanagerport/bench.py
+++ b/src/tanagerport/bench.py
@@ -9,8 +9,9 @@
 
 from absl import flags
 
+from tanagerport.bench_change_judge import summarize_config, summarize_move
+from tanagerport.bench_history import History
 from tanagerport.bench_judge import (
-    History,
     compare_small_customers,
     count_violations,
     goodput_by_tier,
@@ -109,6 +110,10 @@
             result[side.value]["small_customers"] = compare_small_customers(
                 history.calls, LARGE_CUSTOMER
             )
+        if scenario.rollout:
+            result[side.value]["version_move"] = summarize_move(history)
+        if scenario.changes_classes:
+            result[side.value]["config"] = summarize_config(history)
     return result
 
 
--- a/src/tanagerport/bench_judge.py
+++ b/src/tanagerport/bench_judge.py
@@ -5,12 +5,13 @@
 """
 
 import collections
-import dataclasses
 import statistics
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
 from tanagerport.bench_caller import CallRecord
+from tanagerport.bench_change_judge import bad_version_share, config_reverted
+from tanagerport.bench_history import History
 
 LEAVING_GRACE_S = 3.0
 _SHED_WINDOW_S = 0.1
@@ -24,56 +25,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class Execution:
-    """Entry of an upstream's log; times are monotonic seconds."""
-
-    upstream: str
-    zone: str
-    is_engine: bool
-    request_id: str
-    key: str
-    marker: str
-    model: str
-    version: str
-    started: float
-    ended: float
-    complete: bool
-    prefilled_tokens: int = 0
-    pauses: tuple[tuple[float, float], ...] = ()
-
-    def ran_within(self, start: float, end: float) -> bool:
-        """Returns whether it ran, not paused, at some time of the span."""
-        position = max(start, self.started)
-        limit = min(end, self.ended)
-        for paused, resumed in sorted(self.pauses):
-            if paused > position:
-                break
-            position = max(position, resumed)
-        return position < limit
-
-
-@dataclasses.dataclass(frozen=True)
-class History:
-    """Everything that was observed in one run.
-
-    Attributes:
-        calls: What callers saw.
-        executions: What upstreams saw.
-        zone_of_node: Zone by node id.
-        leaving_since: When an upstream began to leave, by VM id.
-        stopped_at: When a node was told to stop, by node id.
-        non_idempotent: Names of classes whose calls must not be repeated.
-    """
-
-    calls: Sequence[CallRecord]
-    executions: Sequence[Execution]
-    zone_of_node: Mapping[str, str] = dataclasses.field(default_factory=dict)
-    leaving_since: Mapping[str, float] = dataclasses.field(default_factory=dict)
-    stopped_at: Mapping[str, float] = dataclasses.field(default_factory=dict)
-    non_idempotent: frozenset[str] = frozenset()
-
-
 def dispatch_once(history: History) -> int:
     """Counts requests that started at upstreams more than once.
 
@@ -216,8 +167,10 @@
         answer_integrity,
         refused_ran,
         non_idempotent_once,
+        bad_version_share,
         leaving_new_work,
         stop_cut,
+        config_reverted,
     )
 }
 
--- a/src/tanagerport/bench_runner.py
+++ b/src/tanagerport/bench_runner.py
@@ -12,8 +12,9 @@
 from typing import Any
 
 from tanagerport.bench_caller import CallRecord, call
-from tanagerport.bench_faults import inject
-from tanagerport.bench_judge import Execution, History
+from tanagerport.bench_faults import inject, start_rollout
+from tanagerport.bench_history import EngineOrder, Execution, History
+from tanagerport.bench_operators import Operators
 from tanagerport.bench_scenarios import Scenario
 from tanagerport.bench_stage import Side, Stage
 from tanagerport.bench_trace import TracedRequest
@@ -44,46 +45,74 @@
     with contextlib.ExitStack() as stack:
         directory = stack.enter_context(tempfile.TemporaryDirectory())
         await stage.start(stack, pathlib.Path(directory))
-        balancer = asyncio.create_task(stage.watch_readiness())
+        operators = Operators(stage, stage.side)
+        watchers = [asyncio.create_task(stage.watch_readiness())]
+        if stage.scenario.changes_classes:
+            watchers.append(asyncio.create_task(operators.probe()))
         try:
-            calls = await _replay(stage, trace)
+            calls = await _replay(stage, operators, trace)
         finally:
-            balancer.cancel()
+            for watcher in watchers:
+                watcher.cancel()
         await asyncio.sleep(_SETTLE_S)
-        executions = [
+        return await _collect(stage, operators, calls)
+
+
+async def _collect(
+    stage: Stage, operators: Operators, calls: Sequence[CallRecord]
+) -> History:
+    logs = await stage.upstream_logs()
+    return History(
+        calls=calls,
+        executions=[
             _execution(vm, entry)
-            for vm, log in await stage.upstream_logs()
+            for vm, log in logs
             for entry in log["requests"]
-        ]
-    return History(
-        calls,
-        executions,
-        stage.zone_of_node,
-        stage.leaving_since,
-        stage.stopped_at,
-        frozenset(
+        ],
+        zone_of_node=stage.zone_of_node,
+        leaving_since=stage.leaving_since,
+        stopped_at=stage.stopped_at,
+        non_idempotent=frozenset(
             item.work_class.name
             for item in stage.scenario.classes
             if not item.work_class.idempotent
         ),
+        orders=[
+            EngineOrder(
+                vm["vm_id"],
+                order["at"],
+                int(order.get("fencing_token") or 0),
+                bool(order.get("applied")),
+            )
+            for vm, log in logs
+            for order in log.get("orders", ())
+        ],
+        changes=operators.changes,
+        probes=operators.probes,
+        cut_off=stage.cut_off,
+        move=await operators.move_history(),
     )
 
 
 async def _replay(
-    stage: Stage, trace: Sequence[TracedRequest]
+    stage: Stage, operators: Operators, trace: Sequence[TracedRequest]
 ) -> list[CallRecord]:
     started = time.monotonic()
-    faults = [
-        asyncio.create_task(inject(stage, fault, started))
-        for fault in stage.scenario.faults
+    scenario = stage.scenario
+    tasks = [
+        asyncio.create_task(inject(stage, operators, fault, started))
+        for fault in scenario.faults
     ]
+    if scenario.rollout is not None:
+        start = start_rollout(stage, operators, scenario.rollout, started)
+        tasks.append(asyncio.create_task(start))
     calls = []
     for request in trace:
         wait_s = started + request.at_s - time.monotonic()
         await asyncio.sleep(max(0.0, wait_s))
         calls.append(asyncio.create_task(_send(stage, request)))
     records = await asyncio.gather(*calls)
-    await asyncio.gather(*faults)
+    await asyncio.gather(*tasks)
     return [record for sendings in records for record in sendings]
 
 
--- a/src/tanagerport/bench_scenarios.py
+++ b/src/tanagerport/bench_scenarios.py
@@ -3,14 +3,16 @@
 import dataclasses
 import enum
 from collections.abc import Mapping
+from typing import Any
 
 from tanagerport.bench_trace import ClassLoad, Phase
 from tanagerport.model import UpstreamKind, WorkClass
-from tanagerport.standin_batch import EngineProfile
+from tanagerport.standin_batch import EngineProfile, VersionFault
 
 MODEL = "tutor"
 SERVICE = "booking"
 OLD_VERSION = "v1"
+NEW_VERSION = "v2"
 
 CLASSES = (
     ClassLoad(
@@ -60,6 +62,28 @@
     prefill_s_per_token=0.00004,
     max_batch=16,
 )
+# Short answers and faster engines give a rollout of 11 s enough requests.
+ROLLOUT_CLASSES = (
+    ClassLoad(
+        WorkClass(
+            "caption-hint", 0, UpstreamKind.ENGINE, MODEL,
+            deadline_s=3, typical_output_tokens=6,
+        ),
+        weight=0.6, min_tokens=4, max_tokens=8,
+    ),
+    ClassLoad(
+        WorkClass(
+            "drill-line", 2, UpstreamKind.ENGINE, MODEL,
+            first_token_target_s=1.5, token_interval_target_s=0.06,
+            deadline_s=3, typical_output_tokens=10,
+        ),
+        weight=0.35, min_tokens=6, max_tokens=14,
+    ),
+    CLASSES[-1],
+)  # fmt: skip
+ROLLOUT_PROFILE = dataclasses.replace(
+    PROFILE, step_s=0.006, step_per_request_s=0.001, load_time_s=0.5
+)
 # Largest batch that the capacity is computed with.
 _CAPACITY_BATCH = 10
 _UNCACHED_SHARE = 0.5
@@ -102,6 +126,11 @@
     CUT_ZONE = "cut_zone"
     RESTORE_ZONE = "restore_zone"
     KILL_NODE = "kill_node"
+    RESTART_NODE = "restart_node"
+    PAUSE_HOLDER = "pause_holder"
+    KILL_HOLDER = "kill_holder"
+    ADD_CLASS = "add_class"
+    RACE = "race"
     STOP_NODE = "stop_node"
 
 
@@ -122,6 +151,37 @@
     details: Mapping[str, object] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True)
+class Rollout:
+    """A version rollout that operators start.
+
+    Attributes:
+        version: Version to move to.
+        at_s: Time of the start in the run.
+        deadline_s: Seconds until the deadline.
+        fault: Fault of the version; None for a good one.
+        engines: VM ids of engines with the fault; empty for all.
+        bad_from_s: Time in the run from which the version is bad.
+    """
+
+    version: str = NEW_VERSION
+    at_s: float = 0.5
+    deadline_s: float = 11.0
+    fault: VersionFault | None = None
+    engines: tuple[str, ...] = ()
+    bad_from_s: float = 0.0
+
+    @property
+    def is_bad(self) -> bool:
+        """Whether the version becomes bad."""
+        return self.fault is not None
+
+    @property
+    def is_bad_at_first(self) -> bool:
+        """Whether it is bad from its first request on."""
+        return self.is_bad and self.bad_from_s <= self.at_s
+
+
 @dataclasses.dataclass(frozen=True)
 class Scenario:
     """A scenario of the bench.
@@ -133,12 +193,17 @@
         zones: Zones with their nodes and upstreams.
         customers: Customers and their share of requests.
         faults: Faults in order of time.
-        profiles: Engine profiles that differ from `PROFILE`, by VM id.
+        profile: Profile of the engines.
+        profiles: Profiles that differ from it, by VM id.
         proxied: Whether all links of nodes lead through fault proxies.
         resend_share: Share of keyed requests that are sent twice.
         resend_broken: Whether callers resend, with the same key, after
             their connection broke.
         large_load: Offered load of one more customer, like `load`.
+        rollout: Version rollout that operators start.
+        changes_classes: Whether operators add classes.
+        lease_s: Lifetime of the rollout controller's lease.
+        mix: Classes and their shares.
         booking_weight: Weight of non-idempotent calls.
         naive_violates: Invariants that `naive` is expected to violate.
     """
@@ -156,6 +221,7 @@
         }
     )
     faults: tuple[Fault, ...] = ()
+    profile: EngineProfile = PROFILE
     profiles: Mapping[str, EngineProfile] = dataclasses.field(
         default_factory=dict
     )
@@ -163,6 +229,10 @@
     resend_share: float = 0.0
     resend_broken: bool = False
     large_load: tuple[tuple[float, float], ...] = ()
+    rollout: Rollout | None = None
+    changes_classes: bool = False
+    lease_s: float = 3.0
+    mix: tuple[ClassLoad, ...] = CLASSES
     booking_weight: float = 0.05
     naive_violates: tuple[str, ...] = ()
 
@@ -173,7 +243,7 @@
             item
             if item.work_class.kind is UpstreamKind.ENGINE
             else dataclasses.replace(item, weight=self.booking_weight)
-            for item in CLASSES
+            for item in self.mix
         )
 
     def phases(self, load: tuple[tuple[float, float], ...]) -> list[Phase]:
@@ -183,7 +253,7 @@
 
     def profile_of(self, vm_id: str) -> EngineProfile:
         """Returns the profile of an engine."""
-        return self.profiles.get(vm_id, PROFILE)
+        return self.profiles.get(vm_id, self.profile)
 
 
 def engine_id(zone: str, number: int) -> str:
@@ -204,13 +274,14 @@
 def capacity_requests_per_s(scenario: Scenario) -> float:
     """Returns the requests a second that the engines can serve in target."""
     engines = sum(zone.engines for zone in scenario.zones)
-    step_s = PROFILE.step_s + PROFILE.step_per_request_s * _CAPACITY_BATCH
+    profile = scenario.profile
+    step_s = profile.step_s + profile.step_per_request_s * _CAPACITY_BATCH
     weights = sum(item.weight for item in scenario.classes)
     engine_weight = weights - scenario.booking_weight
     tokens = sum(item.weight * item.mean_tokens for item in scenario.classes)
     mean_tokens = tokens / engine_weight
     prefill_s = (
-        _MEAN_PROMPT_TOKENS * _UNCACHED_SHARE * PROFILE.prefill_s_per_token
+        _MEAN_PROMPT_TOKENS * _UNCACHED_SHARE * profile.prefill_s_per_token
     )
     seconds = mean_tokens * step_s / _CAPACITY_BATCH + prefill_s
     return engines / seconds * weights / engine_weight
@@ -240,7 +311,7 @@
     )
 
 
-SCENARIOS = (
+SCENARIOS: tuple[Scenario, ...] = (
     Scenario("steady"),
     Scenario(
         "burst",
@@ -358,5 +429,106 @@
         naive_violates=("dispatch_once", "non_idempotent_once"),
     ),
 )
+_ROLLOUT_BASE = Scenario(
+    "",
+    load=((14.0, 0.5),),
+    zones=tuple(dataclasses.replace(zone, engines=1) for zone in ZONES),
+    mix=ROLLOUT_CLASSES,
+    profile=ROLLOUT_PROFILE,
+)
+_ROUTE_ENGINE = engine_id("lm-burnaby", 1)
+_HALF_FAILS = VersionFault(NEW_VERSION, error_rate=0.5)
+_SLOW = VersionFault(NEW_VERSION, slow_factor=4.0)
+
+
+def _rollout_scenario(name: str, rollout: Rollout, **fields: Any) -> Scenario:
+    return dataclasses.replace(
+        _ROLLOUT_BASE, name=name, rollout=rollout, **fields
+    )
+
+
+_CHANGE_LOAD = ((9.0, 0.3),)
+_ADDED = {"name": "added-1"}
+
+SCENARIOS += (
+    _rollout_scenario("good_version", Rollout()),
+    _rollout_scenario(
+        "bad_version",
+        Rollout(fault=_HALF_FAILS),
+        naive_violates=("bad_version_share",),
+    ),
+    _rollout_scenario(
+        "late_bad_version",
+        Rollout(fault=_SLOW, bad_from_s=8.5),
+    ),
+    _rollout_scenario(
+        "bad_on_one_route",
+        Rollout(
+            fault=dataclasses.replace(
+                _HALF_FAILS, error_rate=1.0, class_name="caption-hint"
+            ),
+            engines=(_ROUTE_ENGINE,),
+        ),
+        naive_violates=("bad_version_share",),
+    ),
+    _rollout_scenario(
+        "bad_under_load",
+        Rollout(
+            fault=dataclasses.replace(_SLOW, above_batch=6), bad_from_s=8.5
+        ),
+        load=((8.5, 0.3), (14.0, 0.9)),
+    ),
+    _rollout_scenario(
+        "paused_lease_holder",
+        Rollout(),
+        faults=(Fault(3.0, Action.PAUSE_HOLDER, "", {"for_s": 5.0}),),
+        profiles={
+            engine_id("lm-surrey", 1): dataclasses.replace(
+                ROLLOUT_PROFILE, checks_fencing=True
+            )
+        },
+    ),
+    Scenario(
+        "operators_race",
+        load=_CHANGE_LOAD,
+        changes_classes=True,
+        faults=tuple(
+            Fault(0.5 + 0.8 * number, Action.RACE, "", {"number": number})
+            for number in range(5)
+        ),
+        naive_violates=("config_reverted",),
+    ),
+    Scenario(
+        "store_outage_restart",
+        load=_CHANGE_LOAD,
+        zones=_TWO_NODES,
+        changes_classes=True,
+        faults=(
+            Fault(0.5, Action.ADD_CLASS, node_id("lm-surrey", 1), _ADDED),
+            Fault(2.0, Action.PLATFORM_FAULTS, "table", {"down": True}),
+            Fault(2.5, Action.KILL_NODE, node_id("lm-burnaby", 1)),
+            Fault(3.0, Action.RESTART_NODE, node_id("lm-burnaby", 1)),
+            Fault(7.0, Action.PLATFORM_FAULTS, "table", {"down": False}),
+        ),
+        naive_violates=("config_reverted",),
+    ),
+    Scenario(
+        "zone_partition_config",
+        load=_CHANGE_LOAD,
+        zones=_TWO_NODES,
+        proxied=True,
+        changes_classes=True,
+        faults=(
+            Fault(1.5, Action.CUT_ZONE, "isl-nanaimo"),
+            Fault(2.0, Action.ADD_CLASS, node_id("lm-surrey", 1), _ADDED),
+            Fault(5.0, Action.RESTORE_ZONE, "isl-nanaimo"),
+        ),
+    ),
+    _rollout_scenario(
+        "mover_dies",
+        Rollout(),
+        faults=(Fault(3.0, Action.KILL_HOLDER),),
+    ),
+)
 
 SCENARIOS_BY_NAME = {item.name: item for item in SCENARIOS}
--- a/src/tanagerport/bench_stage.py
+++ b/src/tanagerport/bench_stage.py
@@ -37,6 +37,7 @@
 _BALANCER_POLL_S = 0.25
 _DRAIN_TIMEOUT_S = 10.0
 _CALLER_THREADS = 160
+_LOADS_PER_S = 5.0
 
 
 class Side(enum.StrEnum):
@@ -78,7 +79,8 @@
         self.nodes: dict[str, NodeProcess] = {}
         self.leaving_since: dict[str, float] = {}
         self.stopped_at: dict[str, float] = {}
-        self._side = side
+        self.cut_off: dict[str, tuple[float, float]] = {}
+        self.side = side
         self._seed = seed
         self._documents = list(upstream_documents(scenario))
         self._places = list(_node_places(scenario))
@@ -86,6 +88,15 @@
         self._ready: dict[str, bool] = {}
         self._turns = itertools.count()
 
+    @property
+    def engines(self) -> Sequence[str]:
+        """VM ids of the engines."""
+        return [
+            document["vm_id"]
+            for document in self._documents
+            if document["role"] == "engine"
+        ]
+
     @property
     def topology(self) -> Topology:
         """Addresses and links."""
@@ -97,6 +108,10 @@
         """Zone by node id."""
         return {place.name: place.zone for place in self._places}
 
+    def nodes_in(self, zone: str) -> Sequence[str]:
+        """Returns the ids of a zone's nodes."""
+        return [place.name for place in self._places if place.zone == zone]
+
     async def start(
         self, stack: contextlib.ExitStack, directory: pathlib.Path
     ) -> None:
@@ -117,7 +132,7 @@
         await self.publish_vms()
         for place in self._places:
             node = NodeProcess(
-                _COMMANDS[self._side], self._settings(place), directory
+                _COMMANDS[self.side], self._settings(place), directory
             )
             stack.callback(node.stop)
             self.nodes[place.name] = node
@@ -225,7 +240,10 @@
         return {
             "engines": engines,
             "services": services,
-            "platforms": {name: {} for name in sorted(platforms)},
+            "platforms": {
+                name: {"loads_per_s": _LOADS_PER_S}
+                for name in sorted(platforms)
+            },
         }
 
     def _settings(self, place: _NodePlace) -> dict[str, Any]:
@@ -247,7 +265,10 @@
                 "weight_url": f"http://{platform}/weights",
                 "timeout_s": 1.0,
             },
-            "timing": {"drain_timeout_s": _DRAIN_TIMEOUT_S},
+            "timing": {
+                "drain_timeout_s": _DRAIN_TIMEOUT_S,
+                "lease_s": self.scenario.lease_s,
+            },
             "classes": [
                 dataclasses.asdict(item.work_class)
                 for item in self.scenario.classes
--- a/src/tanagerport/naive.py
+++ b/src/tanagerport/naive.py
@@ -23,6 +23,7 @@
     SERVICES_PREFIX,
     make_request_id,
 )
+from tanagerport.config_records import CLASS_PREFIX, MOVE_PREFIX, decode_body
 from tanagerport.exceptions import PlatformError
 from tanagerport.http_server import (
     Environ,
@@ -32,8 +33,8 @@
     read_body,
     status_line,
 )
-from tanagerport.model import VM, VMState
-from tanagerport.platform_http import HttpVMList
+from tanagerport.model import VM, VMRole, VMState
+from tanagerport.platform_http import HttpTableStore, HttpVMList
 from tanagerport.settings import Settings, load_settings
 from tanagerport.upstream_client import VERSION_HEADER
 
@@ -65,15 +66,49 @@
         self._pool = urllib3.PoolManager(
             maxsize=_POOL_CONNECTIONS, block=False, retries=False
         )
-        self._vm_list = HttpVMList(settings.platform.vm_list_url or "", _POLL_S)
+        self._own_classes = frozenset(item.name for item in settings.classes)
+        self._classes = self._own_classes
+        platform = settings.platform
+        self._vm_list = HttpVMList(platform.vm_list_url or "", _POLL_S)
+        self._table = HttpTableStore(platform.table_url or "", _POLL_S)
 
     def poll(self) -> None:
         """Reads the platform until the process ends."""
         while True:
             with contextlib.suppress(PlatformError):
                 self._vms = self._vm_list.list_vms()
+            with contextlib.suppress(PlatformError):
+                self._take_configuration()
             time.sleep(_POLL_S)
 
+    def _take_configuration(self) -> None:
+        names = {
+            record.key.removeprefix(CLASS_PREFIX)
+            for record in self._table.scan(CLASS_PREFIX)
+        }
+        self._classes = self._own_classes | names
+        for record in self._table.scan(MOVE_PREFIX):
+            value = decode_body(record.value).value or {}
+            self._switch_version(value["model"], value["new_version"])
+
+    def _switch_version(self, model: str, version: str) -> None:
+        """Moves all traffic at once, as soon as an engine has the version."""
+        for vm in self._vms:
+            if model not in vm.serves or vm.role is not VMRole.ENGINE:
+                continue
+            for order in ("load", "set_default"):
+                with contextlib.suppress(urllib3.exceptions.HTTPError, OSError):
+                    self._pool.request(
+                        "POST",
+                        f"http://{vm.address}/orders",
+                        json={
+                            "order": order,
+                            "model": model,
+                            "version": version,
+                        },
+                        timeout=_POLL_S,
+                    )
+
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
@@ -83,6 +118,9 @@
             status = 200 if self._vms else 503
             return json_response(start_response, status, {})
         body = read_body(environ)
+        class_name = environ.get("HTTP_X_CLASS")
+        if class_name and class_name not in self._classes:
+            return _refuse(start_response, 400, "unknown_class", "")
         if path == CHAT_PATH:
             name, upstream_path = json.loads(body)["model"], path
         else:
@@ -130,7 +168,8 @@
                 _answer_headers(response, request_id),
             )
             return _Body(response)
-        return _refuse(start_response, reason, request_id)
+        status = 504 if reason == "deadline_passed" else 502
+        return _refuse(start_response, status, reason, request_id)
 
     def _next_upstreams(self, name: str) -> list[VM]:
         serving = [
@@ -186,15 +225,14 @@
 
 
 def _refuse(
-    start_response: StartResponse, reason: str, request_id: str
+    start_response: StartResponse, status: int, reason: str, request_id: str
 ) -> Iterable[bytes]:
     error = {
         "reason": reason,
-        "message": f"{_TRIES} tries failed",
+        "message": "the request was not served",
         "ran": "no",
         "request_id": request_id,
     }
-    status = 504 if reason == "deadline_passed" else 502
     return json_response(start_response, status, {"error": error})
 
 
--- a/tests/test_bench_judge.py
+++ b/tests/test_bench_judge.py
@@ -7,7 +7,7 @@
 
 from tanagerport import bench_judge
 from tanagerport.bench_caller import CallRecord
-from tanagerport.bench_judge import Execution, History
+from tanagerport.bench_history import Execution, History
 from tanagerport.bench_scenarios import CLASSES, MODEL, SERVICE
 from tanagerport.bench_trace import TracedRequest
 
