--- a/src/tanagerport/bench_processes.py
+++ b/src/tanagerport/bench_processes.py
@@ -47,6 +47,11 @@
             raise BenchError("the simulators did not start")
         self.addresses: dict[str, str] = json.loads(line)
 
+    @property
+    def process_id(self) -> int:
+        """Id of the process."""
+        return self._process.pid
+
     def stop(self) -> None:
         """Ends the process, which keeps nothing that must be saved."""
         self._process.kill()
