--- a/src/tanagerport/node.py
+++ b/src/tanagerport/node.py
@@ -11,6 +11,7 @@
 from tanagerport.configuration import ConfigurationStore
 from tanagerport.control_metrics import ControlCollector
 from tanagerport.control_plane import ControlPlane
+from tanagerport.cost_metrics import CostCollector
 from tanagerport.explain import ExplanationLog
 from tanagerport.frontend import CallerApplication
 from tanagerport.http_server import HttpServer
@@ -20,7 +21,7 @@
 from tanagerport.model import VM, RefusalReason, WorkClass
 from tanagerport.operator_api import OperatorBackend, create_operator_api
 from tanagerport.peers import Peers
-from tanagerport.pipeline import RequestPipeline
+from tanagerport.pipeline import RequestPipeline, create_pipeline
 from tanagerport.platform import Platform, create_platform
 from tanagerport.rollout import MoverSettings, MoverTask, create_version_mover
 from tanagerport.scheduler import Scheduler, StaticScheduler
@@ -89,9 +90,16 @@
         self._drain_requested = threading.Event()
         self._caller_server = HttpServer(
             settings.listen,
-            CallerApplication(self, parts.pipeline, parts.metrics, clock),
+            CallerApplication(
+                self,
+                parts.pipeline,
+                parts.metrics,
+                clock,
+                settings.customers,
+            ),
             threads=settings.caller_threads,
             max_body_bytes=settings.max_body_bytes,
+            on_evicted=parts.metrics.evicted_callers.inc,
         )
         self._operator_server = HttpServer(
             settings.operator_listen,
@@ -254,23 +262,41 @@
     control = ControlPlane(settings, platform, clock)
     metrics = Metrics()
     metrics.registry.register(ControlCollector(control))
+    metrics.registry.register(CostCollector(control))
     policy = create_version_policy(control.configuration, clock)
 
     def upstreams() -> Sequence[VM]:
         return control.membership.upstreams(settings.zone)
 
     scheduler = StaticScheduler(upstreams, clock, settings.queue_limit)
+    explanations = ExplanationLog(clock)
+    class_status = ClassStatusTracker(clock)
     parts = NodeParts(
         platform=platform,
         control=control,
         scheduler=scheduler,
-        pipeline=RequestPipeline(
-            scheduler, UpstreamClient(settings.timing), metrics, clock
+        pipeline=create_pipeline(
+            scheduler,
+            UpstreamClient(
+                settings.timing,
+                clock,
+                lambda address: metrics.silent_connections.inc(),
+            ),
+            metrics,
+            clock,
+            settings,
+            membership=control.membership,
+            peers=control.peers,
+            classes=lambda: control.configuration.classes,
+            table=platform.table,
+            version_policy=policy,
+            explanations=explanations,
+            class_status=class_status,
         ),
         policy=policy,
         mover=_create_mover(settings, platform, control, policy, clock),
-        explanations=ExplanationLog(clock),
-        class_status=ClassStatusTracker(clock),
+        explanations=explanations,
+        class_status=class_status,
         metrics=metrics,
     )
     return Node(settings, parts, clock)
--- a/src/tanagerport/node_states.py
+++ b/src/tanagerport/node_states.py
@@ -187,6 +187,7 @@
             and old.draining == draining
             and old.boot_id == node.boot_id
             and old.address == address
+            and old.listed == node.listed
         ):
             return old
         return NodeView(
@@ -198,6 +199,7 @@
             liveness,
             draining,
             young,
+            node.listed,
         )
 
     def is_zone_heard(self, zone: str, now: float) -> bool:
--- a/tests/simulated_zones.py
+++ b/tests/simulated_zones.py
@@ -11,7 +11,9 @@
 from tanagerport.key_claims import KeyClaims
 from tanagerport.key_homes import KeyHomes
 from tanagerport.model import Request, UpstreamKind, WorkClass
+from tanagerport.platform_memory import MemoryTableStore
 from tanagerport.settlements import Settlements
+from tanagerport.zone_start import ZoneStart
 
 WINDOW_S = 100.0
 _CLASS = WorkClass("caption-hint", 0, UpstreamKind.ENGINE, "tutor")
@@ -28,7 +30,13 @@
         membership: Any = _Membership(self)
         homes = KeyHomes(membership, zones.clock, WINDOW_S)
         self.homes = homes
-        self.table = zones.table_type(homes, membership, zones.clock, WINDOW_S)
+        zone_start = ZoneStart(
+            zones.store, self.zone, node_id, zones.next_boot_id(), zones.clock
+        )
+        zone_start.check()
+        self.table = zones.table_type(
+            homes, membership, zones.clock, WINDOW_S, zone_start
+        )
         self.settlements = _Settlements(self)  # type: ignore[arg-type]
         self.claims = KeyClaims(
             homes,
@@ -85,12 +93,12 @@
         del window_s
         return zone != self._node.zone and not self.is_zone_reachable(zone)
 
-    def losses(self, zone: str, window_s: float) -> Sequence[float]:
+    def lost_nodes(self, zone: str, window_s: float) -> Sequence[str]:
         earliest = self._node.zones.clock.monotonic() - window_s
         return [
-            at
-            for lost_zone, at in self._node.losses_seen
-            if lost_zone == zone and at > earliest
+            node_id
+            for node_id, at in self._node.losses_seen
+            if node_id.startswith(zone) and at > earliest
         ]
 
     def _view(self, node_id: str) -> NodeView:
@@ -104,7 +112,8 @@
             "region",
             "127.0.0.1:1",
             liveness=NodeLiveness.LIVE if heard else NodeLiveness.UNREACHABLE,
-            young=heard and age_s < WINDOW_S,
+            boot_id=str(node.started_at) if node and heard else "",
+            young=not heard or age_s < WINDOW_S,
         )
 
 
@@ -118,6 +127,7 @@
         age_s: float = 3 * WINDOW_S,
     ) -> None:
         self.clock = FakeClock()
+        self.store = MemoryTableStore()
         self.table_type = table_type
         self.zone_names = sorted(sizes)
         self.listed: list[str] = [
@@ -132,10 +142,16 @@
         self.delay_next_to: str = ""
         self.before_call: Callable[[], None] | None = None
         self._request_ids = 0
+        self._boot_ids = 0
         for node_id in self.listed:
             self.running[node_id] = SimulatedNode(self, node_id)
         self.clock.advance(age_s)
 
+    def next_boot_id(self) -> str:
+        """Returns an identity for a new process."""
+        self._boot_ids += 1
+        return f"boot-{self._boot_ids}"
+
     def connected(self, one: str, other: str) -> bool:
         """Returns whether two nodes run and reach each other."""
         return (
@@ -213,10 +229,9 @@
 
     def _note_loss(self, node_id: str) -> None:
         now = self.clock.monotonic()
-        zone = node_id.partition("-")[0]
         for other_id, other in self.running.items():
             if other_id != node_id and self.connected(node_id, other_id):
-                other.losses_seen.append((zone, now))
+                other.losses_seen.append((node_id, now))
 
 
 @dataclasses.dataclass
