Schedule with the zone scheduler and spill to other zones

Cause: the node still used the static scheduler, so long generations held every slot and no request left its zone.

A request is forwarded before it waits here if this zone can't meet its target, and served here if the other node refuses it without running it.

--- a/src/tanagerport/node.py
+++ b/src/tanagerport/node.py
@@ -3,6 +3,7 @@
 import dataclasses
 import threading
 from collections.abc import Mapping, Sequence
+from typing import Any
 
 import structlog
 
@@ -18,20 +19,21 @@
 from tanagerport.leases import LeaseManager
 from tanagerport.membership import Membership
 from tanagerport.metrics import Metrics
-from tanagerport.model import VM, RefusalReason, WorkClass
+from tanagerport.model import RefusalReason, WorkClass
 from tanagerport.operator_api import OperatorBackend, create_operator_api
 from tanagerport.peers import Peers
 from tanagerport.pipeline import RequestPipeline, create_pipeline
 from tanagerport.platform import Platform, create_platform
 from tanagerport.rollout import MoverSettings, MoverTask, create_version_mover
-from tanagerport.scheduler import Scheduler, StaticScheduler
 from tanagerport.settings import Settings
+from tanagerport.spill import ZoneSpill
 from tanagerport.status_report import StatusSources
 from tanagerport.upstream_client import UpstreamClient
 from tanagerport.version_policy import (
     MoveVersionPolicy,
     create_version_policy,
 )
+from tanagerport.zone_scheduler import ZoneScheduler, create_zone_scheduler
 
 _log = structlog.get_logger(__name__)
 _DRAIN_POLL_S = 0.02
@@ -59,7 +61,7 @@
 
     platform: Platform
     control: ControlPlane
-    scheduler: Scheduler
+    scheduler: ZoneScheduler
     pipeline: RequestPipeline
     policy: MoveVersionPolicy
     mover: MoverTask
@@ -216,6 +218,7 @@
         self.drain()
         self._caller_server.stop()
         self._operator_server.stop()
+        self._parts.scheduler.close()
         self._control.stop()
         self._parts.mover.stop()
         _log.info("node_stopped")
@@ -228,7 +231,7 @@
             membership=self._control.membership,
             classes=parts.class_status,
             samples_by_scope=parts.policy.samples_by_scope,
-            slots=lambda: [],
+            slots=lambda: _slot_rows(parts.scheduler),
             not_ready_reason=lambda: self.not_ready_reason,
             store_reachable=lambda: self._control.spread.is_store_reachable,
             clock=self._clock,
@@ -265,10 +268,9 @@
     metrics.registry.register(CostCollector(control))
     policy = create_version_policy(control.configuration, clock)
 
-    def upstreams() -> Sequence[VM]:
-        return control.membership.upstreams(settings.zone)
-
-    scheduler = StaticScheduler(upstreams, clock, settings.queue_limit)
+    scheduler = create_zone_scheduler(
+        settings, control.membership, control.peers, policy, metrics, clock
+    )
     explanations = ExplanationLog(clock)
     class_status = ClassStatusTracker(clock)
     parts = NodeParts(
@@ -290,6 +292,9 @@
             classes=lambda: control.configuration.classes,
             table=platform.table,
             version_policy=policy,
+            spill=ZoneSpill(
+                scheduler, control.membership, scheduler.link_budget
+            ),
             explanations=explanations,
             class_status=class_status,
         ),
@@ -323,3 +328,8 @@
     control.add_task("version_mover", mover.run)
     control.add_task("evidence_reporter", mover.run_reporter)
     return mover
+
+
+def _slot_rows(scheduler: ZoneScheduler) -> Sequence[Mapping[str, Any]]:
+    upstreams = scheduler.snapshot()["upstreams"]
+    return [{"upstream": vm_id, **row} for vm_id, row in upstreams.items()]
--- a/src/tanagerport/peer_answer.py
+++ b/src/tanagerport/peer_answer.py
@@ -24,6 +24,12 @@
         self._on_end = on_end
         self._recorder = recorder
         self._ended = False
+        self._bytes_received = 0
+
+    @property
+    def bytes_received(self) -> int:
+        """Bytes of the body so far."""
+        return self._bytes_received
 
     @property
     def status(self) -> int:
@@ -38,6 +44,7 @@
     def __iter__(self) -> Iterator[bytes]:
         """Yields the body as it arrives."""
         for chunk in self._forwarded.chunks():
+            self._bytes_received += len(chunk)
             if self._recorder is not None:
                 self._recorder.add(chunk)
             yield chunk
--- a/src/tanagerport/pipeline.py
+++ b/src/tanagerport/pipeline.py
@@ -71,8 +71,18 @@
 class SpillPolicy(Protocol):
     """Choice of another node for a request that this one can't serve."""
 
-    def choose_node(self, request: Request, refusal: Refusal) -> str | None:
-        """Returns the node to forward to; None refuses the request."""
+    def choose_node(
+        self, request: Request, refusal: Refusal | None
+    ) -> str | None:
+        """Returns the node to forward to; None serves or refuses here.
+
+        Args:
+            request: Request that has not been dispatched.
+            refusal: Why this node refused it; None before it was tried.
+        """
+
+    def record(self, node_id: str, sent_bytes: int) -> None:
+        """Counts the bytes of a forwarded request and its answer."""
 
 
 class _NoClaim:
@@ -91,6 +101,7 @@
     caller: socket.socket | None
     recorder: AnswerRecorder | None = None
     made_key: bool = False
+    may_spill: bool = True
     ended: bool = False
 
 
@@ -260,7 +271,8 @@
     def _take_as_claimed(
         self, request: Request, caller: socket.socket | None
     ) -> _Run:
-        return _Run(request, _NoClaim(), caller)
+        # A forwarded request stays, so that zones can't pass it around.
+        return _Run(request, _NoClaim(), caller, may_spill=False)
 
     def _replay(self, request: Request, error: DuplicateKeyError) -> Answer:
         try:
@@ -284,41 +296,76 @@
         )
 
     def _place_or_forward(self, run: _Run) -> Answer:
-        try:
-            answer: Answer = self._place(run)
-        except RefusedError as error:
-            node_id = self._choose_other_node(run.request, error.refusal)
-            if node_id is None or self._forwarder is None:
-                raise
-            answer = self._forward(run, self._forwarder, node_id)
+        answer = self._try_forward(run, None)
+        if answer is None:
+            answer = self._place_or_spill(run)
         if run.made_key and run.request.key:
             return AnswerWithHeader(answer, KEY_HEADER, run.request.key)
         return answer
 
-    def _choose_other_node(
-        self, request: Request, refusal: Refusal
-    ) -> str | None:
-        if self._spill is None or refusal.ran is not Ran.NO:
+    def _place_or_spill(self, run: _Run) -> Answer:
+        try:
+            return self._place(run)
+        except RefusedError as error:
+            if error.refusal.ran is not Ran.NO:
+                raise
+            answer = self._try_forward(run, error.refusal)
+            if answer is None:
+                raise
+            return answer
+
+    def _try_forward(self, run: _Run, refusal: Refusal | None) -> Answer | None:
+        """Forwards the request if another zone should serve it.
+
+        Returns:
+            None if no zone should, or the other node refused it and it
+            provably did not run.
+        """
+        if self._spill is None or self._forwarder is None:
+            return None
+        if not run.may_spill:
+            return None
+        node_id = self._spill.choose_node(run.request, refusal)
+        if node_id is None:
+            return None
+        try:
+            return self._forward(run, self._forwarder, self._spill, node_id)
+        except RefusedError as error:
+            if error.refusal.ran is not Ran.NO:
+                raise
+            self._explanations.note(
+                run.request,
+                "forward_refused",
+                node=node_id,
+                reason=error.refusal.reason.value,
+            )
             return None
-        return self._spill.choose_node(request, refusal)
 
-    def _forward(self, run: _Run, forwarder: Forwarder, node_id: str) -> Answer:
+    def _forward(
+        self,
+        run: _Run,
+        forwarder: Forwarder,
+        spill: SpillPolicy,
+        node_id: str,
+    ) -> Answer:
         self._explanations.note(run.request, "forwarded", node=node_id)
         forwarded = forwarder.forward(run.request, node_id)
 
         def end(complete: bool) -> None:
+            spill.record(node_id, len(run.request.body) + answer.bytes_received)
             self._keep(run, complete, forwarded.status, forwarded.content_type)
             self._end(
                 run,
                 ClaimOutcome.FINISHED if complete else ClaimOutcome.UNKNOWN,
             )
 
-        return PeerAnswer(
+        answer = PeerAnswer(
             forwarded,
             [(REQUEST_ID_HEADER, run.request.request_id)],
             on_end=end,
             recorder=run.recorder,
         )
+        return answer
 
     def _place(self, run: _Run) -> DispatchedAnswer:
         request = run.request
