Become ready only after the first classes are written

Cause: a test of the metrics failed once: the first node of a deployment counted as ready after it had read the empty store and before it had written the first classes, so it refused requests as of unknown class. Readiness now waits for the end of the first read with its bootstrap.

Adds a partition test over fault proxies: with the store down and two zones cut off from each other, verdicts of both sides merge after healing. The peers' tests use the fault proxy in place of a relay of their own.

--- a/src/tanagerport/spread.py
+++ b/src/tanagerport/spread.py
@@ -108,6 +108,9 @@
         self._digests: dict[str, int] = {}
         self._ahead: set[str] = set()
         self._is_ready = False
+        # Set once the first classes are written, too: a node that is ready
+        # before that refuses all requests of a new deployment.
+        self._has_read_store = False
         self._is_store_reachable = False
         # Without a platform the settings state the VMs, perhaps none.
         self._needs_vms = settings.platform.vm_list_url is not None
@@ -251,6 +254,7 @@
         self._is_store_reachable = True
         if version == 0:
             self._bootstrap(self._settings.classes)
+        self._has_read_store = True
 
     def _bootstrap(self, classes: Sequence[WorkClass]) -> None:
         try:
@@ -264,7 +268,7 @@
         The store's head is the highest accepted version. Without the store,
         all peers that answer have to be asked, and one of them must be ready.
         """
-        if self._store.has_synced:
+        if self._has_read_store:
             return True
         with self._lock:
             heard = dict(self._peer_versions)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -67,15 +67,20 @@
             self.start(node_id, zone)
 
     def start(
-        self, node_id: str, zone: str, table: TableStore | None = None
+        self,
+        node_id: str,
+        zone: str,
+        table: TableStore | None = None,
+        listen: str = "127.0.0.1:0",
     ) -> ControlPlane:
         """Starts a node, and lists it."""
         platform = dataclasses.replace(
             self.platform, table=table or self.platform.table
         )
-        node = ControlPlane(
-            make_settings(node_id, zone), platform, SystemClock()
+        settings = dataclasses.replace(
+            make_settings(node_id, zone), peer_listen=listen
         )
+        node = ControlPlane(settings, platform, SystemClock())
         node.start()
         self.nodes[node_id] = node
         self.vm_list.set_vms(self.vms())
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,7 +1,6 @@
 """Tests of `tanagerport.peers` over loopback connections."""
 
 import asyncio
-import contextlib
 import dataclasses
 import socket
 import threading
@@ -12,6 +11,7 @@
 from cluster import FAST, make_settings, wait_until
 from tanagerport.clock import SystemClock
 from tanagerport.exceptions import PeerError
+from tanagerport.fault_proxy import FaultProxy
 from tanagerport.interfaces import NodeView
 from tanagerport.peer_pb2 import (
     ClaimReply,
@@ -22,7 +22,6 @@
 )
 from tanagerport.peer_server import HandlerRegistry, PeerServer
 from tanagerport.peers import Peers
-from tanagerport.settings import split_address
 from tanagerport.supervisor import LoopThread, Supervisor
 
 
@@ -85,49 +84,6 @@
         await self.peers.stop()
 
 
-class _Relay:
-    """TCP relay whose open connections can fall silent."""
-
-    def __init__(self, target: str) -> None:
-        self._target = split_address(target)
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        self._silent: list[threading.Event] = []
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def silence_open_connections(self) -> None:
-        for event in self._silent:
-            event.set()
-
-    def close(self) -> None:
-        self._listener.close()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                client, _ = self._listener.accept()
-                server = socket.create_connection(self._target)
-                silent = threading.Event()
-                self._silent.append(silent)
-                for source, sink in ((client, server), (server, client)):
-                    threading.Thread(
-                        target=self._copy,
-                        args=(source, sink, silent),
-                        daemon=True,
-                    ).start()
-
-    def _copy(
-        self,
-        source: socket.socket,
-        sink: socket.socket,
-        silent: threading.Event,
-    ) -> None:
-        with contextlib.suppress(OSError):
-            while data := source.recv(65536):
-                if not silent.is_set():
-                    sink.sendall(data)
-
-
 @pytest.fixture(name="nodes")
 def _nodes() -> Iterator[tuple[_Node, _Node]]:
     first, second = _Node("n1"), _Node("n2")
@@ -166,14 +122,14 @@
         """Guards against a connection that hangs while new ones work."""
         first, second = nodes
         second.directory.heartbeats = False
-        relay = _Relay(second.peers.address)
-        first.directory.addresses["n2"] = relay.address
+        proxy = FaultProxy(second.peers.address)
+        second.loop.run(proxy.start(), 5.0)
+        first.directory.addresses["n2"] = proxy.address
         wait_until(lambda: len(first.recorder.heard) >= 2)
-        relay.silence_open_connections()
+        wait_until(lambda: proxy.silence_open() > 0)
         wait_until(lambda: first.peers.replacements == 1)
         heard = len(first.recorder.heard)
         wait_until(lambda: len(first.recorder.heard) > heard + 2)
-        relay.close()
 
     def test_failing_part_does_not_silence_the_others(
         self, nodes: _Nodes
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -9,6 +9,7 @@
 from faulty_table import FaultyTable
 from tanagerport.clock import FakeClock
 from tanagerport.configuration import ConfigChange, ConfigurationStore
+from tanagerport.fault_proxy import FaultProxy, LinkFaults
 from tanagerport.interfaces import NodeLiveness, NodeView
 from tanagerport.model import VM, VMRole
 from tanagerport.peer_pb2 import (
@@ -19,6 +20,7 @@
 )
 from tanagerport.settings import PlatformSettings
 from tanagerport.spread import Spread
+from tanagerport.supervisor import LoopThread
 
 _LIVE, _JOINING = NodeState.NODE_STATE_LIVE, NodeState.NODE_STATE_JOINING
 _NEW_HINT = dataclasses.replace(HINT, tier=2)
@@ -98,6 +100,7 @@
 
     def test_store_makes_ready(self) -> None:
         node = _Node("n1", "n2", table=FaultyTable())
+        node.store.sync()
         assert not node.spread.is_ready
         node.spread.read_store()
         assert node.spread.is_ready
@@ -216,3 +219,43 @@
         assert not restarted.is_ready
         wait_until(lambda: restarted.is_ready)
         assert restarted.configuration.classes[HINT.name] == _NEW_HINT
+
+
+class TestPartition:
+    """Guards against convictions that a partition keeps apart for good."""
+
+    def test_convictions_of_both_sides_merge(self) -> None:
+        table = FaultyTable()
+        cluster = Cluster({}, table)
+        loop = LoopThread("proxies")
+        loop.start()
+        proxies, vms = [], []
+        for name, zone in (("n1", "za"), ("n2", "zb")):
+            # A node that listens everywhere states no address of its own, so
+            # that its peers use the proxy's from the list.
+            node = cluster.start(name, zone, listen="0.0.0.0:0")
+            port = node.peers.address.rpartition(":")[2]
+            proxy = FaultProxy(f"127.0.0.1:{port}")
+            loop.run(proxy.start(), 5.0)
+            proxies.append(proxy)
+            vms.append(VM(name, VMRole.ENTRY, zone, "r", proxy.address))
+        cluster.vm_list.set_vms(vms)
+        first, second = cluster.nodes.values()
+        pair = (first.membership, second.membership)
+        wait_until(lambda: first.is_ready and second.is_ready)
+        wait_until(lambda: pair[0].is_zone_reachable("zb"))
+        wait_until(lambda: pair[1].is_zone_reachable("za"))
+        table.down = True
+        for proxy in proxies:
+            loop.run(proxy.set_faults(LinkFaults(cut=True)), 5.0)
+        wait_until(lambda: pair[0].zone_cut_off_within("zb", 60.0))
+        wait_until(lambda: pair[1].zone_cut_off_within("za", 60.0))
+        first.configuration.add_conviction("tutor", "v1", "errors")
+        second.configuration.add_conviction("tutor", "v2", "slow")
+        for proxy in proxies:
+            loop.run(proxy.set_faults(LinkFaults()), 5.0)
+        expected = {("tutor", "v1"): "errors", ("tutor", "v2"): "slow"}
+        wait_until(lambda: first.configuration.convictions == expected)
+        wait_until(lambda: second.configuration.convictions == expected)
+        cluster.stop()
+        loop.stop()
