Report young nodes to other zones; close idle peer connections

Cause: a node exchanges heartbeats with two nodes of each other zone only, so it took every other remote node for young forever, and nodes of two zones could choose different homes for one idempotency key. Heartbeats to other zones now name the young nodes of the sender's zone.

A node whose own VM is listed as leaving counts itself as draining, as others do. Connections without heartbeats close after 30 s of idleness, and accepted ones get TCP keepalive, since a failed VM never closes them.

--- a/src/tanagerport/membership.py
+++ b/src/tanagerport/membership.py
@@ -11,7 +11,7 @@
 from tanagerport.clock import Clock
 from tanagerport.exceptions import PlatformError
 from tanagerport.interfaces import LoadReport, NodeLiveness, NodeView
-from tanagerport.model import VM, VMRole
+from tanagerport.model import VM, VMRole, VMState
 from tanagerport.node_states import NodeStates
 from tanagerport.peer_pb2 import Heartbeat, NodeState
 from tanagerport.platform_api import VMList
@@ -22,6 +22,8 @@
 
 _BOOT_ID_BYTES = 4
 _MAX_SPREAD_SUSPECTS = 32
+# All nodes of a zone at the planned size, after a restart of the whole zone.
+_MAX_SPREAD_YOUNG = 64
 _JITTER = (0.8, 1.2)
 _HEARD_LIVENESS = (NodeLiveness.LIVE, NodeLiveness.SUSPECT)
 
@@ -55,6 +57,8 @@
         self._zone_cut_at: dict[str, float] = {}
         self._unreachable_zones: tuple[str, ...] = ()
         self._suspected: tuple[str, ...] = ()
+        self._young_neighbours: tuple[str, ...] = ()
+        self._is_listed_leaving = False
         self._views: dict[str, NodeView] = {}
         self._listed_at = float("-inf")
         self._listed_vms: Sequence[VM] = ()
@@ -210,7 +214,6 @@
 
     def fill(self, heartbeat: Heartbeat, peer: NodeView) -> None:
         """Adds liveness and hints to a heartbeat."""
-        del peer
         heartbeat.zone = self._settings.zone
         heartbeat.boot_id = self._boot_id
         heartbeat.state = self._state
@@ -219,6 +222,8 @@
         )
         heartbeat.unreachable_zones.extend(self._unreachable_zones)
         heartbeat.suspected_nodes.extend(self._suspected)
+        if peer.zone != self._settings.zone:
+            heartbeat.young_nodes.extend(self._young_neighbours)
         with self._lock:
             heartbeat.leaving_upstreams.extend(
                 self._upstreams.hints_to_spread()
@@ -256,6 +261,13 @@
                 return
             self._listed_at = now
             self._listed_vms = vms
+            # Other nodes read the same list, and all must agree on which
+            # nodes hold claims and coordinate slots.
+            self._is_listed_leaving = any(
+                vm.vm_id == self._settings.node_id
+                and vm.state is VMState.LEAVING
+                for vm in vms
+            )
             self._upstreams.take_list(vms, now)
             self._nodes.take_list(
                 [vm for vm in vms if vm.role is VMRole.ENTRY], now
@@ -375,6 +387,13 @@
                 node, now, self._views.get(node.node_id)
             )
         self._views = views
+        self._young_neighbours = tuple(
+            view.node_id
+            for view in views.values()
+            if view.young
+            and view.zone == self._settings.zone
+            and view.node_id != self._settings.node_id
+        )[:_MAX_SPREAD_YOUNG]
 
     def _view_of_self(self, now: float) -> NodeView:
         return NodeView(
@@ -384,6 +403,7 @@
             self._address,
             self._boot_id,
             NodeLiveness.LIVE,
-            self._state == NodeState.NODE_STATE_DRAINING,
+            self._is_listed_leaving
+            or self._state == NodeState.NODE_STATE_DRAINING,
             now - self._whole_since < self._timing.claim_window_s,
         )
--- a/src/tanagerport/node_states.py
+++ b/src/tanagerport/node_states.py
@@ -69,6 +69,7 @@
         # Kept up to date so that judging 600 nodes takes no pass over all
         # nodes for each of them.
         self._zone_heard_at: dict[str, float] = {}
+        self._zone_young: dict[str, frozenset[str]] = {}
         self._suspicions: collections.Counter[str] = collections.Counter()
         self._ranks: dict[str, tuple[list[str], list[str]]] = {}
 
@@ -135,6 +136,8 @@
         node.boot_id = heartbeat.boot_id
         node.heard_at = now
         self._zone_heard_at[node.zone] = now
+        if node.zone != self._settings.zone:
+            self._zone_young[node.zone] = frozenset(heartbeat.young_nodes)
         node.state = heartbeat.state
         node.suspects = frozenset(heartbeat.suspected_nodes)
         node.young_until = (
@@ -179,7 +182,7 @@
         draining = (
             node.listed_leaving or node.state == NodeState.NODE_STATE_DRAINING
         )
-        young = now < node.young_until
+        young = self._is_young(node, now)
         if (
             old is not None
             and old.liveness is liveness
@@ -286,6 +289,18 @@
                 wanted -= 1
         return prefix
 
+    def _is_young(self, node: EntryNode, now: float) -> bool:
+        """Returns whether a node may lack claims.
+
+        The word of its zone stands for a node that is not heard itself;
+        without any word the node counts as young.
+        """
+        bound_s = self._timing.dead_after_s + self._timing.remote_heartbeat_s
+        if now - node.heard_at < bound_s or node.zone == self._settings.zone:
+            return now < node.young_until
+        reported = self._zone_young.get(node.zone)
+        return reported is None or node.node_id in reported
+
     def _rank(self, zone: str, node_ids: list[str]) -> list[str]:
         known, ranked = self._ranks.get(zone, ([], []))
         if known != node_ids:
--- a/src/tanagerport/peer_connection.py
+++ b/src/tanagerport/peer_connection.py
@@ -1,7 +1,9 @@
 """One connection to another node, replaced when it falls silent."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+import contextlib
+import time
+from collections.abc import AsyncIterator, Callable, Iterator
 from typing import Any
 
 import grpclib.client
@@ -52,6 +54,13 @@
         self._silence_s = silence_s
         self._channel = _Channel(address)
         self._replacements = 0
+        self._in_progress = 0
+        self._used_at = time.monotonic()
+
+    @property
+    def idle_s(self) -> float:
+        """Seconds since the last call ended; 0 while one is in progress."""
+        return 0.0 if self._in_progress else time.monotonic() - self._used_at
 
     @property
     def address(self) -> str:
@@ -106,10 +115,11 @@
         """
         rpc = getattr(self._channel.stub, method)
         try:
-            async with rpc.open(metadata=self._metadata) as stream:
-                await stream.send_message(message, end=True)
-                async for frame in stream:
-                    yield frame
+            with self._use():
+                async with rpc.open(metadata=self._metadata) as stream:
+                    await stream.send_message(message, end=True)
+                    async for frame in stream:
+                        yield frame
         except _CALL_FAILURES as error:
             raise self._failure(method, error) from error
 
@@ -124,11 +134,21 @@
         try:
             # The deadline stays local: grpclib would send it as a header with
             # a new value in every call, which defeats header compression.
-            async with asyncio.timeout(timeout_s):
-                return await rpc(message, metadata=self._metadata)
+            with self._use():
+                async with asyncio.timeout(timeout_s):
+                    return await rpc(message, metadata=self._metadata)
         except _CALL_FAILURES as error:
             raise self._failure(method, error) from error
 
+    @contextlib.contextmanager
+    def _use(self) -> Iterator[None]:
+        self._in_progress += 1
+        try:
+            yield
+        finally:
+            self._in_progress -= 1
+            self._used_at = time.monotonic()
+
     def _replace(self, fresh: _Channel) -> None:
         old, self._channel = self._channel, fresh
         self._replacements += 1
--- a/src/tanagerport/peer_server.py
+++ b/src/tanagerport/peer_server.py
@@ -28,6 +28,7 @@
 _STREAM_THREADS = 128
 _SEND_TIMEOUT_S = 10.0
 _LISTEN_BACKLOG = 1024
+_KEEPALIVE_IDLE_S = 60
 
 _log = structlog.get_logger(__name__)
 
@@ -215,6 +216,12 @@
             family, socket.SOCK_STREAM, socket.IPPROTO_TCP
         )
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit these. A VM that fails sends no end of
+        # its connections, which would otherwise stay open for good.
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        self._socket.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S
+        )
         try:
             self._socket.bind((host, port))
         except OSError:
--- a/src/tanagerport/peers.py
+++ b/src/tanagerport/peers.py
@@ -28,6 +28,9 @@
 # tested, or when it has not heard from the peer.
 _PASSIVE_INTERVALS = 4
 _UNHEARD_INTERVALS = 1.5
+# Heartbeats keep the connections to neighbours in use. Others serve a claim or
+# a forwarded request now and then, and there may be one for each node.
+IDLE_CLOSE_S = 30.0
 # Spread of intervals, so that heartbeats of many nodes do not align.
 _MIN_INTERVAL_SHARE = 0.8
 _MANAGE_INTERVAL_S = 0.1
@@ -65,6 +68,7 @@
         loop: Event loop of the control plane.
         supervisor: Runs one task for each peer.
         clock: Source of time.
+        idle_close_s: Idle time after which a connection is closed.
     """
 
     def __init__(
@@ -74,6 +78,7 @@
         loop: LoopThread,
         supervisor: Supervisor,
         clock: Clock,
+        idle_close_s: float = IDLE_CLOSE_S,
     ) -> None:
         self._settings = settings
         self._directory = directory
@@ -81,6 +86,7 @@
         self._supervisor = supervisor
         self._tasks = supervisor.child("peers")
         self._clock = clock
+        self._idle_close_s = idle_close_s
         self._registry = HandlerRegistry()
         self._server = PeerServer(
             settings.peer_listen,
@@ -105,6 +111,11 @@
         """Bound `ip:port` of the peer listener."""
         return self._server.address
 
+    @property
+    def open_connections(self) -> int:
+        """Connections that this node opened to peers."""
+        return len(self._connections)
+
     @property
     def replacements(self) -> int:
         """Silent connections that were replaced."""
@@ -261,8 +272,9 @@
             await asyncio.sleep(_MANAGE_INTERVAL_S)
 
     def _close_unused(self) -> None:
-        for node_id in list(self._connections):
-            if self._directory.node(node_id) is None:
+        for node_id, connection in list(self._connections.items()):
+            is_gone = self._directory.node(node_id) is None
+            if is_gone or connection.idle_s > self._idle_close_s:
                 self._connections.pop(node_id).close()
 
     async def _run_peer(self, node_id: str) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -215,6 +215,57 @@
         assert setup.membership.zone_cut_off_within(_HOME, 60.0)
 
 
+class TestZoneReports:
+    """Guards against nodes that choose different homes for one key."""
+
+    def test_zone_says_which_of_its_unheard_nodes_are_young(
+        self, setup: _Setup
+    ) -> None:
+        """Guards against taking an unheard remote node for young forever."""
+        vms = [*_VMS, *(_entry(f"r{index}", "far") for index in range(3))]
+        setup.membership.take_list(vms)
+        targets = setup.membership.heartbeat_intervals()
+        far = [f"r{index}" for index in range(3)]
+        heard = next(name for name in far if name in targets)
+        unheard = next(name for name in far if name not in targets)
+
+        def is_young(reported: list[str]) -> bool:
+            setup.membership.receive(
+                Heartbeat(
+                    node_id=heard, zone="far", boot_id="a", young_nodes=reported
+                )
+            )
+            setup.advance(0.0)
+            view = setup.membership.node(unheard)
+            return view is not None and view.young
+
+        assert is_young([unheard])
+        assert not is_young([])
+
+    def test_young_neighbours_are_reported_to_other_zones_only(
+        self, setup: _Setup
+    ) -> None:
+        setup.hear("n2", uptime_ms=1)
+        setup.hear("n3", uptime_ms=10**9)
+        setup.advance(0.0)
+        reports = {}
+        for peer in ("n3", "n4"):
+            view = setup.membership.node(peer)
+            assert view is not None
+            heartbeat = Heartbeat()
+            setup.membership.fill(heartbeat, view)
+            reports[peer] = list(heartbeat.young_nodes)
+        assert reports == {"n3": [], "n4": ["n2"]}
+
+    def test_node_whose_vm_is_leaving_excludes_itself_as_others_do(
+        self, setup: _Setup
+    ) -> None:
+        leaving = dataclasses.replace(_VMS[0], state=VMState.LEAVING)
+        setup.membership.take_list([leaving, *_VMS[1:]])
+        live = setup.membership.live_nodes(_HOME)
+        assert [view.node_id for view in live] == ["n2", "n3"]
+
+
 class TestUpstreams:
     """Guards against new work for an upstream that is leaving."""
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -69,6 +69,7 @@
             self.loop,
             self.supervisor,
             SystemClock(),
+            idle_close_s=0.3,
         )
         self.peers.add_heartbeat_part(self.recorder)
         self.peers.bind()
@@ -197,6 +198,18 @@
         assert server._socket.proto == socket.IPPROTO_TCP
         asyncio.run(server.stop())
 
+    def test_idle_connection_is_closed_and_opened_again(
+        self, nodes: _Nodes
+    ) -> None:
+        """Guards against one open connection for each node of the system."""
+        first, second = nodes
+        second.peers.register("Claim", lambda _: ClaimReply())
+        for node in nodes:
+            node.directory.heartbeats = False
+        first.peers.call("n2", "Claim", ClaimRequest(), 5.0)
+        wait_until(lambda: first.peers.open_connections == 0)
+        first.peers.call("n2", "Claim", ClaimRequest(), 5.0)
+
     def test_wrong_token_is_refused(self, nodes: _Nodes) -> None:
         """Guards against callers that reach the peer listener."""
         first, _ = nodes
