--- a/src/tanagerport/limits.py
+++ b/src/tanagerport/limits.py
@@ -114,7 +114,7 @@
         self._overloaded = False
         self._has_missed = False
         self._round = SampleCounts()
-        self._round_started_at = 0.0
+        self._round_started_at = float("-inf")
         self._ignore_until = 0.0
         self._total_samples = 0
 
@@ -139,8 +139,6 @@
         if now < self._ignore_until or counts.total <= 0:
             return
         current = self._round
-        if current.total == 0:
-            self._round_started_at = now
         current.total += counts.total
         current.missed += counts.missed
         current.near += counts.near
@@ -186,7 +184,7 @@
             and not self._overloaded
         ):
             self._increase()
-        self._round = SampleCounts()
+        self._round, self._round_started_at = SampleCounts(), now
 
     def _increase(self) -> None:
         # Before the first miss the limit may be far below what the upstream
--- a/src/tanagerport/sampling.py
+++ b/src/tanagerport/sampling.py
@@ -154,7 +154,7 @@
         kind: SampleKind,
         now: float,
     ) -> None:
-        limited = dispatch.limited or use.free <= use.reserve
-        use.samples.add(kind, limited)
+        # The limit counts as used if it was reached during the dispatch.
+        use.samples.add(kind, limited=use.full_at >= dispatch.started_at)
         brake = self._holder.brake(use.vm.vm_id)
         brake.record(kind, use.in_use, now)
--- a/src/tanagerport/slot_pool.py
+++ b/src/tanagerport/slot_pool.py
@@ -121,7 +121,7 @@
 
     def take(self, use: UpstreamUse, dispatch: Dispatch, now: float) -> None:
         """Counts a dispatch that takes a slot."""
-        use.take_slot(dispatch)
+        use.take_slot(dispatch, now)
         self._list(use, now)
 
     def give(self, use: UpstreamUse, dispatch: Dispatch, now: float) -> None:
--- a/src/tanagerport/upstream_use.py
+++ b/src/tanagerport/upstream_use.py
@@ -30,7 +30,6 @@
         cost: Tokens that the customer was charged.
         slot_seconds: Expected time that it holds the slot.
         started_at: Monotonic seconds of the dispatch.
-        limited: Whether it took the last slot of this node.
         control: Control over it; None until the pipeline attached it.
         progress: What it has produced; None when it can't be told.
         holds_slot: Whether it counts against the slots.
@@ -45,7 +44,6 @@
     cost: float
     slot_seconds: float
     started_at: float
-    limited: bool
     control: DispatchControl | None = None
     progress: DispatchProgress | None = None
     holds_slot: bool = True
@@ -90,6 +88,8 @@
         # Lower tiers are held back until then, because a peer's top-tier
         # request asked for a slot.
         self.held_back_until = 0.0
+        # When all slots open to lower tiers were last in use.
+        self.full_at = float("-inf")
         # Versions by (model, version) of the request; reset by each refresh.
         self.versions: dict[tuple[str, str], str | None] = {}
         self._interval_targets: dict[str, tuple[float, float]] = {}
@@ -129,11 +129,13 @@
             return self.free > 0
         return self.free > self.reserve and now >= self.held_back_until
 
-    def take_slot(self, dispatch: Dispatch) -> None:
+    def take_slot(self, dispatch: Dispatch, now: float) -> None:
         """Counts a dispatch that holds a slot."""
         dispatch.holds_slot = True
         self.in_use_by_tier[dispatch.tier] += 1
         self.in_use += 1
+        if self.free <= self.reserve:
+            self.full_at = now
 
     def give_slot(self, dispatch: Dispatch) -> None:
         """Counts out a dispatch; does nothing if it holds no slot."""
--- a/src/tanagerport/zone_scheduler.py
+++ b/src/tanagerport/zone_scheduler.py
@@ -280,7 +280,7 @@
     def snapshot(self) -> Mapping[str, Any]:
         """Returns limits, slots and queues for the status command."""
         with self._lock:
-            now = self._clock.monotonic()
+            now = self._begin()
             return {
                 "upstreams": {
                     vm_id: self._describe(use, now)
@@ -686,7 +686,6 @@
             ticket.cost,
             ticket.slot_seconds,
             now,
-            limited=use.free <= 1,
         )
         use.dispatches[placement.placement_id] = dispatch
         use.see_class(work_class.name, work_class.token_interval_target_s, now)
