--- a/src/tanagerport/admission.py
+++ b/src/tanagerport/admission.py
@@ -209,23 +209,21 @@
         self._on_time = [FairQueue() for _ in range(TIERS)]
         self._late = [FairQueue() for _ in range(TIERS)]
         self._work = [0.0] * TIERS
+        self._counts = [0] * TIERS
 
     def __len__(self) -> int:
-        return sum(self.waiting)
+        return sum(self._counts)
 
     @property
     def waiting(self) -> Sequence[int]:
         """Number of waiting requests, indexed by tier."""
-        return [
-            len(on_time) + len(late)
-            for on_time, late in zip(self._on_time, self._late, strict=True)
-        ]
+        return self._counts
 
     @property
     def top_tier(self) -> int:
         """Most important tier that waits; `TIERS` when none does."""
-        for tier in range(TIERS):
-            if len(self._on_time[tier]) or len(self._late[tier]):
+        for tier, count in enumerate(self._counts):
+            if count:
                 return tier
         return TIERS
 
@@ -237,6 +235,7 @@
         """Adds a ticket."""
         ticket.is_waiting = True
         self._work[ticket.tier] += ticket.slot_seconds
+        self._counts[ticket.tier] += 1
         self._queue_of(ticket).push(ticket)
 
     def remove(self, ticket: Ticket) -> None:
@@ -244,6 +243,7 @@
         if ticket.is_waiting:
             ticket.is_waiting = False
             self._work[ticket.tier] -= ticket.slot_seconds
+            self._counts[ticket.tier] -= 1
             self._queue_of(ticket).remove(ticket)
 
     def take(self, tier: int, now: float) -> Ticket | None:
@@ -283,6 +283,7 @@
     def _taken(self, ticket: Ticket) -> Ticket:
         ticket.is_waiting = False
         self._work[ticket.tier] -= ticket.slot_seconds
+        self._counts[ticket.tier] -= 1
         return ticket
 
     def _queue_of(self, ticket: Ticket) -> FairQueue:
--- a/src/tanagerport/prefix_cache.py
+++ b/src/tanagerport/prefix_cache.py
@@ -14,6 +14,9 @@
 MAX_BLOCKS = 64
 _HALF_LIFE_S = 60.0
 _MAX_BLOCKS_KEPT = 16_384
+# A prefix that every upstream holds says nothing for routing, and each holder
+# costs time in every look-up.
+_MAX_HOLDERS = 8
 # Guesses older than about four half-lives are ignored.
 _MIN_WEIGHT = 0.05
 
@@ -180,7 +183,10 @@
             holders = self._blocks[key] = {}
         else:
             self._blocks.move_to_end(key)
+        holders.pop(upstream_id, None)
         holders[upstream_id] = now
+        if len(holders) > _MAX_HOLDERS:
+            del holders[next(iter(holders))]
 
     def _drop(self, upstream_id: str, key: tuple[str, int]) -> None:
         holders = self._blocks.get(key)
--- a/src/tanagerport/routing.py
+++ b/src/tanagerport/routing.py
@@ -13,7 +13,8 @@
 
 # Upstreams that are compared for one request, besides those that hold its
 # prefix. More cost time in each request and hardly improve the choice.
-_COMPARED = 8
+_COMPARED = 6
+_HOLDERS_COMPARED = 3
 _BYTES_PER_TOKEN = 4
 # Assumed for an upstream that this node has not observed, so that a known
 # one is preferred unless it is much slower.
@@ -192,6 +193,9 @@
         output = self._lengths.mean(request)
         choices: list[Choice] = []
         holders = [name for name in cached if name in free]
+        if len(holders) > _HOLDERS_COMPARED:
+            holders.sort(key=cached.__getitem__, reverse=True)
+            del holders[_HOLDERS_COMPARED:]
         for use in self._candidates(uses, free, holders, is_allowed):
             named = self._matcher.version_at(use, model, version)
             if named is not None:
--- a/src/tanagerport/slot_coordinator.py
+++ b/src/tanagerport/slot_coordinator.py
@@ -12,7 +12,7 @@
 
 # An allocation is computed again when it is older than this, unless a new
 # report or limit asks for it earlier.
-_ALLOCATION_MAX_AGE_S = 0.05
+_ALLOCATION_MAX_AGE_S = 0.25
 _BUCKET_S = 1.0
 
 
@@ -55,6 +55,8 @@
     Returns:
         Slots by node; they add up to `slots` unless there are no nodes.
     """
+    if len(demands) == 1:
+        return dict.fromkeys(demands, slots)
     given = dict.fromkeys(demands, 0)
     left = slots
     if slots >= len(demands):
@@ -401,16 +403,11 @@
     def _allocate_if_needed(
         self, vm_id: str, state: _UpstreamState, now: float
     ) -> None:
-        if not state.dirty and now - state.allocated_at < _ALLOCATION_MAX_AGE_S:
+        age_s = now - state.allocated_at
+        if not state.dirty and age_s < _ALLOCATION_MAX_AGE_S:
             return
-        members = self._members(vm_id, state, now)
-        if (
-            state.dirty
-            or members != state.members
-            or now - state.allocated_at >= _ALLOCATION_MAX_AGE_S
-        ):
-            state.members = members
-            self._allocate(vm_id, state, now)
+        state.members = self._members(vm_id, state, now)
+        self._allocate(vm_id, state, now)
         state.allocated_at = now
         state.dirty = False
 
--- a/src/tanagerport/slot_exchange.py
+++ b/src/tanagerport/slot_exchange.py
@@ -21,7 +21,7 @@
 
 # A holder stops using a grant this long before its end: it looks at the clock
 # once a tick, and clocks of different machines run at different rates.
-GRANT_MARGIN_S = 0.06
+GRANT_MARGIN_S = 0.12
 _MICROSECONDS = 1_000_000
 _EPOCHS_KEPT = 8
 
--- a/src/tanagerport/slot_pool.py
+++ b/src/tanagerport/slot_pool.py
@@ -137,18 +137,20 @@
         now = self._clock.monotonic()
         waiting = [0] * TIERS
         customers = [0] * TIERS
+        in_use = list(use.in_use_by_tier)
+        # Slots that a peer borrowed are in use by a top-tier request.
+        in_use[0] += self._holder.lent(vm_id, now)
         for key in keys_of(use):
             count = len(self.serving_uses(key)) or 1
             by_tier, customers_by_tier = self._waiting(key)
+            if not any(by_tier):
+                continue
             for tier in range(TIERS):
                 # Each waiting request needs one of the upstreams only.
                 waiting[tier] += -(-by_tier[tier] // count)
                 customers[tier] += customers_by_tier[tier]
         for dispatch in use.paused:
             waiting[dispatch.tier] += 1
-        in_use = list(use.in_use_by_tier)
-        # Slots that a peer borrowed are in use by a top-tier request.
-        in_use[0] += self._holder.lent(vm_id, now)
         if not any(in_use) and not any(waiting):
             return None
         return Demand(tuple(in_use), tuple(waiting), tuple(customers))
--- a/src/tanagerport/zone_scheduler.py
+++ b/src/tanagerport/zone_scheduler.py
@@ -53,8 +53,7 @@
 
 _log = structlog.get_logger(__name__)
 
-_TICK_S = 0.05
-_SAMPLE_S = 0.1
+_TICK_S = 0.1
 _HOUSEKEEPING_S = 10.0
 # Tickets that are passed over because they can't use the free upstreams.
 _MAX_PASSED_OVER = 4
@@ -109,7 +108,7 @@
         self._stopped = threading.Event()
         self._draining = False
         self._ids = itertools.count(1)
-        self._next_tick = self._next_sample = self._next_cleaning = 0.0
+        self._next_tick = self._next_cleaning = 0.0
         self._queues: dict[ServeKey, ModelQueue] = {}
         self._durations: dict[str, float] = {}
         self._actions: list[Callable[[], None]] = []
@@ -590,7 +589,7 @@
         for use in self._pool.uses.values():
             if use.paused:
                 self._resume(use, now)
-        for key in self._ordered(self._queues):
+        for key in self._ordered(list(self._queues)):
             self._serve_key(key, now)
 
     def _serve(self, use: UpstreamUse, now: float) -> None:
@@ -854,9 +853,7 @@
     def _tick(self, now: float) -> None:
         self._next_tick = now + _TICK_S
         self._pool.refresh(now)
-        if now >= self._next_sample:
-            self._next_sample = now + _SAMPLE_S
-            self._sample(now)
+        self._sample(now)
         self._exchange.grant_locally()
         self._pool.update_all(now)
         if now >= self._next_cleaning:
