--- a/src/tanagerport/membership.py
+++ b/src/tanagerport/membership.py
@@ -141,6 +141,18 @@
             cut_at = self._zone_cut_at.get(zone, float("-inf"))
         return now - cut_at <= window_s
 
+    def lost_nodes(self, zone: str, window_s: float) -> Sequence[str]:
+        """Returns the nodes that `losses` counts."""
+        oldest = self._clock.time() - window_s
+        with self._lock:
+            return sorted(
+                {
+                    loss.node_id
+                    for loss in self._nodes.losses
+                    if loss.zone == zone and loss.at >= oldest
+                }
+            )
+
     def losses(self, zone: str, window_s: float) -> Sequence[float]:
         """Returns epoch seconds of node deaths and restarts in the zone.
 
@@ -266,6 +278,7 @@
         with self._lock:
             self._notice_pause(now)
             self._observed_at = now
+            self._nodes.count_suspicions(now)
             self._nodes.forget_gone(now, self._clock.time())
             self._observe_zones(now)
             self._observe_own_zone(now)
@@ -348,8 +361,9 @@
     def _refresh_view(self, node_id: str, now: float) -> None:
         node = self._nodes.get(node_id)
         if node is not None:
-            view = self._nodes.view(node, now)
-            if self._views.get(node_id) != view:
+            old = self._views.get(node_id)
+            view = self._nodes.view(node, now, old)
+            if view is not old:
                 self._views = {**self._views, node_id: view}
 
     def _rebuild(self) -> None:
@@ -357,7 +371,9 @@
         self._nodes.choose_targets(now)
         views = {self._settings.node_id: self._view_of_self(now)}
         for node in self._nodes:
-            views[node.node_id] = self._nodes.view(node, now)
+            views[node.node_id] = self._nodes.view(
+                node, now, self._views.get(node.node_id)
+            )
         self._views = views
 
     def _view_of_self(self, now: float) -> NodeView:
