--- a/src/tanagerport/node.py
+++ b/src/tanagerport/node.py
@@ -11,6 +11,7 @@
 from tanagerport.configuration import ConfigurationStore
 from tanagerport.control_metrics import ControlCollector
 from tanagerport.control_plane import ControlPlane
+from tanagerport.cost_metrics import CostCollector
 from tanagerport.explain import ExplanationLog
 from tanagerport.frontend import CallerApplication
 from tanagerport.http_server import HttpServer
@@ -261,6 +262,7 @@
     control = ControlPlane(settings, platform, clock)
     metrics = Metrics()
     metrics.registry.register(ControlCollector(control))
+    metrics.registry.register(CostCollector(control))
     policy = create_version_policy(control.configuration, clock)
 
     def upstreams() -> Sequence[VM]:
@@ -268,6 +270,7 @@
 
     scheduler = StaticScheduler(upstreams, clock, settings.queue_limit)
     explanations = ExplanationLog(clock)
+    class_status = ClassStatusTracker(clock)
     parts = NodeParts(
         platform=platform,
         control=control,
@@ -288,11 +291,12 @@
             table=platform.table,
             version_policy=policy,
             explanations=explanations,
+            class_status=class_status,
         ),
         policy=policy,
         mover=_create_mover(settings, platform, control, policy, clock),
         explanations=explanations,
-        class_status=ClassStatusTracker(clock),
+        class_status=class_status,
         metrics=metrics,
     )
     return Node(settings, parts, clock)
