--- a/src/tanagerport/ramp.py
+++ b/src/tanagerport/ramp.py
@@ -12,12 +12,12 @@
 FULL_SHARE = 0.9
 
 # Parts of the time from start to deadline. The rest is for loading and canary.
-_MARGIN_PART = 0.05
-_WATCH_PART = 0.30
-_RAMP_PART = 0.20
+_MARGIN_PART = 0.08
+_WATCH_PART = 0.28
+_RAMP_PART = 0.18
 # Shortest parts that are still accepted when the canary took longer.
-_MIN_WATCH_PART = 0.15
-_MIN_RAMP_PART = 0.10
+_MIN_WATCH_PART = 0.12
+_MIN_RAMP_PART = 0.08
 # Part of the canary's samples that can be expected in spite of requests that
 # end after it and of tokens that find no request.
 _SAMPLE_YIELD = 0.8
