Pool evidence by route and count an engine's death once

Further: nodes now test only routes that their own requests take and choose a version only where an engine of the zone has loaded it; the watch period uses the time up to the deadline; 15% of requests stay as control.

--- a/src/tanagerport/canaries.py
+++ b/src/tanagerport/canaries.py
@@ -14,7 +14,7 @@
 CANARY_SHARE = 0.05
 # Share of hashes that may become canaries. The count of ended requests bounds
 # the share; candidates above it let the count be used up.
-_CANDIDATE_SHARE = 0.25
+_CANDIDATE_SHARE = 0.5
 _REMEMBERED_REQUESTS = 8192
 _HASH_RANGE = float(2**64)
 # Pooled figures older than this are not used.
@@ -159,9 +159,11 @@
     def _ranked_routes(self) -> list[Scope]:
         pooled = self._pooled
         known = pooled.samples if pooled is not None else self._own_samples
-        names = sorted(known if pooled is not None else self._routes)
+        # A node can test only the routes that its own requests take.
+        names = sorted(self._routes)
         # Nodes start at different routes, so that they don't all test one.
-        offset = pooled.index if pooled is not None else 0
+        offset = pooled.index % max(len(names), 1) if pooled is not None else 0
+        names = names[offset:] + names[:offset]
         suspect = pooled.suspect if pooled is not None else frozenset()
         # A bad sample is soon confirmed or outweighed by more on its route.
         ranked = sorted(
@@ -171,10 +173,7 @@
                 rank,
                 route,
             )
-            for rank, route in enumerate(
-                names[offset % max(len(names), 1) :]
-                + names[: offset % max(len(names), 1)]
-            )
+            for rank, route in enumerate(names)
         )
         return [route for *_, route in ranked]
 
--- a/src/tanagerport/detection.py
+++ b/src/tanagerport/detection.py
@@ -20,6 +20,7 @@
 # good version may have, up to a rate at which failures say nothing any more.
 _FAILURE_RATE_MARGIN = 2.0
 _MIN_FAILURE_SCORE = 0.1
+MAX_FAILURE_SCORE = math.log(_FAILURE_RATE_BAD / _FAILURE_RATE_GOOD)
 # Streams that break at once with their engine are one event, not many.
 _SAME_EVENT_S = 0.1
 _FAILURE_WINDOW_S = 10.0
@@ -78,15 +79,35 @@
     Attributes:
         samples: Samples of the new version.
         bad: Samples that failed or were slow.
-        failure_sum: Sum of the failure test.
+        failure_sum: Sum of the failure test over failures, above 0.
+        success_sum: Sum of the failure test over the others, below 0.
         slow_sum: Sum of the slowness test.
     """
 
     samples: int = 0
     bad: int = 0
     failure_sum: float = 0.0
+    success_sum: float = 0.0
     slow_sum: float = 0.0
 
+    def minus(self, other: "ScopeEvidence") -> "ScopeEvidence":
+        """Returns the evidence since an earlier state."""
+        return ScopeEvidence(
+            self.samples - other.samples,
+            self.bad - other.bad,
+            self.failure_sum - other.failure_sum,
+            self.success_sum - other.success_sum,
+            self.slow_sum - other.slow_sum,
+        )
+
+    def add(self, other: "ScopeEvidence") -> None:
+        """Adds evidence of other samples."""
+        self.samples += other.samples
+        self.bad += other.bad
+        self.failure_sum += other.failure_sum
+        self.success_sum += other.success_sum
+        self.slow_sum += other.slow_sum
+
 
 @dataclasses.dataclass(frozen=True)
 class Verdict:
@@ -263,24 +284,28 @@
     def _count(self, sample: VersionSample, grade: Grade) -> None:
         rate = self._failures.rate(sample.upstream_id, sample.at)
         failure, slow = log_likelihood_ratios(grade, rate)
-        for scope in scopes_of(sample):
+        increment = ScopeEvidence(
+            1,
+            int(grade is not Grade.FINE),
+            max(failure, 0.0),
+            min(failure, 0.0),
+            slow,
+        )
+        for scope in scopes_of(Scope(sample.class_name, sample.upstream_id)):
             evidence = self._evidence.setdefault(scope, ScopeEvidence())
-            evidence.samples += 1
-            evidence.bad += grade is not Grade.FINE
-            evidence.failure_sum += failure
-            evidence.slow_sum += slow
+            evidence.add(increment)
             chart = self._charts.setdefault(scope, ScoreChart())
             chart.add(failure, slow)
             if chart.is_convicted and self._verdict is None:
                 self._verdict = make_verdict(scope, evidence, chart)
 
 
-def scopes_of(sample: VersionSample) -> tuple[Scope, ...]:
-    """Returns the scopes that a sample counts in."""
+def scopes_of(route: Scope) -> tuple[Scope, ...]:
+    """Returns the scopes that a sample of a route counts in."""
     return (
-        Scope(sample.class_name, sample.upstream_id),
-        Scope(sample.class_name, ALL),
-        Scope(ALL, sample.upstream_id),
+        route,
+        Scope(route.class_name, ALL),
+        Scope(ALL, route.upstream_id),
         WHOLE_VERSION,
     )
 
--- a/src/tanagerport/detection_measurement.py
+++ b/src/tanagerport/detection_measurement.py
@@ -82,7 +82,7 @@
     canary_s: float = 5.0
     full_s: float = 7.0
     canary_share: float = 0.05
-    full_share: float = 0.9
+    full_share: float = 0.85
     burst_factor: float = 2.5
     burst_s: float = 4.0
     base_error_rate: float = 0.002
--- a/src/tanagerport/evidence.py
+++ b/src/tanagerport/evidence.py
@@ -14,6 +14,7 @@
 from tanagerport.canaries import PooledView
 from tanagerport.clock import Clock
 from tanagerport.detection import (
+    MAX_FAILURE_SCORE,
     PASS_SCORE,
     WHOLE_VERSION,
     Scope,
@@ -21,11 +22,13 @@
     ScoreChart,
     Verdict,
     make_verdict,
+    scopes_of,
 )
 from tanagerport.model import VersionMove
 from tanagerport.platform_api import TableStore, Write
 
 EVIDENCE_PREFIX = "evidence/"
+_SAME_EVENT_S = 0.5  # covers two reports of each node
 # Keeps writes of 600 nodes at 60 a second.
 _WRITES_PER_S = 60.0
 _MIN_INTERVAL_S = 0.25
@@ -36,12 +39,13 @@
 _RECORDS_PER_S = 120.0
 
 
-class _ScopeRow(msgspec.Struct, array_like=True, frozen=True):
+class _RouteRow(msgspec.Struct, array_like=True, frozen=True):
     class_name: str
     upstream_id: str
     samples: int
     bad: int
     failure_sum: float
+    success_sum: float
     slow_sum: float
 
 
@@ -59,7 +63,7 @@
         started: Start of the rollout, which identifies it.
         instance: Identity of the node's process.
         chosen: Requests chosen for the new version at the canary share.
-        scopes: Sums by scope.
+        routes: Sums by route.
         traffic: Ended requests of both versions by route.
     """
 
@@ -67,7 +71,7 @@
     started: float
     instance: str
     chosen: int
-    scopes: list[_ScopeRow]
+    routes: list[_RouteRow]
     traffic: list[_TrafficRow]
 
 
@@ -85,15 +89,17 @@
         instance,
         chosen,
         [
-            _ScopeRow(
+            _RouteRow(
                 scope.class_name,
                 scope.upstream_id,
                 item.samples,
                 item.bad,
                 round(item.failure_sum, 4),
+                round(item.success_sum, 4),
                 round(item.slow_sum, 4),
             )
             for scope, item in evidence.items()
+            if scope.is_route
         ],
         [
             _TrafficRow(scope.class_name, scope.upstream_id, count)
@@ -108,7 +114,7 @@
 
     instance: str
     chosen: int
-    scopes: Mapping[Scope, ScopeEvidence]
+    routes: Mapping[Scope, ScopeEvidence]
 
 
 class EvidencePool:
@@ -133,6 +139,7 @@
         self._totals: dict[Scope, ScopeEvidence] = {}
         self._charts: dict[Scope, ScoreChart] = {}
         self._traffic: dict[str, Mapping[Scope, int]] = {}
+        self._failed_at: dict[str, float] = {}
         self._verdict: Verdict | None = None
 
     @property
@@ -186,6 +193,7 @@
         now = self._clock.monotonic()
         if now - self._read_at < len(self._baselines) / _RECORDS_PER_S:
             return
+        increments: dict[Scope, ScopeEvidence] = {}
         for record in self._table.scan(f"{EVIDENCE_PREFIX}{self._model}/"):
             item = msgspec.json.decode(record.value, type=NodeEvidence)
             is_current = (item.new_version, item.started) == (
@@ -193,7 +201,10 @@
                 self._started,
             )
             if is_current:
-                self._take(record.key, item)
+                self._take(record.key, item, increments)
+        self._merge_failures(increments, now)
+        for route, increment in increments.items():
+            self._add(route, increment)
         self._read_at = now
 
     def view(self, key: str) -> PooledView | None:
@@ -227,41 +238,71 @@
         writes = [Write(key, None) for key in self._baselines]
         self._table.transact([], writes)
 
-    def _take(self, key: str, item: NodeEvidence) -> None:
-        scopes = {
+    def _take(
+        self,
+        key: str,
+        item: NodeEvidence,
+        increments: dict[Scope, ScopeEvidence],
+    ) -> None:
+        """Adds what a node saw since the last read to the increments."""
+        routes = {
             Scope(row.class_name, row.upstream_id): ScopeEvidence(
-                row.samples, row.bad, row.failure_sum, row.slow_sum
+                row.samples,
+                row.bad,
+                row.failure_sum,
+                row.success_sum,
+                row.slow_sum,
             )
-            for row in item.scopes
+            for row in item.routes
         }
         baseline = self._baselines.get(key)
         # A process that started again counts from 0.
         is_same = baseline is not None and baseline.instance == item.instance
-        old = baseline.scopes if baseline is not None and is_same else {}
-        for scope, evidence in scopes.items():
-            self._add(scope, evidence, old.get(scope, ScopeEvidence()))
-        self._baselines[key] = _Baseline(item.instance, item.chosen, scopes)
+        old = baseline.routes if baseline is not None and is_same else {}
+        for route, evidence in routes.items():
+            change = evidence.minus(old.get(route, ScopeEvidence()))
+            increments.setdefault(route, ScopeEvidence()).add(change)
+        self._baselines[key] = _Baseline(item.instance, item.chosen, routes)
         self._traffic[f"{key}/{item.instance}"] = {
             Scope(row.class_name, row.upstream_id): row.requests
             for row in item.traffic
         }
 
-    def _add(
-        self, scope: Scope, new: ScopeEvidence, old: ScopeEvidence
+    def _merge_failures(
+        self, increments: Mapping[Scope, ScopeEvidence], now: float
     ) -> None:
-        if new.samples <= old.samples:
-            return
-        total = self._totals.setdefault(scope, ScopeEvidence())
-        total.samples += new.samples - old.samples
-        total.bad += new.bad - old.bad
-        total.failure_sum += new.failure_sum - old.failure_sum
-        total.slow_sum += new.slow_sum - old.slow_sum
-        chart = self._charts.setdefault(scope, ScoreChart())
-        chart.add(
-            new.failure_sum - old.failure_sum, new.slow_sum - old.slow_sum
+        """Counts failures on one upstream within a short time as one.
+
+        When an engine dies, every node loses streams there.
+        """
+        by_size = sorted(
+            increments.items(), key=lambda item: -item[1].failure_sum
         )
-        if chart.is_convicted and self._verdict is None:
-            self._verdict = make_verdict(scope, total, chart)
+        for route, increment in by_size:
+            if increment.failure_sum <= 0:
+                continue
+            last = self._failed_at.get(route.upstream_id, float("-inf"))
+            if now - last < _SAME_EVENT_S:
+                increment.failure_sum = 0.0
+                continue
+            self._failed_at[route.upstream_id] = now
+            increment.failure_sum = min(
+                increment.failure_sum, MAX_FAILURE_SCORE
+            )
+
+    def _add(self, route: Scope, increment: ScopeEvidence) -> None:
+        if increment.samples <= 0:
+            return
+        for scope in scopes_of(route):
+            total = self._totals.setdefault(scope, ScopeEvidence())
+            total.add(increment)
+            chart = self._charts.setdefault(scope, ScoreChart())
+            chart.add(
+                increment.failure_sum + increment.success_sum,
+                increment.slow_sum,
+            )
+            if chart.is_convicted and self._verdict is None:
+                self._verdict = make_verdict(scope, total, chart)
 
 
 class EvidenceSource(Protocol):
--- a/src/tanagerport/ramp.py
+++ b/src/tanagerport/ramp.py
@@ -9,7 +9,7 @@
 RAMP_SHARES = (0.15, 0.35, 0.65)
 # Share while the version is watched. The rest stays with the old version as
 # control, without which a burst looks like a slow version.
-FULL_SHARE = 0.9
+FULL_SHARE = 0.85
 
 # Parts of the time from start to deadline. The rest is for loading and canary.
 _MARGIN_PART = 0.08
@@ -17,10 +17,11 @@
 _RAMP_PART = 0.18
 # Shortest parts that are still accepted when the canary took longer.
 _MIN_WATCH_PART = 0.12
-_MIN_RAMP_PART = 0.08
+_MIN_RAMP_PART = 0.05
+_MAX_WATCH_S = 1800.0
 # Part of the canary's samples that can be expected in spite of requests that
 # end after it and of tokens that find no request.
-_SAMPLE_YIELD = 0.8
+_SAMPLE_YIELD = 0.7
 _MIN_SAMPLES, _MAX_SAMPLES = 6, 40
 _MIN_ROUTE_SAMPLES, _MAX_ROUTE_SAMPLES = 1, 8
 
@@ -94,10 +95,13 @@
         return min(max(left_s, shortest_s), longest_s)
 
     def watch_s(self, full_at: float) -> float:
-        """Returns the watch period for a full share at a time, in seconds."""
-        left_s = self.end_by - full_at
-        planned_s = _WATCH_PART * self.total_s
-        return max(min(left_s, planned_s), _MIN_WATCH_PART * self.total_s)
+        """Returns the watch period for a full share at a time, in seconds.
+
+        All the time that is left before the deadline is used, up to a bound,
+        since a late fault can be taken back only while the rollout runs.
+        """
+        shortest_s = _MIN_WATCH_PART * self.total_s
+        return max(min(self.end_by - full_at, _MAX_WATCH_S), shortest_s)
 
     def samples_needed(
         self, requests: int, seen_s: float, routes: int
--- a/src/tanagerport/reference_times.py
+++ b/src/tanagerport/reference_times.py
@@ -21,7 +21,7 @@
 # ends at the sample shows on one side only.
 _CONTROL_SAMPLES = 5
 _MIN_CONTROL = 2
-_WAITED_CONTROL = 3
+_WAITED_CONTROL = 2
 CONTROL_WINDOW_S = 3.0
 # Error of a median of n samples is about 0.3 / sqrt(n) of the median for
 # times whose logarithm varies by 0.25; the limit leaves room for twice that.
--- a/src/tanagerport/rollout.py
+++ b/src/tanagerport/rollout.py
@@ -30,10 +30,10 @@
 _STEP_S = 0.25
 # The lease is renewed when this part of it is over.
 _RENEW_PART = 1 / 3
-# Nodes that try to get a model's lease: 3 nodes for 21 models at one try a
-# second cost the store 63 reads a second.
+# Nodes that try to get a model's lease: 3 nodes for 21 models, each once in a
+# tenth of a lease of 10 s, cost the store 63 reads a second.
 _CANDIDATES = 3
-_MAX_ACQUIRE_S = 1.0
+_ACQUIRE_PART = 0.1
 # Between steps after a rollout's end, when only new engines need orders.
 _SETTLED_STEP_S = 2.0
 
@@ -204,9 +204,7 @@
     def _hold(self, run: _ModelRun, model: str) -> Lease | None:
         lease_s = self._settings.lease_s
         if run.lease is None:
-            run.next_step_at = self._clock.monotonic() + min(
-                _MAX_ACQUIRE_S, lease_s / 4
-            )
+            run.next_step_at = self._clock.monotonic() + _ACQUIRE_PART * lease_s
             if not self._is_candidate(model):
                 return None
             run.lease = self._leases.acquire(
--- a/src/tanagerport/version_policy.py
+++ b/src/tanagerport/version_policy.py
@@ -10,7 +10,11 @@
 from tanagerport.clock import Clock
 from tanagerport.detection import Scope, Verdict, VersionMonitor
 from tanagerport.evidence import NodeEvidence, make_node_evidence
-from tanagerport.interfaces import ConfigurationView, VersionSample
+from tanagerport.interfaces import (
+    ConfigurationView,
+    MembershipView,
+    VersionSample,
+)
 from tanagerport.model import (
     FINAL_MOVE_STATES,
     MoveState,
@@ -51,11 +55,19 @@
     Args:
         configuration: Rollouts and bad versions.
         clock: Source of time.
+        membership: Load reports of this zone's engines; without it every
+            version counts as loaded.
     """
 
-    def __init__(self, configuration: ConfigurationView, clock: Clock) -> None:
+    def __init__(
+        self,
+        configuration: ConfigurationView,
+        clock: Clock,
+        membership: MembershipView | None = None,
+    ) -> None:
         self._configuration = configuration
         self._clock = clock
+        self._membership = membership
         self._instance = secrets.token_hex(8)
         self._lock = threading.Lock()
         self._trackers: dict[str, _MoveTracker] = {}
@@ -68,22 +80,37 @@
         move = self._configuration.moves.get(model)
         if move is None or request.work_class.kind is not UpstreamKind.ENGINE:
             return ""
-        if self.is_convicted(model, move.new_version):
-            return move.old_version
+        if self._wants_new(request, move):
+            return move.new_version
+        return move.old_version
+
+    def _wants_new(self, request: Request, move: VersionMove) -> bool:
+        if self.is_convicted(move.model, move.new_version):
+            return False
+        # Engines load a version one after another and may join later.
+        if not self._is_loaded(move.model, move.new_version):
+            return False
         if move.state in FINAL_MOVE_STATES:
-            return move.new_version if move.share >= 1 else move.old_version
+            return move.share >= 1
+        share = move.share
+        if move.state in (MoveState.LOADING, MoveState.CANARY):
+            # The bound also holds if the record states more.
+            share = min(share, CANARY_SHARE)
+        now = self._clock.monotonic()
         with self._lock:
-            tracker = self._tracker(move)
-            # The bound also holds if a record in a wrong state states more.
-            share = (
-                min(move.share, CANARY_SHARE)
-                if move.state in (MoveState.LOADING, MoveState.CANARY)
-                else move.share
-            )
-            now = self._clock.monotonic()
-            if share > 0 and tracker.canaries.choose(request, share, now):
-                return move.new_version
-        return move.old_version
+            canaries = self._tracker(move).canaries
+            return share > 0 and canaries.choose(request, share, now)
+
+    def _is_loaded(self, model: str, version: str) -> bool:
+        """Returns whether an engine of this zone has loaded a version."""
+        if self._membership is None:
+            return True
+        zone = self._membership.self_view.zone
+        return any(
+            version in load.versions.get(model, ())
+            for vm in self._membership.upstreams(zone)
+            if (load := self._membership.load(vm.vm_id)) is not None
+        )
 
     def is_convicted(self, model: str, version: str) -> bool:
         """Returns whether the version must get no new work."""
@@ -217,7 +244,9 @@
 
 
 def create_version_policy(
-    configuration: ConfigurationView, clock: Clock
+    configuration: ConfigurationView,
+    clock: Clock,
+    membership: MembershipView | None = None,
 ) -> MoveVersionPolicy:
     """Builds the version policy of a node."""
-    return MoveVersionPolicy(configuration, clock)
+    return MoveVersionPolicy(configuration, clock, membership)
--- a/tests/test_rollout_phases.py
+++ b/tests/test_rollout_phases.py
@@ -8,7 +8,7 @@
 from rollout_world import MODEL, FakeEngine, World
 from tanagerport.canaries import CANARY_SHARE
 from tanagerport.clock import FakeClock
-from tanagerport.detection import WHOLE_VERSION, Scope, ScopeEvidence
+from tanagerport.detection import Scope, ScopeEvidence
 from tanagerport.engine_versions import EngineState, ModelVersions
 from tanagerport.evidence import (
     EVIDENCE_PREFIX,
@@ -25,18 +25,18 @@
     MODEL, "v1", "v2", 112.0, 100.0, MoveState.CANARY, CANARY_SHARE
 )
 _ROUTES = (Scope("drill", "e0"), Scope("drill", "e1"))
-_GOOD = ScopeEvidence(10, 0, -1.0, -2.7)
-_FAILED = ScopeEvidence(10, 1, 2.3, -2.7)
-_SUSPECT = ScopeEvidence(10, 2, 4.7, -2.7)
+_GOOD = ScopeEvidence(10, 0, 0.0, -1.0, -2.7)
+_FAILED = ScopeEvidence(10, 1, 2.3, -0.9, -2.5)
+_SUSPECT = ScopeEvidence(10, 5, 0.0, -1.0, 5.2)
+_FEW = ScopeEvidence(2, 0, 0.0, -0.2, -0.5)
 
 
 def situation(
     first: ScopeEvidence = _GOOD,
     second: ScopeEvidence | None = _GOOD,
-    whole: ScopeEvidence = _GOOD,
     **changes: object,
 ) -> Situation:
-    evidence = {_ROUTES[0]: first, WHOLE_VERSION: whole}
+    evidence = {_ROUTES[0]: first}
     if second is not None:
         evidence[_ROUTES[1]] = second
     traffic = dict.fromkeys(_ROUTES, 100)
@@ -71,8 +71,8 @@
         [
             {"second": None},
             {"second": _FAILED},
-            {"whole": _FAILED},
-            {"whole": ScopeEvidence(5, 0, -0.5, -1.4)},
+            {"first": _FEW, "second": _FEW},
+            {"first": _SUSPECT},
             {"missing": ["e1"]},
         ],
     )
@@ -86,6 +86,19 @@
             CANARY_SHARE,
         )
 
+    def test_engine_death_seen_by_many_nodes_is_one_failure(self) -> None:
+        """Guards against a conviction because all nodes lost streams."""
+        table = MemoryTableStore()
+        for number in range(8):
+            route = Scope(("hint", "drill")[number % 2], "e0")
+            lost = ScopeEvidence(1, 1, 2.3, 0.0, 0.0)
+            item = make_node_evidence(_MOVE, "i", 0, {route: lost}, {})
+            key = f"{EVIDENCE_PREFIX}{MODEL}/n{number}"
+            table.transact([], [Write(key, msgspec.json.encode(item))])
+        pool = EvidencePool(table, _MOVE, FakeClock())
+        pool.refresh()
+        assert (pool.samples, pool.verdict) == (8, None)
+
     def test_upstream_that_left_needs_no_samples(self) -> None:
         """Guards against waiting for a route that takes no more work."""
         decided = decide(_MOVE, situation(second=None, upstream_ids=["e0"]))
