--- a/src/tanagerport/bench.py
+++ b/src/tanagerport/bench.py
@@ -9,6 +9,7 @@
 
 from absl import flags
 
+from tanagerport import slopes
 from tanagerport.bench_change_judge import summarize_config, summarize_move
 from tanagerport.bench_history import History
 from tanagerport.bench_judge import (
@@ -23,7 +24,6 @@
 from tanagerport.bench_runner import dump_history, run_side
 from tanagerport.bench_scenarios import (
     LARGE_CUSTOMER,
-    SCENARIOS,
     SCENARIOS_BY_NAME,
     Scenario,
 )
@@ -35,6 +35,8 @@
     merge_traces,
 )
 
+_SLOPES = "slopes"
+
 
 def define_bench_flags(values: flags.FlagValues) -> None:
     """Defines the flags of `bench`."""
@@ -72,8 +74,10 @@
     """Runs a scenario and prints its result."""
     del arguments
     if values.scenario == "list":
-        print("\n".join(item.name for item in SCENARIOS))
+        print("\n".join([*SCENARIOS_BY_NAME, _SLOPES]))
         return 0
+    if values.scenario == _SLOPES:
+        return _run_slopes(values.seed, values.json)
     scenario = SCENARIOS_BY_NAME.get(values.scenario)
     if scenario is None:
         raise flags.Error(f"--scenario: there is no {values.scenario!r}")
@@ -87,6 +91,14 @@
     return 0
 
 
+def _run_slopes(seed: int, as_json: bool) -> int:
+    """Measures the slopes of docs/CAPACITY.md, which have no naive side."""
+    measured = slopes.measure_slopes()
+    document = {"scenario": _SLOPES, "seed": seed, "slopes": measured}
+    print(json.dumps(document, indent=None if as_json else 2))
+    return 0
+
+
 def measure(
     scenario: Scenario,
     seed: int,
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,12 +1,15 @@
 """Tests of the bench's traces, scenarios, callers and baseline."""
 
 import json
+import pathlib
+import re
 import threading
 from collections.abc import Iterator
 
 import pytest
 import urllib3
 
+from tanagerport import cli
 from tanagerport.bench import scenario_trace
 from tanagerport.bench_caller import AnswerDecoder, CallRecord
 from tanagerport.bench_judge import JUDGES
@@ -25,6 +28,7 @@
 from tanagerport.settings import PlatformSettings, Settings
 from tanagerport.standin_service import StandinService
 
+_ROOT = pathlib.Path(__file__).parent.parent
 _every_scenario = pytest.mark.parametrize(
     "scenario", SCENARIOS, ids=lambda item: item.name
 )
@@ -104,6 +108,23 @@
             assert 2 * (scenario.load[-1][0] + deadline_s + 4.0) <= 45.0
 
 
+class TestCommand:
+    """Guards against a list that lacks a scenario of the design."""
+
+    def test_list_names_the_scenarios_of_the_design(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        assert cli.main(["tanagerport", "bench", "--scenario=list"]) == 0
+        listed = capsys.readouterr().out.split()
+        design = (_ROOT / "docs" / "design.md").read_text()
+        start = design.index("Scenarios: `steady`")
+        text = design[start : design.index("\n", start)]
+        assert listed == re.findall(r"`(\w+)`", text)
+
+    def test_unknown_scenario_is_a_usage_error(self) -> None:
+        assert cli.main(["tanagerport", "bench", "--scenario=no"]) == 2
+
+
 class TestTopology:
     """Guards against a partition that cuts the wrong links."""
 
