Measure the time that a node adds to the first token

A limited link now shares its bandwidth among its connections, and a fault of one class fails the run if no upstream is told the class: nodes do not pass X-Class yet.

--- a/src/tanagerport/bench_history.py
+++ b/src/tanagerport/bench_history.py
@@ -25,6 +25,7 @@
     ended: float
     complete: bool
     prefilled_tokens: int = 0
+    first_token_at: float | None = None
     pauses: tuple[tuple[float, float], ...] = ()
 
     def ran_within(self, start: float, end: float) -> bool:
--- a/src/tanagerport/bench_judge.py
+++ b/src/tanagerport/bench_judge.py
@@ -286,6 +286,29 @@
     return round(statistics.median(values), 4) if values else None
 
 
+def median_added_first_token_s(history: History) -> float | None:
+    """Returns the median time to the first token that is not the engine's.
+
+    That is the time from sending to the first token at the caller, less the
+    time from start to first token at the engine; whole answers of requests
+    that were dispatched once count.
+    """
+    once = collections.Counter(item.marker for item in history.executions)
+    engine_s = {
+        item.marker: item.first_token_at - item.started
+        for item in history.executions
+        if item.first_token_at is not None and once[item.marker] == 1
+    }
+    values = [
+        call.first_token_s - engine_s[call.request.marker]
+        for call in history.calls
+        if call.is_whole
+        and call.first_token_s is not None
+        and call.request.marker in engine_s
+    ]
+    return round(statistics.median(values), 5) if values else None
+
+
 def _repeats(counts: Mapping[str, int]) -> int:
     return sum(count - 1 for count in counts.values() if count > 1)
 
--- a/src/tanagerport/bench_runner.py
+++ b/src/tanagerport/bench_runner.py
@@ -15,6 +15,7 @@
 from tanagerport.bench_faults import inject, start_rollout
 from tanagerport.bench_history import EngineOrder, Execution, History
 from tanagerport.bench_operators import Operators
+from tanagerport.bench_processes import BenchError
 from tanagerport.bench_scenarios import Scenario
 from tanagerport.bench_stage import Side, Stage
 from tanagerport.bench_trace import TracedRequest
@@ -62,6 +63,7 @@
     stage: Stage, operators: Operators, calls: Sequence[CallRecord]
 ) -> History:
     logs = await stage.upstream_logs()
+    _check_class_fault(stage.scenario, logs)
     return History(
         calls=calls,
         executions=[
@@ -94,6 +96,23 @@
     )
 
 
+def _check_class_fault(
+    scenario: Scenario,
+    logs: Sequence[tuple[Mapping[str, Any], Mapping[str, Any]]],
+) -> None:
+    """Raises an error if a fault of one class could not take effect."""
+    rollout = scenario.rollout
+    if rollout is None or rollout.fault is None:
+        return
+    class_name = rollout.fault.class_name
+    seen = {entry["class_name"] for _, log in logs for entry in log["requests"]}
+    if class_name and class_name not in seen:
+        raise BenchError(
+            f"no upstream was told of class {class_name!r} by X-Class, so its"
+            " fault did not take effect"
+        )
+
+
 async def _replay(
     stage: Stage, operators: Operators, trace: Sequence[TracedRequest]
 ) -> list[CallRecord]:
@@ -146,6 +165,7 @@
         ended=entry["ended"] if entry["ended"] is not None else now,
         complete=entry["complete"],
         prefilled_tokens=entry.get("prefilled_tokens", 0),
+        first_token_at=entry.get("first_token_at"),
         pauses=tuple(
             (span[0], span[1] if len(span) > 1 else now)
             for span in entry.get("pauses", ())
--- a/src/tanagerport/bench_scenarios.py
+++ b/src/tanagerport/bench_scenarios.py
@@ -356,10 +356,13 @@
     ),
     Scenario(
         "node_death",
-        load=((8.0, 0.5),),
+        load=((8.0, 0.6),),
         zones=_TWO_NODES,
         resend_broken=True,
-        faults=(Fault(3.0, Action.KILL_NODE, node_id("lm-burnaby", 1)),),
+        faults=(
+            Fault(3.0, Action.KILL_NODE, node_id("lm-burnaby", 1)),
+            Fault(5.0, Action.KILL_NODE, node_id("lm-surrey", 2)),
+        ),
         booking_weight=0.15,
         naive_violates=("dispatch_once",),
     ),
--- a/src/tanagerport/fault_proxy.py
+++ b/src/tanagerport/fault_proxy.py
@@ -4,7 +4,6 @@
 import dataclasses
 import socket
 import time
-from collections.abc import Callable
 
 from tanagerport.settings import split_address
 
@@ -20,7 +19,8 @@
     Attributes:
         delay_s: One-way delay in seconds.
         cut: New connections are refused and open ones break.
-        bytes_per_s: Bandwidth of each direction; 0 is unlimited.
+        bytes_per_s: Bandwidth of each direction, shared by all connections;
+            0 is unlimited.
     """
 
     delay_s: float = 0.0
@@ -44,8 +44,8 @@
         self._holder: socket.socket | None = None
         self._links: set[_Link] = set()
         self.address = address
-        self.bytes_sent = 0
-        self.bytes_received = 0
+        self._sent = _Direction()
+        self._received = _Direction()
 
     async def start(self) -> None:
         """Binds the address.
@@ -69,6 +69,16 @@
             self._holder.close()
             self._holder = None
 
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes passed on to the server."""
+        return self._sent.bytes
+
+    @property
+    def bytes_received(self) -> int:
+        """Bytes passed on from the server."""
+        return self._received.bytes
+
     @property
     def faults(self) -> LinkFaults:
         """Faults in force."""
@@ -126,8 +136,8 @@
         self._links.add(link)
         try:
             await asyncio.gather(
-                self._pump(link, reader, upstream_writer, self._count_sent),
-                self._pump(link, upstream_reader, writer, self._count_back),
+                self._pump(link, reader, upstream_writer, self._sent),
+                self._pump(link, upstream_reader, writer, self._received),
             )
         except (OSError, asyncio.CancelledError):
             # Connections end when the proxy's loop ends; asyncio would
@@ -137,22 +147,16 @@
             self._links.discard(link)
             link.abort()
 
-    def _count_sent(self, count: int) -> None:
-        self.bytes_sent += count
-
-    def _count_back(self, count: int) -> None:
-        self.bytes_received += count
-
     async def _pump(
         self,
         link: "_Link",
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        count: Callable[[int], None],
+        direction: "_Direction",
     ) -> None:
         pending: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(64)
         sender = asyncio.create_task(
-            self._send_pending(link, pending, writer, count)
+            self._send_pending(link, pending, writer, direction)
         )
         try:
             # Reading goes on while earlier data waits for its delay, so that
@@ -169,14 +173,13 @@
         link: "_Link",
         pending: "asyncio.Queue[tuple[float, bytes]]",
         writer: asyncio.StreamWriter,
-        count: Callable[[int], None],
+        direction: "_Direction",
     ) -> None:
         while True:
             arrived, data = await pending.get()
-            faults = self._faults
-            wait_s = arrived + faults.delay_s - time.monotonic()
-            if faults.bytes_per_s:
-                wait_s = max(wait_s, 0.0) + len(data) / faults.bytes_per_s
+            due = arrived + self._faults.delay_s
+            due = direction.reserve(len(data), due, self._faults.bytes_per_s)
+            wait_s = due - time.monotonic()
             if wait_s > 0:
                 await asyncio.sleep(wait_s)
             if link.silent:
@@ -186,11 +189,26 @@
                 if writer.can_write_eof():
                     writer.write_eof()
                 return
-            count(len(data))
+            direction.bytes += len(data)
             writer.write(data)
             await writer.drain()
 
 
+class _Direction:
+    """Bytes of all connections in one direction."""
+
+    def __init__(self) -> None:
+        self.bytes = 0
+        self._free_at = 0.0
+
+    def reserve(self, size: int, due: float, bytes_per_s: int) -> float:
+        """Returns when data that is due at a time has passed the link."""
+        if not bytes_per_s:
+            return due
+        self._free_at = max(due, self._free_at) + size / bytes_per_s
+        return self._free_at
+
+
 class _Link:
     """A connection through the proxy."""
 
--- a/src/tanagerport/standin_batch.py
+++ b/src/tanagerport/standin_batch.py
@@ -111,6 +111,7 @@
     started: float
     ended: float | None = None
     outcome: str = "running"
+    first_token_at: float | None = None
     prompt_tokens: int = 0
     cached_tokens: int = 0
     prefilled_tokens: int = 0
@@ -400,6 +401,8 @@
 
     def _produce(self, generation: Generation) -> None:
         entry = generation.entry
+        if entry.first_token_at is None:
+            entry.first_token_at = time.monotonic()
         generation.on_token(entry.output_tokens)
         entry.output_tokens += 1
         truncate_after = self.faults.truncate_after
--- a/tests/test_bench_judge.py
+++ b/tests/test_bench_judge.py
@@ -234,6 +234,12 @@
             "all": 1.0,
         }
 
+    def test_added_time_leaves_out_the_engine(self) -> None:
+        entry = _execution("a", first_token_at=10.09)
+        history = _history([_whole("a")], [entry])
+        added_s = bench_judge.median_added_first_token_s(history)
+        assert added_s == pytest.approx(0.01)
+
     def test_prefill_is_wasted_unless_its_answer_arrived(self) -> None:
         entries = [
             _execution("a", started=1.0),
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -10,7 +10,7 @@
 import pytest
 import urllib3
 
-from tanagerport.fault_proxy import FaultProxy, LinkFaults
+from tanagerport.fault_proxy import FaultProxy, LinkFaults, _Direction
 from tanagerport.prefix_cache import block_hashes
 from tanagerport.settings import split_address
 from tanagerport.standin_batch import EngineProfile, PrefixCache
@@ -252,6 +252,17 @@
         server.close()
 
 
+class TestBandwidth:
+    """Guards against a limit that each connection has for itself."""
+
+    def test_connections_share_the_bandwidth(self) -> None:
+        direction = _Direction()
+        assert direction.reserve(100, 10.0, 1000) == 10.1
+        assert direction.reserve(100, 10.0, 1000) == pytest.approx(10.2)
+        assert direction.reserve(100, 11.0, 1000) == 11.1
+        assert direction.reserve(100, 10.5, 0) == 10.5
+
+
 _Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
