Reset truncated HTTP/1.0 streams and pass headers between nodes

A body without chunks and without length ended in order when it was cut; the connection is now reset, tested with an HTTP/1.0 caller. Forwarded calls of plain services keep their headers both ways. Old claims of the table service are removed a page at a time.

--- a/src/tanagerport/forwarding.py
+++ b/src/tanagerport/forwarding.py
@@ -1,10 +1,11 @@
 """Requests run at another node, and kept answers of other nodes."""
 
 import threading
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 
 import cachetools
 
+from tanagerport.answer_headers import end_to_end
 from tanagerport.answers import Answer, AnswerKeeper, AnswerState
 from tanagerport.caller_requests import prompt_of
 from tanagerport.clock import Clock
@@ -27,7 +28,12 @@
     UpstreamKind,
     WorkClass,
 )
-from tanagerport.peer_pb2 import FetchAnswerRequest, ForwardRequest, Frame
+from tanagerport.peer_pb2 import (
+    FetchAnswerRequest,
+    ForwardRequest,
+    Frame,
+    Header,
+)
 
 _FETCH_TIMEOUT_S = 2.0
 _MAX_SEEN = 100_000
@@ -57,6 +63,11 @@
         """Content type of the body."""
         return self._head.content_type
 
+    @property
+    def headers(self) -> Sequence[tuple[str, str]]:
+        """Further headers for the caller."""
+        return [(item.name, item.value) for item in self._head.headers]
+
     def chunks(self) -> Iterator[bytes]:
         """Yields the body.
 
@@ -125,6 +136,10 @@
             method=request.method,
             max_output_tokens=request.max_output_tokens or 0,
             content_type=request.content_type,
+            headers=[
+                Header(name=name, value=value)
+                for name, value in request.headers
+            ],
         )
         return self._open(
             node_id, "Forward", message, request.request_id, remaining_s
@@ -217,7 +232,16 @@
         try:
             request = self._build_request(message)
             answer = self._run(request)
-            yield writer.head(answer.status, _content_type(answer))
+            headers = dict(answer.headers)
+            yield writer.head(
+                answer.status,
+                headers.get("Content-Type", "application/octet-stream"),
+                end_to_end(
+                    (name, value)
+                    for name, value in headers.items()
+                    if name != "Content-Type"
+                ),
+            )
             for chunk in answer:
                 yield from writer.data(chunk)
             yield writer.end()
@@ -300,15 +324,7 @@
             service_path=message.service_path,
             method=message.method,
             content_type=message.content_type,
+            headers=tuple(
+                (header.name, header.value) for header in message.headers
+            ),
         )
-
-
-def _content_type(answer: Answer) -> str:
-    return next(
-        (
-            value
-            for name, value in answer.headers
-            if name.lower() == "content-type"
-        ),
-        "application/octet-stream",
-    )
--- a/src/tanagerport/frames.py
+++ b/src/tanagerport/frames.py
@@ -6,7 +6,7 @@
 
 from tanagerport.exceptions import AnswerTruncatedError, RefusedError
 from tanagerport.model import Ran, Refusal, RefusalReason
-from tanagerport.peer_pb2 import Frame
+from tanagerport.peer_pb2 import Frame, Header
 
 _MAX_FRAME_BYTES = 65536
 # Frames held back until the missing ones arrive.
@@ -25,11 +25,19 @@
         self._sequence = 0
         self._digest = xxhash.xxh3_64()
 
-    def head(self, status: int, content_type: str) -> Frame:
+    def head(
+        self,
+        status: int,
+        content_type: str,
+        headers: Iterable[tuple[str, str]] = (),
+    ) -> Frame:
         """Returns the first frame, without data."""
         frame = self._next(b"")
         frame.status = status
         frame.content_type = content_type
+        frame.headers.extend(
+            Header(name=name, value=value) for name, value in headers
+        )
         return frame
 
     def data(self, chunk: bytes) -> Iterator[Frame]:
--- a/src/tanagerport/http_server.py
+++ b/src/tanagerport/http_server.py
@@ -1,5 +1,6 @@
 """Threaded HTTP servers on top of cheroot."""
 
+import contextlib
 import http
 import json
 import logging
@@ -68,6 +69,11 @@
     def respond(self) -> None:
         try:
             super().respond()
+        except Exception:
+            if self.sent_headers and not self.chunked_write:
+                # Only a reset shows that a body without chunks is not whole.
+                self.conn.reset_at_close()
+            raise
         finally:
             self.server.receiving.leave(self.conn)
             if self._writes_directly:
@@ -118,6 +124,7 @@
 class _Connection(server.HTTPConnection):
     RequestHandlerClass = _JsonErrorRequest
     server: "_Server"
+    _is_reset = False
 
     def communicate(self) -> bool:
         try:
@@ -125,6 +132,20 @@
         finally:
             self.server.receiving.leave(self)
 
+    def reset_at_close(self) -> None:
+        """Lets the close of the connection show as a reset."""
+        self._is_reset = True
+        no_linger = struct.pack("ii", 1, 0)
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, no_linger
+            )
+
+    def _close_kernel_socket(self) -> None:
+        # A shutdown would end the connection in order.
+        if not self._is_reset:
+            super()._close_kernel_socket()  # type: ignore[misc]
+
 
 class _Gateway(wsgi.Gateway_10):
     """Lets the application see the connection of its caller."""
--- a/src/tanagerport/peer_answer.py
+++ b/src/tanagerport/peer_answer.py
@@ -20,6 +20,7 @@
         self._forwarded = forwarded
         self._headers = [
             ("Content-Type", forwarded.content_type),
+            *forwarded.headers,
             *headers,
         ]
         self._on_end = on_end
--- a/src/tanagerport/store_claims.py
+++ b/src/tanagerport/store_claims.py
@@ -1,6 +1,8 @@
 """Claims of calls that must not be repeated, kept in the table service."""
 
+import contextlib
 import dataclasses
+import threading
 import uuid
 
 import msgspec
@@ -26,6 +28,8 @@
 PREFIX = "claim/"
 # Booking systems repeat calls after a day at the latest.
 _RETENTION_S = 86_400.0
+# Each node reads a page of at most 1,000 claims in this time.
+_REMOVE_INTERVAL_S = 600.0
 _SETTLE_ATTEMPTS = 3
 _SETTLE_PAUSE_S = 0.05
 _RETRY_AFTER_S = 2.0
@@ -86,6 +90,9 @@
         self._table = table
         self._node_id = node_id
         self._clock = clock
+        self._lock = threading.Lock()
+        self._cursor = ""
+        self._removed_at = clock.monotonic()
 
     def claim(self, request: Request) -> StoreClaim:
         """Claims the request's key.
@@ -100,6 +107,7 @@
             DuplicateKeyError: Another request holds the key.
             RefusedError: The key can't be claimed.
         """
+        self._remove_expired_at_times()
         record_key = _record_key(request)
         value = _StoredClaim(
             operation=uuid.uuid4().hex,
@@ -144,7 +152,7 @@
             self._clock.sleep(_SETTLE_PAUSE_S)
 
     def remove_expired(self, retention_s: float = _RETENTION_S) -> int:
-        """Deletes old claims of one page.
+        """Deletes the old claims of the next page of the table.
 
         Args:
             retention_s: Age at which a claim is deleted, in seconds.
@@ -156,20 +164,36 @@
             PlatformError: The table service could not do it.
         """
         oldest = self._clock.time() - retention_s
+        records = self._table.scan(PREFIX, self._cursor)
+        self._cursor = records[-1].key if records else ""
         removed = 0
-        for record in self._table.scan(PREFIX):
+        for record in records:
             if _DECODER.decode(record.value).claimed_at > oldest:
                 continue
-            try:
+            with contextlib.suppress(StoreConflictError):
                 self._table.transact(
                     [Condition(record.key, record.revision)],
                     [Write(record.key, None)],
                 )
-            except StoreConflictError:
-                continue
-            removed += 1
+                removed += 1
         return removed
 
+    def _remove_expired_at_times(self) -> None:
+        now = self._clock.monotonic()
+        with self._lock:
+            if now - self._removed_at < _REMOVE_INTERVAL_S:
+                return
+            self._removed_at = now
+        threading.Thread(
+            target=self._remove_page, name="claim-removal", daemon=True
+        ).start()
+
+    def _remove_page(self) -> None:
+        try:
+            self.remove_expired()
+        except PlatformError as error:
+            _log.info("old_claims_not_removed", error=str(error))
+
     def _put_if_absent(
         self, record_key: str, value: _StoredClaim
     ) -> _StoredClaim:
--- a/src/tanagerport/stream_pump.py
+++ b/src/tanagerport/stream_pump.py
@@ -5,6 +5,7 @@
 responsible for it: it hands its two sockets to the pump and waits.
 """
 
+import contextlib
 import select
 import socket
 import threading
@@ -244,6 +245,8 @@
     def _end(self, stream: PumpedStream, error: UpstreamError | None) -> None:
         for fd in (stream.upstream_fd, stream.caller_fd):
             if self._streams.pop(fd, None) is not None:
-                self._epoll.unregister(fd)
+                # A socket that was closed meanwhile is gone already.
+                with contextlib.suppress(OSError, ValueError):
+                    self._epoll.unregister(fd)
         stream.error = error
         stream.done.set()
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -277,6 +277,27 @@
         assert (error["reason"], error["ran"]) == ("truncated", "unknown")
         assert error["request_id"] == service.received[-1].request_id
 
+    def test_truncated_stream_is_reset_without_chunks(
+        self, node: Node, service: ScriptedUpstream
+    ) -> None:
+        """Guards against HTTP/1.0 callers that take a part for the whole."""
+
+        def truncate(request: Received, sock: socket.socket) -> None:
+            send_stream_head(sock, request)
+            sock.sendall(chunk(token_event(request.request_id, 0)))
+            sock.shutdown(socket.SHUT_RDWR)
+
+        service.script = truncate
+        with _connect(node) as sock:
+            head = b"X-Customer: shop\r\nContent-Length: %d\r\n\r\n"
+            sock.sendall(
+                _POST.replace(b"1.1", b"1.0") + head % len(_CHAT) + _CHAT
+            )
+            with pytest.raises(ConnectionResetError):
+                while sock.recv(65536):
+                    pass
+        service.script = _serve
+
     def test_drain_finishes_streams_and_refuses_others(self) -> None:
         end = threading.Event()
 
--- a/tests/test_store_claims.py
+++ b/tests/test_store_claims.py
@@ -143,4 +143,5 @@
         claims.claim(_REQUEST)
         assert claims.remove_expired(60) == 0
         clock.advance(61)
+        assert claims.remove_expired(60) == 0  # The end of the table.
         assert claims.remove_expired(60) == 1
