Refuse keys that a new zone took over from older ones

A zone that is added while a key is in progress becomes the home of some keys whose claims are in another zone; its young homes vouched for them as in a first start. Only zones that start with the deployment do so now. The new test fails without the change.

--- a/src/tanagerport/zone_start.py
+++ b/src/tanagerport/zone_start.py
@@ -10,7 +10,8 @@
 from tanagerport.exceptions import PlatformError, StoreConflictError
 from tanagerport.platform_api import Condition, Record, TableStore, Write
 
-_PREFIX = "zonestart/"
+_ZONE_PREFIX = "zonestart/zone/"
+_NODE_PREFIX = "zonestart/node/"
 # Nodes of a new deployment start within this time.
 _FIRST_START_S = 60.0
 _RETRY_S = 1.0
@@ -27,11 +28,12 @@
 
 
 class ZoneStart:
-    """Records in the table service when a zone and its nodes started.
+    """Records in the table service when zones and nodes started.
 
-    A node that starts with its zone remembers all claims of the zone. Nodes
-    alone can't know that: where all were replaced, none remembers that there
-    were claims. One transaction at each start of a node settles it.
+    A node that starts with the deployment remembers all claims of its zone.
+    Nodes alone can't know that: where all were replaced, none remembers that
+    there were claims. Two small transactions at the first start of a node
+    settle it.
 
     Args:
         table: Table service.
@@ -50,15 +52,15 @@
         clock: Clock,
     ) -> None:
         self._table = table
-        self._zone_key = f"{_PREFIX}{zone}"
-        self._node_key = f"{_PREFIX}{zone}/{node_id}"
+        self._zone_key = f"{_ZONE_PREFIX}{zone}"
+        self._node_key = f"{_NODE_PREFIX}{zone}/{node_id}"
         self._start = _Start(clock.time(), boot_id)
         self._is_first = False
         self._stopping = threading.Event()
 
     @property
     def is_first(self) -> bool:
-        """Whether the zone had no claims before; False until known."""
+        """Whether no key was claimed before; False until known."""
         return self._is_first
 
     def start(self) -> None:
@@ -78,14 +80,19 @@
             Whether it answered.
         """
         try:
-            zone = self._record(self._zone_key)
+            self._record(self._zone_key)
             node = self._record(self._node_key)
+            # A zone that is added later takes over keys of older zones.
+            earliest = min(
+                _DECODER.decode(record.value).at
+                for record in self._table.scan(_ZONE_PREFIX)
+            )
         except PlatformError as error:
             _log.info("zone_start_unknown", error=str(error))
             return False
         self._is_first = (
             node.boot_id == self._start.boot_id
-            and self._start.at - zone.at < _FIRST_START_S
+            and self._start.at - earliest < _FIRST_START_S
         )
         return True
 
--- a/tests/simulated_zones.py
+++ b/tests/simulated_zones.py
@@ -203,6 +203,13 @@
         self.running[new_id] = SimulatedNode(self, new_id)
         return new_id
 
+    def add_zone(self, zone: str, size: int) -> None:
+        """Adds a zone with new nodes."""
+        self.zone_names = sorted([*self.zone_names, zone])
+        self.listed += [f"{zone}-{number}" for number in range(size)]
+        for node_id in self.listed[-size:]:
+            self.running[node_id] = SimulatedNode(self, node_id)
+
     def request(self, key: str, attempt: int = 0, body: bytes = b"") -> Request:
         """Returns a new request with a key."""
         self._request_ids += 1
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -152,6 +152,17 @@
         refusal = _refusal(zones, claimant, "key-1")
         assert refusal.ran is Ran.UNKNOWN
 
+    def test_new_zone_does_not_vouch_for_keys_that_it_takes_over(
+        self,
+    ) -> None:
+        """Guards against a second home zone for keys in progress."""
+        zones = SimulatedZones({"p": 3}, age_s=120)
+        for number in range(20):
+            _claim(zones, "p-0", f"key-{number}")
+        zones.add_zone("q", 3)
+        for number in range(20):
+            assert _refusal(zones, "p-1", f"key-{number}").ran is Ran.UNKNOWN
+
     def test_new_deployment_grants_at_once(self) -> None:
         zones = SimulatedZones({"p": 3}, age_s=1)
         _claim(zones, "p-0", "key-1")
