Read the rest of a refused request before closing

One of two runs of the tests on a busy machine (load 10) lost the 413 of an oversized body: the server closed with unread input, and the reset destroyed the response.

--- a/src/tanagerport/http_server.py
+++ b/src/tanagerport/http_server.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -26,6 +27,10 @@
 _IDLE_TIMEOUT_S = 10
 _STOP_TIMEOUT_S = 1
 _ACCEPT_BACKLOG = 512
+# Bounds of reading the rest of a request that was refused.
+_DRAIN_SILENCE_S = 0.3
+_DRAIN_S = 0.5
+_DRAIN_BYTES = 65536
 
 _TOO_LARGE = "the body exceeds the bound of the server"
 # Keys of the WSGI environment.
@@ -117,6 +122,7 @@
         )
         try:
             self.conn.wfile.write(head.encode("ISO-8859-1") + body)
+            _drain_input(self.conn.socket)
         except OSError:
             _log.debug("client_left_before_error_response", status=status)
 
@@ -308,6 +314,19 @@
     return f"{status} {phrase}"
 
 
+def _drain_input(sock: socket.socket) -> None:
+    """Reads for a short time what the client still sends.
+
+    A close with unread input resets the connection, which can destroy the
+    response before the client has read it.
+    """
+    sock.shutdown(socket.SHUT_WR)
+    sock.settimeout(_DRAIN_SILENCE_S)
+    give_up_at = time.monotonic() + _DRAIN_S
+    while sock.recv(_DRAIN_BYTES) and time.monotonic() < give_up_at:
+        pass
+
+
 def _describe_error(status: str) -> tuple[str, str, str]:
     """Returns status, reason and `ran` of an error that cheroot reports."""
     code = int(status.split(" ", 1)[0])
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -208,6 +208,19 @@
         assert _call(node, "GET", "/services/menu")[0] == 201
         return status, error["reason"]
 
+    def test_early_refusal_survives_the_rest_of_the_body(
+        self, node: Node
+    ) -> None:
+        """Guards against a reset that destroys the refusal unread."""
+        with _connect(node) as sock:
+            sock.sendall(_POST + b"Content-Length: 9000\r\n\r\n")
+            assert sock.recv(1, socket.MSG_PEEK) == b"H"
+            for _ in range(9):
+                sock.sendall(b"[" * 1000)
+            response = http.client.HTTPResponse(sock)
+            response.begin()
+            assert response.status == 413
+
     def test_half_sent_requests_do_not_hold_all_threads(self) -> None:
         """Guards against callers that stop in the middle of a request."""
         service = ScriptedUpstream(_serve)
