--- a/src/tanagerport/http_server.py
+++ b/src/tanagerport/http_server.py
@@ -74,6 +74,9 @@
     def respond(self) -> None:
         try:
             super().respond()
+            if self.close_connection and self._has_unread_input:
+                with contextlib.suppress(OSError):
+                    _drain_input(self.conn.socket)
         except Exception:
             if self.sent_headers and not self.chunked_write:
                 # Only a reset shows that a body without chunks is not whole.
@@ -84,6 +87,12 @@
             if self._writes_directly:
                 self.conn.socket.settimeout(self.server.timeout)
 
+    @property
+    def _has_unread_input(self) -> bool:
+        if self.chunked_read:
+            return not self.rfile.closed
+        return getattr(self.rfile, "remaining", 0) > 0
+
     def direct_socket(self) -> socket.socket | None:
         """Returns the socket if chunks may be written to it directly."""
         return self.conn.socket if self._writes_directly else None
