--- a/tests/simulated_zones.py
+++ b/tests/simulated_zones.py
@@ -137,6 +137,7 @@
         self.lost_replies: dict[str, int] = {}
         self.delayed: list[tuple[str, str, Any]] = []
         self.delay_next_to: str = ""
+        self.lose_settle_replies = False
         self.before_call: Callable[[], None] | None = None
         self._request_ids = 0
         self._boot_ids = 0
@@ -171,6 +172,8 @@
             self.delayed.append((receiver, method, message))
             raise PeerError("no answer in time")
         reply = self._handle(receiver, method, message)
+        if method == "Settle" and self.lose_settle_replies:
+            raise PeerError("answer lost, so it is sent again")
         if method == "Claim" and self.lost_replies.get(receiver):
             self.lost_replies[receiver] -= 1
             raise PeerError("answer lost")
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -275,6 +275,13 @@
     def send(self, key: str, node: int, ending: ClaimOutcome | None) -> None:
         self._send(key, self._node(node), ending)
 
+    @rule(key=keys, node=index)
+    def refuse_and_lose_replies(self, key: str, node: int) -> None:
+        """Refuses a claimed request; its settlement is sent twice."""
+        self.zones.lose_settle_replies = True
+        self._send(key, self._node(node), ClaimOutcome.NOT_RUN)
+        self.zones.lose_settle_replies = False
+
     @rule(key=keys, node=index, other=index, ending=endings)
     def send_twice_at_once(
         self, key: str, node: int, other: int, ending: ClaimOutcome | None
