Count a cancelled dispatch until it is released; retry failed pauses

The pipeline's cancel returns before the engine is told, so the slot now stays counted until release. A dispatch that has not reached its engine can't be paused yet; it is tried twice before it is cancelled, and generations that did reach their engine come first. choose_node offers spilling to the pipeline's SpillPolicy.

--- a/src/tanagerport/preemption.py
+++ b/src/tanagerport/preemption.py
@@ -24,6 +24,10 @@
 HOLD_BACK_S = 0.5
 # Loans that would end sooner are not made.
 _MIN_LOAN_S = 0.2
+# Before this age a dispatch may not have reached its engine, which then can't
+# pause it.
+_SETTLED_S = 0.1
+_MAX_FAILED_PAUSES = 2
 _MAX_UPSTREAMS_ASKED = 64
 _MAX_RECLAIMS = 16
 
@@ -76,21 +80,27 @@
 
 
 def choose_victim(
-    uses: Iterable[UpstreamUse],
+    uses: Iterable[UpstreamUse], now: float
 ) -> tuple[UpstreamUse, Dispatch] | None:
     """Returns the generation that is stopped with the least harm.
 
-    The lowest tier goes first; within it one that can be paused, and then
-    the one that started last, which has the least to lose.
+    The lowest tier goes first; within it one that can be paused, that has
+    reached its engine, and that has the latest deadline.
     """
     best: tuple[UpstreamUse, Dispatch] | None = None
-    best_key: tuple[int, bool, float] | None = None
+    best_key: tuple[int, bool, int, bool, float] | None = None
     for use in uses:
         for dispatch in use.victims():
             control = dispatch.control
             if control is None or dispatch.is_changing:
                 continue
-            key = (dispatch.tier, control.can_pause, dispatch.started_at)
+            key = (
+                dispatch.tier,
+                control.can_pause,
+                -dispatch.failed_pauses,
+                now - dispatch.started_at >= _SETTLED_S,
+                dispatch.placement.request.deadline_at,
+            )
             if best_key is None or key > best_key:
                 best_key, best = key, (use, dispatch)
     return best
@@ -148,7 +158,7 @@
             # Each waiting request needs one slot only.
             if changing and changing >= waiting:
                 return True
-            victim = choose_victim(uses)
+            victim = choose_victim(uses, self._clock.monotonic())
             if victim is not None:
                 victim[1].is_changing = True
         if victim is not None:
@@ -171,9 +181,12 @@
             reply = self._lend_free(uses, now)
             if reply is None:
                 victim = choose_victim(
-                    use
-                    for use in uses
-                    if self._host.loan_end(use, now) >= now + _MIN_LOAN_S
+                    (
+                        use
+                        for use in uses
+                        if self._host.loan_end(use, now) >= now + _MIN_LOAN_S
+                    ),
+                    now,
                 )
                 if victim is not None:
                     victim[1].is_changing = True
@@ -203,32 +216,38 @@
     ) -> ReclaimReply | None:
         with self._lock:
             until = self._host.loan_end(use, self._clock.monotonic())
-        self._stop(use, dispatch, until)
+        if not self._stop(use, dispatch, until):
+            return None
         lifetime_s = until - self._clock.monotonic()
         return _granted(use, lifetime_s) if lifetime_s > 0 else None
 
     def _stop(
         self, use: UpstreamUse, dispatch: Dispatch, lent_until: float | None
-    ) -> None:
+    ) -> bool:
+        """Pauses or cancels a dispatch; returns whether either was done."""
         control = dispatch.control
         assert control is not None
-        request_id = dispatch.placement.request.request_id
-        paused = False
-        try:
-            paused = control.can_pause and control.pause()
-            if not paused:
-                control.cancel(RefusalReason.PREEMPTED)
-        finally:
-            with self._lock:
-                self.paused += paused
-                self.cancelled += not paused
-                self._host.on_stopped(use, dispatch, paused, lent_until)
+        paused = control.can_pause and control.pause()
+        if not paused and control.can_pause:
+            dispatch.failed_pauses += 1
+            if dispatch.failed_pauses < _MAX_FAILED_PAUSES:
+                # The engine may not have received the request yet, and
+                # another generation may be easier to pause.
+                dispatch.is_changing = False
+                return False
+        if not paused:
+            control.cancel(RefusalReason.PREEMPTED)
+        with self._lock:
+            self.paused += paused
+            self.cancelled += not paused
+            self._host.on_stopped(use, dispatch, paused, lent_until)
         _log.info(
             "generation_preempted",
-            request_id=request_id,
+            request_id=dispatch.placement.request.request_id,
             upstream=use.vm.vm_id,
             paused=paused,
         )
+        return True
 
     def _reclaim(self, ticket: Ticket, uses: Sequence[UpstreamUse]) -> bool:
         """Asks peers for a slot; returns whether one may come of it."""
--- a/src/tanagerport/routing.py
+++ b/src/tanagerport/routing.py
@@ -300,8 +300,10 @@
         """Takes the free slots that a node of another zone reported."""
         self._free[zone, node_id] = (dict(slots), self._clock.monotonic())
 
-    def choose(self, request: Request, output_tokens: float) -> str | None:
-        """Returns a zone with a free slot and budget; takes both.
+    def choose(
+        self, request: Request, output_tokens: float
+    ) -> tuple[str, str] | None:
+        """Returns a zone and its node with a free slot; takes slot and bytes.
 
         Args:
             request: Request to spill.
@@ -312,10 +314,10 @@
         for zone, region in self._ordered_zones(own.region):
             if zone == own.zone or not self._membership.is_zone_reachable(zone):
                 continue
-            entry = self._find_slot(zone, request.work_class.model)
-            if entry is not None and self._budget.take(region, expected):
-                entry[request.work_class.model] -= 1
-                return zone
+            node_id = self._find_node(zone, request.work_class.model)
+            if node_id is not None and self._budget.take(region, expected):
+                self._free[zone, node_id][0][request.work_class.model] -= 1
+                return zone, node_id
         return None
 
     def _ordered_zones(self, own_region: str) -> Iterable[tuple[str, str]]:
@@ -325,15 +327,12 @@
             regions.items(), key=lambda item: (item[1] != own_region, item[0])
         )
 
-    def _find_slot(self, zone: str, model: str) -> dict[str, int] | None:
+    def _find_node(self, zone: str, model: str) -> str | None:
         oldest = self._clock.monotonic() - _REMOTE_SLOTS_MAX_AGE_S
-        best: dict[str, int] | None = None
-        for (reporting_zone, _), (slots, heard_at) in self._free.items():
-            if (
-                reporting_zone == zone
-                and heard_at >= oldest
-                and slots.get(model, 0) > 0
-                and (best is None or slots[model] > best[model])
-            ):
-                best = slots
+        best: str | None = None
+        most = 0
+        for (reporting_zone, node_id), (slots, heard_at) in self._free.items():
+            free = slots.get(model, 0)
+            if reporting_zone == zone and heard_at >= oldest and free > most:
+                best, most = node_id, free
         return best
--- a/src/tanagerport/upstream_use.py
+++ b/src/tanagerport/upstream_use.py
@@ -35,6 +35,8 @@
         holds_slot: Whether it counts against the slots.
         is_paused: Whether it was paused and waits to be resumed.
         is_changing: Whether a pause, resume or cancel is under way.
+        failed_pauses: Pauses that the upstream did not confirm.
+        paused_at: Monotonic seconds of the last pause; 0 before the first.
     """
 
     placement: Placement
@@ -49,6 +51,7 @@
     holds_slot: bool = True
     is_paused: bool = False
     is_changing: bool = False
+    failed_pauses: int = 0
     paused_at: float = 0.0
     first_token_sampled: bool = False
     late_sampled_at: float = 0.0
--- a/src/tanagerport/zone_scheduler.py
+++ b/src/tanagerport/zone_scheduler.py
@@ -70,6 +70,13 @@
 _BYTES_PER_TOKEN = 4
 _WORKERS = 4
 _MODELS_PER_HEARTBEAT = 8
+_SPILLED_REASONS = frozenset(
+    {
+        RefusalReason.NO_UPSTREAM,
+        RefusalReason.QUEUE_FULL,
+        RefusalReason.DEADLINE_UNREACHABLE,
+    }
+)
 
 
 class ZoneScheduler:
@@ -259,11 +266,31 @@
             now = self._begin()
             if not self._needs_spill(request, now):
                 return None
-            zone = self._spill.choose(request, self._lengths.mean(request))
-            if zone is not None:
-                self._log_start(request, now)
-                self._log.add(request.request_id, now, "spilled", zone=zone)
-            return zone
+            target = self._choose_spill(request, now)
+            return target[0] if target else None
+
+    def choose_node(self, request: Request, refusal: Refusal) -> str | None:
+        """Returns a node of another zone for a refused request, or None."""
+        if refusal.reason not in _SPILLED_REASONS:
+            return None
+        with self._lock:
+            target = self._choose_spill(request, self._begin())
+            return target[1] if target else None
+
+    def _choose_spill(
+        self, request: Request, now: float
+    ) -> tuple[str, str] | None:
+        target = self._spill.choose(request, self._lengths.mean(request))
+        if target is not None:
+            self._log_start(request, now)
+            self._log.add(
+                request.request_id,
+                now,
+                "spilled",
+                zone=target[0],
+                node=target[1],
+            )
+        return target
 
     def take_cache_events(
         self, upstream_id: str, events: Iterable[CacheEvent], gap: bool
@@ -362,14 +389,16 @@
     ) -> None:
         """Takes the slot of a paused or cancelled dispatch."""
         now = self._clock.monotonic()
-        dispatch.is_changing = False
         if lent_until is not None:
             self._holder.lend(use.vm.vm_id, lent_until)
         if dispatch.placement.placement_id in use.dispatches:
+            # A cancelled dispatch holds its slot until the pipeline has told
+            # the engine and releases it.
             if paused:
+                dispatch.is_changing = False
                 dispatch.is_paused, dispatch.paused_at = True, now
                 use.paused.append(dispatch)
-            self._pool.give(use, dispatch, now)
+                self._pool.give(use, dispatch, now)
             self._log.add(
                 dispatch.placement.request.request_id,
                 now,
