Pause less: wait 80 ms first, and reserve more after preemptions

A top-tier request now waits 80 ms for a slot that ends by itself, each preemption reserves one more slot for a while, urgent paused generations may use the reserve, and a lower-tier request whose expected finish lies beyond its deadline is refused before its prefill.

--- a/src/tanagerport/preemption.py
+++ b/src/tanagerport/preemption.py
@@ -324,10 +324,15 @@
         One that would miss its deadline by waiting longer goes before its
         own tier, but never before the top tier.
         """
-        request = dispatch.placement.request
-        slack_s = request.deadline_at - now - self._remaining_s(dispatch)
-        is_urgent = slack_s < 2 * self._remaining_s(dispatch)
-        return max(1, dispatch.tier - 1) if is_urgent else dispatch.tier
+        if self.is_urgent(dispatch, now):
+            return max(1, dispatch.tier - 1)
+        return dispatch.tier
+
+    def is_urgent(self, dispatch: Dispatch, now: float) -> bool:
+        """Returns whether a generation must go on soon to end in time."""
+        remaining_s = self._remaining_s(dispatch)
+        deadline_at = dispatch.placement.request.deadline_at
+        return deadline_at - now < 3 * remaining_s
 
     def choose(self, paused: Iterable[Dispatch], now: float) -> Dispatch | None:
         """Returns the generation to resume first."""
--- a/src/tanagerport/routing.py
+++ b/src/tanagerport/routing.py
@@ -264,7 +264,7 @@
     interval_s = speed.interval_s
     # Every further request in the batch slows the whole batch down.
     usage = use.in_use / use.usable if use.usable > 0 else 1.0
-    finish_s = first_token_s + output * interval_s * (1.0 + 0.5 * usage)
+    finish_s = first_token_s + output * interval_s * (0.75 + 0.5 * usage)
     if use.load is not None and use.load.waiting:
         finish_s += use.load_weight * use.load.waiting * first_token_s
     if not speed.is_known:
--- a/src/tanagerport/slot_pool.py
+++ b/src/tanagerport/slot_pool.py
@@ -103,6 +103,7 @@
             if use.load is not None:
                 use.load_weight = load_weight(use.load, now)
             use.versions.clear()
+            use.decay_pressure(now)
             self._coordinator.apply_load(vm_id, use.load, now)
 
     def update_all(self, now: float) -> None:
--- a/src/tanagerport/upstream_use.py
+++ b/src/tanagerport/upstream_use.py
@@ -16,6 +16,8 @@
 # Nodes with at least this many slots keep one free of lower tiers.
 _MIN_SLOTS_WITH_RESERVE = 3
 _SLOTS_PER_RESERVED = 8
+# Each preemption reserves one more slot; the addition halves in this time.
+_PRESSURE_HALF_LIFE_S = 3.0
 
 
 @dataclasses.dataclass(eq=False)
@@ -93,6 +95,8 @@
         self.held_back_until = 0.0
         # When all slots open to lower tiers were last in use.
         self.full_at = float("-inf")
+        self._pressure = 0.0
+        self._pressed_at = 0.0
         # Versions by (model, version) of the request; reset by each refresh.
         self.versions: dict[tuple[str, str], str | None] = {}
         self._interval_targets: dict[str, tuple[float, float]] = {}
@@ -119,7 +123,24 @@
         """Slots that lower tiers leave free."""
         if not self.is_engine or self.usable < _MIN_SLOTS_WITH_RESERVE:
             return 0
-        return max(1, self.usable // _SLOTS_PER_RESERVED)
+        base = max(1, self.usable // _SLOTS_PER_RESERVED)
+        return min(base + int(self._pressure), self.usable // 2)
+
+    def note_preemption(self, now: float) -> None:
+        """Reserves more: too many lower-tier generations were let in.
+
+        A paused generation may not end before its deadline, and then its
+        prefill was wasted.
+        """
+        self.decay_pressure(now)
+        self._pressure += 1.0
+
+    def decay_pressure(self, now: float) -> None:
+        """Lets the additional reserve shrink with time."""
+        if self._pressure:
+            age_s = now - self._pressed_at
+            self._pressure *= 0.5 ** (age_s / _PRESSURE_HALF_LIFE_S)
+        self._pressed_at = now
 
     @property
     def lower_tier_running(self) -> int:
--- a/src/tanagerport/zone_scheduler.py
+++ b/src/tanagerport/zone_scheduler.py
@@ -60,6 +60,12 @@
 # A waiting top-tier request looks for a slot again after these times: soon
 # where one was freed, later where none runs that could be stopped.
 _PREEMPT_AGAIN_S = 0.02
+# Short top-tier answers end all the time, so a slot is often free within this
+# time and no generation has to be paused for it.
+_PREEMPT_AFTER_S = 0.08
+# A lower-tier request is refused at dispatch only if it would miss its
+# deadline even on an upstream that is this much faster than expected.
+_FINISH_OPTIMISM = 0.85
 _RECLAIM_AGAIN_S = 0.1
 _NO_VICTIMS_MAX_AGE_S = 0.3
 _WAIT_S = 1.0
@@ -389,6 +395,7 @@
     ) -> None:
         """Takes the slot of a paused or cancelled dispatch."""
         now = self._clock.monotonic()
+        use.note_preemption(now)
         if lent_until is not None:
             self._holder.lend(use.vm.vm_id, lent_until)
         if dispatch.placement.placement_id in use.dispatches:
@@ -555,6 +562,8 @@
     def _wait(self, ticket: Ticket) -> None:
         event = ticket.event
         assert event is not None
+        if ticket.tier == 0:
+            event.wait(_PREEMPT_AFTER_S)
         while not ticket.is_decided:
             pause_s = _WAIT_S
             if ticket.tier == 0:
@@ -658,11 +667,34 @@
             decision = self._route(ticket, key, now)
             if decision is None:
                 passed_over.append(ticket)
-            else:
+            elif not self._is_too_late(ticket, decision, now):
                 self._place(ticket, queue, decision, now)
         for ticket in passed_over:
             queue.push(ticket)
 
+    def _is_too_late(
+        self, ticket: Ticket, decision: RoutingDecision, now: float
+    ) -> bool:
+        """Refuses a taken ticket whose prefill would be wasted."""
+        remaining_s = ticket.request.deadline_at - now
+        finish_s = decision.best.finish_s
+        if (
+            ticket.tier == 0
+            or not decision.best.use.speed.is_known
+            or finish_s * _FINISH_OPTIMISM <= remaining_s
+        ):
+            return False
+        self._bounds.leave(ticket.tier)
+        self._refuse(
+            ticket,
+            RefusalReason.DEADLINE_UNREACHABLE,
+            f"the answer takes {finish_s:.1f} s and the deadline is in"
+            f" {remaining_s:.1f} s",
+            now,
+            finish_s,
+        )
+        return True
+
     def _is_hopeless(self, ticket: Ticket, now: float) -> bool:
         """Refuses a taken ticket that can't be answered in time."""
         remaining_s = ticket.request.deadline_at - now
@@ -763,7 +795,10 @@
                 ),
                 default=TIERS,
             )
-            if waiting < tier or not use.is_free_for(dispatch.tier, now):
+            is_urgent = self._resume_order.is_urgent(dispatch, now)
+            if waiting < tier or not (
+                is_urgent or use.is_free_for(dispatch.tier, now)
+            ):
                 return
             use.paused.remove(dispatch)
             dispatch.is_paused, dispatch.is_changing = False, True
