Let top-tier requests wait briefly for an engine that is quick enough

With one engine slowed down, top-tier requests went to it when it was the only one with a free slot, and were sure to miss their token interval. They now wait up to 0.25 s if another upstream meets the target, and preempt there.

--- a/src/tanagerport/preemption.py
+++ b/src/tanagerport/preemption.py
@@ -158,7 +158,9 @@
             # Each waiting request needs one slot only.
             if changing and changing >= waiting:
                 return True
-            victim = choose_victim(uses, self._clock.monotonic())
+            target_s = ticket.request.work_class.token_interval_target_s
+            quick = [use for use in uses if use.is_quick_for(target_s)]
+            victim = choose_victim(quick or uses, self._clock.monotonic())
             if victim is not None:
                 victim[1].is_changing = True
         if victim is not None:
--- a/src/tanagerport/upstream_use.py
+++ b/src/tanagerport/upstream_use.py
@@ -147,6 +147,14 @@
         """Lower-tier requests in progress."""
         return self.in_use - self.in_use_by_tier[0]
 
+    def is_quick_for(self, interval_target_s: float) -> bool:
+        """Returns whether its observed token interval meets a target."""
+        return (
+            not self.speed.is_known
+            or not self.is_engine
+            or self.speed.interval_s <= interval_target_s
+        )
+
     def is_free_for(self, tier: int, now: float) -> bool:
         """Returns whether a request of a tier may be dispatched here."""
         if tier == 0:
--- a/src/tanagerport/zone_scheduler.py
+++ b/src/tanagerport/zone_scheduler.py
@@ -69,6 +69,8 @@
 _RECLAIM_AGAIN_S = 0.1
 _NO_VICTIMS_MAX_AGE_S = 0.3
 _WAIT_S = 1.0
+# A first token is due after 0.51 s, and a free engine takes about 0.1 s.
+_HOLD_OUT_S = 0.25
 _ASSUMED_INTERVAL_S = 0.02
 _DURATION_WEIGHT = 0.1
 # Prefill of a token costs an engine about a tenth of decoding one.
@@ -719,13 +721,34 @@
             # The version may have been convicted while the request waited.
             wanted = self._versions.choose_version(ticket.request)
             ticket.version = self._match_version(key, wanted)
-        return self._router.choose(
+        decision = self._router.choose(
             ticket.request,
             ticket.version,
             self._pool.uses,
             self._pool.free_list(key, ticket.tier),
             lambda use: self._is_allowed(use, ticket),
         )
+        if decision is not None and self._should_hold_out(
+            ticket, decision, now
+        ):
+            return None
+        return decision
+
+    def _should_hold_out(
+        self, ticket: Ticket, decision: RoutingDecision, now: float
+    ) -> bool:
+        """Returns whether a top-tier request waits for a better upstream.
+
+        Where only a slowed upstream is free, a short wait for another one
+        still meets the targets and the slow answer would not.
+        """
+        if ticket.tier > 0 or now - ticket.queued_at >= _HOLD_OUT_S:
+            return False
+        target_s = ticket.request.work_class.token_interval_target_s
+        return not decision.best.use.is_quick_for(target_s) and any(
+            use.usable > 0 and use.is_quick_for(target_s)
+            for use in self.suitable(ticket)
+        )
 
     def _place(
         self,
--- a/tests/test_zone_scheduler.py
+++ b/tests/test_zone_scheduler.py
@@ -405,6 +405,23 @@
         chosen = [node.place(f"s{n}").vm.vm_id for n in range(3)]
         assert chosen == ["fast"] * 3
 
+    def test_top_tier_waits_for_an_engine_that_is_quick_enough(self) -> None:
+        """Guards against top-tier answers that are sure to be slow."""
+        clock = FakeClock()
+        node = Node([make_vm("fast", slots=1), make_vm("slow")], clock)
+        for name in ("a", "b"):
+            vm_id = node.place(name).vm.vm_id
+            node.finish(
+                name, Outcome(True, True, 0.05, 1 + 9 * (vm_id == "slow"), 50)
+            )
+        assert node.place("busy").vm.vm_id == "fast"
+        node.start("top")
+        assert node.waiting == 1
+        clock.advance(0.3)
+        node.scheduler.tick()
+        wait_for(lambda: "top" in node.placed)
+        assert node.placements["top"].vm.vm_id == "slow"
+
     def test_cached_prefix_is_preferred(self) -> None:
         node = Node([make_vm(f"e{number}") for number in range(4)])
         rng = random.Random(3)
