--- a/src/tanagerport/slope_fit.py
+++ b/src/tanagerport/slope_fit.py
@@ -1,7 +1,9 @@
 """Linear fits of a measured cost against a size."""
 
 import dataclasses
+import gc
 import statistics
+import tracemalloc
 from collections.abc import Callable, Sequence
 
 
@@ -74,5 +76,20 @@
     )
 
 
+def memory_of(build: Callable[[], object]) -> float:
+    """Returns bytes that the built object holds."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        built = build()
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    del built
+    return float(after - before)
+
+
 def _rounded(value: float) -> float:
     return float(f"{value:.4g}")
--- a/src/tanagerport/slopes.py
+++ b/src/tanagerport/slopes.py
@@ -7,9 +7,8 @@
 
 import asyncio
 import dataclasses
-import gc
+import itertools
 import time
-import tracemalloc
 from collections.abc import Callable, Iterator, Mapping
 
 from tanagerport.clock import SystemClock
@@ -21,6 +20,7 @@
 )
 from tanagerport.config_state import ConfigurationState
 from tanagerport.configuration import ConfigurationStore
+from tanagerport.data_path_slopes import data_path_slopes
 from tanagerport.fault_proxy import FaultProxy
 from tanagerport.interfaces import NodeView
 from tanagerport.membership import Membership
@@ -34,7 +34,7 @@
 from tanagerport.peer_server import HandlerRegistry, PeerServer
 from tanagerport.platform_memory import MemoryTableStore, MemoryVMList
 from tanagerport.settings import PlatformSettings, Settings
-from tanagerport.slope_fit import Slope, fit_slope
+from tanagerport.slope_fit import Slope, fit_slope, memory_of
 from tanagerport.spread import Spread
 
 _LOOPBACK = "127.0.0.1:0"
@@ -53,10 +53,13 @@
     Returns:
         Document of each slope by name.
     """
-    return {slope.name: slope.to_document() for slope in _all_slopes()}
+    slopes = itertools.chain(
+        _control_slopes(), data_path_slopes(slope_settings())
+    )
+    return {slope.name: slope.to_document() for slope in slopes}
 
 
-def _all_slopes() -> Iterator[Slope]:
+def _control_slopes() -> Iterator[Slope]:
     yield fit_slope(
         "heartbeat_exchange_cpu",
         "s of processor for one exchange with one peer, both sides",
@@ -73,13 +76,13 @@
         "membership_node_memory",
         "bytes for each entry node known",
         _STATE_SIZES,
-        lambda size: _memory_of(lambda: _membership(nodes=size)),
+        lambda size: memory_of(lambda: _membership(nodes=size)),
     )
     yield fit_slope(
         "membership_upstream_memory",
         "bytes for each upstream known",
         _STATE_SIZES,
-        lambda size: _memory_of(lambda: _membership(upstreams=size)),
+        lambda size: memory_of(lambda: _membership(upstreams=size)),
     )
     yield fit_slope(
         "vm_list_read_cpu",
@@ -91,7 +94,7 @@
         "class_memory",
         "bytes for each class in force",
         _CHANGE_SIZES,
-        lambda size: _memory_of(lambda: _state_with_classes(size)),
+        lambda size: memory_of(lambda: _state_with_classes(size)),
     )
     yield fit_slope(
         "change_apply_cpu",
@@ -301,21 +304,6 @@
     return (time.process_time() - started) / repeats
 
 
-def _memory_of(build: Callable[[], object]) -> float:
-    """Returns bytes that the built object holds."""
-    gc.collect()
-    tracemalloc.start()
-    try:
-        before, _ = tracemalloc.get_traced_memory()
-        built = build()
-        gc.collect()
-        after, _ = tracemalloc.get_traced_memory()
-    finally:
-        tracemalloc.stop()
-    del built
-    return float(after - before)
-
-
 def as_table(slopes: Mapping[str, Mapping[str, object]]) -> str:
     """Returns the slopes as lines of a Markdown table."""
     lines = [
