--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -136,9 +136,7 @@
 class TestHeartbeats:
     """Guards against convictions that travel late or cost bytes forever."""
 
-    def test_conviction_wakes_peers_and_travels_until_it_is_known(
-        self,
-    ) -> None:
+    def test_conviction_wakes_peers_and_travels_until_it_is_known(self) -> None:
         node, other = _Node("n1", "n2"), _Node("n2", "n1")
         node.store.add_conviction("tutor", "v2", "errors")
         assert node.peers.wakes == 1
