--- a/src/tanagerport/configuration.py
+++ b/src/tanagerport/configuration.py
@@ -85,6 +85,7 @@
         self._random = random.Random(seed)
         self._sync_lock = threading.Lock()
         self._has_synced = False
+        self._acceptance_listeners: list[Callable[[], None]] = []
 
     @property
     def state(self) -> ConfigurationState:
@@ -125,6 +126,10 @@
         """Calls `listener` after each change, in the changing thread."""
         self._state.add_listener(listener)
 
+    def add_acceptance_listener(self, listener: Callable[[], None]) -> None:
+        """Calls `listener` after each change that this node accepted."""
+        self._acceptance_listeners.append(listener)
+
     def add_conviction(self, model: str, version: str, reason: str) -> None:
         """Records a bad version at once and spreads it.
 
@@ -309,6 +314,8 @@
             writes.append(Write(log_key(version - LOG_LENGTH), None))
         self._table.transact(conditions, writes)
         self._config_log.take([log_entry])
+        for listener in self._acceptance_listeners:
+            listener()
         return Acceptance(operation_id, version, now)
 
     def _back_off(self, attempt: int) -> None:
--- a/src/tanagerport/spread.py
+++ b/src/tanagerport/spread.py
@@ -117,6 +117,9 @@
         self._fetch_wanted: asyncio.Event | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
         store.add_listener(self._on_change)
+        # Only the accepting node hurries; others learn of the change from it,
+        # and from each other with the next heartbeats.
+        store.add_acceptance_listener(peers.wake)
         self._announced = store.state.snapshot.convictions_digest
 
     @property
@@ -338,8 +341,6 @@
     def _on_change(self) -> None:
         digest = self._store.state.snapshot.convictions_digest
         if digest != self._announced:
-            # Only a new conviction hurries; other changes travel with the
-            # next heartbeat.
             self._announced = digest
             self._peers.wake()
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -153,6 +153,10 @@
         node.spread.fill(later, view)
         assert not later.convictions
 
+    def test_accepted_change_wakes_peers(self) -> None:
+        """Guards against a change that waits for each hop's heartbeat."""
+        assert _source(versions=2).peers.wakes == 2
+
     def test_old_conviction_is_fetched_by_digest(self) -> None:
         node, other = _Node("n1"), _Node("n2")
         node.store.add_conviction("tutor", "v2", "errors")
