--- a/src/tanagerport/http_server.py
+++ b/src/tanagerport/http_server.py
@@ -1,11 +1,13 @@
 """Threaded HTTP servers on top of cheroot."""
 
+import contextlib
 import http
 import json
 import logging
 import socket
 import struct
 import threading
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -25,6 +27,10 @@
 _IDLE_TIMEOUT_S = 10
 _STOP_TIMEOUT_S = 1
 _ACCEPT_BACKLOG = 512
+# Bounds of reading the rest of a request that was refused.
+_DRAIN_SILENCE_S = 0.3
+_DRAIN_S = 0.5
+_DRAIN_BYTES = 65536
 
 _TOO_LARGE = "the body exceeds the bound of the server"
 # Keys of the WSGI environment.
@@ -68,11 +74,25 @@
     def respond(self) -> None:
         try:
             super().respond()
+            if self.close_connection and self._has_unread_input:
+                with contextlib.suppress(OSError):
+                    _drain_input(self.conn.socket)
+        except Exception:
+            if self.sent_headers and not self.chunked_write:
+                # Only a reset shows that a body without chunks is not whole.
+                self.conn.reset_at_close()
+            raise
         finally:
             self.server.receiving.leave(self.conn)
             if self._writes_directly:
                 self.conn.socket.settimeout(self.server.timeout)
 
+    @property
+    def _has_unread_input(self) -> bool:
+        if self.chunked_read:
+            return not self.rfile.closed
+        return getattr(self.rfile, "remaining", 0) > 0
+
     def direct_socket(self) -> socket.socket | None:
         """Returns the socket if chunks may be written to it directly."""
         return self.conn.socket if self._writes_directly else None
@@ -111,6 +131,7 @@
         )
         try:
             self.conn.wfile.write(head.encode("ISO-8859-1") + body)
+            _drain_input(self.conn.socket)
         except OSError:
             _log.debug("client_left_before_error_response", status=status)
 
@@ -118,6 +139,7 @@
 class _Connection(server.HTTPConnection):
     RequestHandlerClass = _JsonErrorRequest
     server: "_Server"
+    _is_reset = False
 
     def communicate(self) -> bool:
         try:
@@ -125,6 +147,20 @@
         finally:
             self.server.receiving.leave(self)
 
+    def reset_at_close(self) -> None:
+        """Lets the close of the connection show as a reset."""
+        self._is_reset = True
+        no_linger = struct.pack("ii", 1, 0)
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, no_linger
+            )
+
+    def _close_kernel_socket(self) -> None:
+        # A shutdown would end the connection in order.
+        if not self._is_reset:
+            super()._close_kernel_socket()  # type: ignore[misc]
+
 
 class _Gateway(wsgi.Gateway_10):
     """Lets the application see the connection of its caller."""
@@ -287,6 +323,19 @@
     return f"{status} {phrase}"
 
 
+def _drain_input(sock: socket.socket) -> None:
+    """Reads for a short time what the client still sends.
+
+    A close with unread input resets the connection, which can destroy the
+    response before the client has read it.
+    """
+    sock.shutdown(socket.SHUT_WR)
+    sock.settimeout(_DRAIN_SILENCE_S)
+    give_up_at = time.monotonic() + _DRAIN_S
+    while sock.recv(_DRAIN_BYTES) and time.monotonic() < give_up_at:
+        pass
+
+
 def _describe_error(status: str) -> tuple[str, str, str]:
     """Returns status, reason and `ran` of an error that cheroot reports."""
     code = int(status.split(" ", 1)[0])
