--- a/src/tanagerport/bench.py
+++ b/src/tanagerport/bench.py
@@ -9,11 +9,14 @@
 
 from absl import flags
 
+from tanagerport import slopes
+from tanagerport.bench_change_judge import summarize_config, summarize_move
+from tanagerport.bench_history import History
 from tanagerport.bench_judge import (
-    History,
     compare_small_customers,
     count_violations,
     goodput_by_tier,
+    median_added_first_token_s,
     median_first_token_s,
     refusals,
     wasted_prefill_tokens,
@@ -22,7 +25,6 @@
 from tanagerport.bench_runner import dump_history, run_side
 from tanagerport.bench_scenarios import (
     LARGE_CUSTOMER,
-    SCENARIOS,
     SCENARIOS_BY_NAME,
     Scenario,
 )
@@ -34,6 +36,8 @@
     merge_traces,
 )
 
+_SLOPES = "slopes"
+
 
 def define_bench_flags(values: flags.FlagValues) -> None:
     """Defines the flags of `bench`."""
@@ -71,8 +75,10 @@
     """Runs a scenario and prints its result."""
     del arguments
     if values.scenario == "list":
-        print("\n".join(item.name for item in SCENARIOS))
+        print("\n".join([*SCENARIOS_BY_NAME, _SLOPES]))
         return 0
+    if values.scenario == _SLOPES:
+        return _run_slopes(values.seed, values.json)
     scenario = SCENARIOS_BY_NAME.get(values.scenario)
     if scenario is None:
         raise flags.Error(f"--scenario: there is no {values.scenario!r}")
@@ -86,6 +92,14 @@
     return 0
 
 
+def _run_slopes(seed: int, as_json: bool) -> int:
+    """Measures the slopes of docs/CAPACITY.md, which have no naive side."""
+    measured = slopes.measure_slopes()
+    document = {"scenario": _SLOPES, "seed": seed, "slopes": measured}
+    print(json.dumps(document, indent=None if as_json else 2))
+    return 0
+
+
 def measure(
     scenario: Scenario,
     seed: int,
@@ -109,6 +123,10 @@
             result[side.value]["small_customers"] = compare_small_customers(
                 history.calls, LARGE_CUSTOMER
             )
+        if scenario.rollout:
+            result[side.value]["version_move"] = summarize_move(history)
+        if scenario.changes_classes:
+            result[side.value]["config"] = summarize_config(history)
     return result
 
 
@@ -139,6 +157,7 @@
         "offered": len({call.request.marker for call in history.calls}),
         "goodput_by_tier": goodput_by_tier(history.calls),
         "median_first_token_s": median_first_token_s(history.calls),
+        "median_added_first_token_s": median_added_first_token_s(history),
         "wasted_prefill_tokens": wasted_prefill_tokens(history),
         "refusals": refusals(history.calls),
         "violations": count_violations(history),
--- a/src/tanagerport/http_server.py
+++ b/src/tanagerport/http_server.py
@@ -3,6 +3,8 @@
 import http
 import json
 import logging
+import socket
+import struct
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -27,6 +29,7 @@
 _TOO_LARGE = "the body exceeds the bound of the server"
 # Keys of the WSGI environment.
 CALLER_SOCKET = "tanagerport.caller_socket"
+DIRECT_SOCKET = "tanagerport.direct_socket"
 _ON_RECEIVED = "tanagerport.on_received"
 
 _log = structlog.get_logger(__name__)
@@ -40,6 +43,7 @@
     """Reads strictly, and reports protocol errors as JSON."""
 
     header_reader = staticmethod(read_headers)
+    _writes_directly = False
     server: "_Server"
 
     def parse_request(self) -> None:
@@ -66,6 +70,32 @@
             super().respond()
         finally:
             self.server.receiving.leave(self.conn)
+            if self._writes_directly:
+                self.conn.socket.settimeout(self.server.timeout)
+
+    def direct_socket(self) -> socket.socket | None:
+        """Returns the socket if chunks may be written to it directly."""
+        return self.conn.socket if self._writes_directly else None
+
+    def write(self, chunk: bytes) -> None:
+        """Writes a chunk without the buffer of cheroot.
+
+        Its buffer is written in Python, and a socket timeout of Python costs
+        a second system call for each write; the kernel's bound does not.
+        """
+        if not self.chunked_write or not chunk:
+            super().write(chunk)
+            return
+        sock = self.conn.socket
+        if not self._writes_directly:
+            self._writes_directly = True
+            sock.settimeout(None)
+            sock.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_SNDTIMEO,
+                struct.pack("ll", int(self.server.timeout), 0),
+            )
+        sock.sendall(b"%x\r\n%b\r\n" % (len(chunk), chunk))
 
     def simple_response(self, status: str | int, msg: str = "") -> None:
         status, reason, ran = _describe_error(str(status))
@@ -104,6 +134,7 @@
         connection = self.req.conn
         receiving = self.req.server.receiving
         environ[CALLER_SOCKET] = connection.socket
+        environ[DIRECT_SOCKET] = self.req.direct_socket
         environ[_ON_RECEIVED] = lambda: receiving.leave(connection)
         return environ
 
--- a/src/tanagerport/peer_answer.py
+++ b/src/tanagerport/peer_answer.py
@@ -1,5 +1,6 @@
 """Answers that another node sends, and answers with added headers."""
 
+import socket
 from collections.abc import Callable, Iterator, Sequence
 
 from tanagerport.answers import Answer, AnswerRecorder
@@ -24,6 +25,12 @@
         self._on_end = on_end
         self._recorder = recorder
         self._ended = False
+        self._bytes_received = 0
+
+    @property
+    def bytes_received(self) -> int:
+        """Bytes of the body so far."""
+        return self._bytes_received
 
     @property
     def status(self) -> int:
@@ -38,11 +45,15 @@
     def __iter__(self) -> Iterator[bytes]:
         """Yields the body as it arrives."""
         for chunk in self._forwarded.chunks():
+            self._bytes_received += len(chunk)
             if self._recorder is not None:
                 self._recorder.add(chunk)
             yield chunk
         self._end(complete=True)
 
+    def relay_rest(self, caller: socket.socket) -> None:
+        """Leaves all to the iteration."""
+
     def close(self) -> None:
         """Ends an answer that was not read to its end."""
         if not self._ended:
@@ -76,6 +87,10 @@
         """Yields the body as it arrives."""
         return iter(self._answer)
 
+    def relay_rest(self, caller: socket.socket) -> None:
+        """Writes the rest of the body to the caller's socket."""
+        self._answer.relay_rest(caller)
+
     def close(self) -> None:
         """Ends an answer that was not read to its end."""
         self._answer.close()
