--- a/src/tanagerport/evidence.py
+++ b/src/tanagerport/evidence.py
@@ -37,6 +37,7 @@
 _MAX_POOLING_NODES = 16
 # Spaces the scans of one rollout: 600 records every 5 s.
 _RECORDS_PER_S = 120.0
+_MIN_READ_INTERVAL_S = 0.2
 
 
 class _RouteRow(msgspec.Struct, array_like=True, frozen=True):
@@ -191,7 +192,10 @@
             StoreUnavailableError: The store can't be reached.
         """
         now = self._clock.monotonic()
-        if now - self._read_at < len(self._baselines) / _RECORDS_PER_S:
+        interval_s = max(
+            _MIN_READ_INTERVAL_S, len(self._baselines) / _RECORDS_PER_S
+        )
+        if now - self._read_at < interval_s:
             return
         increments: dict[Scope, ScopeEvidence] = {}
         for record in self._table.scan(f"{EVIDENCE_PREFIX}{self._model}/"):
--- a/src/tanagerport/rollout.py
+++ b/src/tanagerport/rollout.py
@@ -27,7 +27,7 @@
 from tanagerport.rollout_phases import Situation, decide
 from tanagerport.version_policy import KEEP_OLD_S, MoveVersionPolicy
 
-_STEP_S = 0.25
+_STEP_S = 0.1  # reads of engines and evidence keep to longer intervals
 # The lease is renewed when this part of it is over.
 _RENEW_PART = 1 / 3
 # Nodes that try to get a model's lease: 3 nodes for 21 models, each once in a
