Extend the watch period while a verdict is near

After: with a score of 2 or more, or slow samples not yet graded, the watch goes on until 4% of the time is left.

--- a/src/tanagerport/detection.py
+++ b/src/tanagerport/detection.py
@@ -214,6 +214,11 @@
         """Sums by scope."""
         return self._evidence
 
+    @property
+    def ungraded(self) -> int:
+        """Slow samples that wait for control samples."""
+        return len(self._pending)
+
     @property
     def traffic(self) -> Mapping[Scope, int]:
         """Samples of both versions by route."""
--- a/src/tanagerport/detection_measurement.py
+++ b/src/tanagerport/detection_measurement.py
@@ -163,7 +163,7 @@
         """Pools all nodes' evidence as the rollout controller does."""
         for index, monitor in enumerate(self._monitors):
             evidence = make_node_evidence(
-                self._move, "i", 0, monitor.evidence, monitor.traffic
+                self._move, "i", 0, 0, monitor.evidence, monitor.traffic
             )
             key = f"{EVIDENCE_PREFIX}{_MODEL}/n{index}"
             content = msgspec.json.encode(evidence)
--- a/src/tanagerport/evidence.py
+++ b/src/tanagerport/evidence.py
@@ -64,6 +64,7 @@
         started: Start of the rollout, which identifies it.
         instance: Identity of the node's process.
         chosen: Requests chosen for the new version at the canary share.
+        ungraded: Slow samples that wait for control samples.
         routes: Sums by route.
         traffic: Ended requests of both versions by route.
     """
@@ -72,6 +73,7 @@
     started: float
     instance: str
     chosen: int
+    ungraded: int
     routes: list[_RouteRow]
     traffic: list[_TrafficRow]
 
@@ -80,6 +82,7 @@
     move: VersionMove,
     instance: str,
     chosen: int,
+    ungraded: int,
     evidence: Mapping[Scope, ScopeEvidence],
     traffic: Mapping[Scope, int],
 ) -> NodeEvidence:
@@ -89,6 +92,7 @@
         move.started,
         instance,
         chosen,
+        ungraded,
         [
             _RouteRow(
                 scope.class_name,
@@ -115,6 +119,7 @@
 
     instance: str
     chosen: int
+    ungraded: int
     routes: Mapping[Scope, ScopeEvidence]
 
 
@@ -158,6 +163,11 @@
         """Ended requests of both versions."""
         return sum(self.traffic().values())
 
+    @property
+    def ungraded(self) -> int:
+        """Slow samples of all nodes that wait for control samples."""
+        return sum(item.ungraded for item in self._baselines.values())
+
     def matches(self, move: VersionMove) -> bool:
         """Returns whether the pool is about this rollout."""
         return (self._version, self._started) == (
@@ -266,7 +276,9 @@
         for route, evidence in routes.items():
             change = evidence.minus(old.get(route, ScopeEvidence()))
             increments.setdefault(route, ScopeEvidence()).add(change)
-        self._baselines[key] = _Baseline(item.instance, item.chosen, routes)
+        self._baselines[key] = _Baseline(
+            item.instance, item.chosen, item.ungraded, routes
+        )
         self._traffic[f"{key}/{item.instance}"] = {
             Scope(row.class_name, row.upstream_id): row.requests
             for row in item.traffic
--- a/src/tanagerport/ramp.py
+++ b/src/tanagerport/ramp.py
@@ -13,6 +13,7 @@
 
 # Parts of the time from start to deadline. The rest is for loading and canary.
 _MARGIN_PART = 0.08
+_LAST_MARGIN_PART = 0.04
 _WATCH_PART = 0.28
 _RAMP_PART = 0.18
 # Shortest parts that are still accepted when the canary took longer.
@@ -61,6 +62,11 @@
         """Latest planned end of the watch period."""
         return self.deadline - _MARGIN_PART * self.total_s
 
+    @property
+    def last_end(self) -> float:
+        """Latest end of a watch period that is extended in doubt."""
+        return self.deadline - _LAST_MARGIN_PART * self.total_s
+
     @property
     def full_by(self) -> float:
         """Planned time of the full share."""
--- a/src/tanagerport/rollout_phases.py
+++ b/src/tanagerport/rollout_phases.py
@@ -21,6 +21,10 @@
 # good version reaches 3 now and then.
 _POOLED_SLOW_PASS_SCORE = 3.0
 _POOLED_FAILURE_PASS_SCORE = 2.0
+# With a score or ungraded slow samples above these, the watch period goes on
+# while the deadline permits.
+_DOUBT_SCORE = 2.0
+_UNGRADED = 2
 # A ramp stops here until the score falls or the version is convicted.
 _SUSPICION_SCORE = CONVICTION_SCORE / 2
 _NAMED_ROUTES = 3
@@ -179,8 +183,13 @@
     move: VersionMove, situation: Situation, plan: RampPlan
 ) -> VersionMove:
     watched_until = situation.since + plan.watch_s(situation.since)
-    is_suspect = situation.pool.worst_score() >= _SUSPICION_SCORE
-    if situation.now < watched_until or is_suspect:
+    if situation.now < watched_until:
+        return move
+    score = situation.pool.worst_score()
+    is_doubtful = score >= _DOUBT_SCORE or situation.pool.ungraded > _UNGRADED
+    if score >= _SUSPICION_SCORE:
+        return move
+    if is_doubtful and situation.now < plan.last_end:
         return move
     samples = situation.pool.samples
     return _end(
--- a/src/tanagerport/version_policy.py
+++ b/src/tanagerport/version_policy.py
@@ -190,6 +190,7 @@
                     move,
                     self._instance,
                     tracker.canaries.chosen,
+                    tracker.monitor.ungraded,
                     tracker.monitor.evidence,
                     tracker.monitor.traffic,
                 )
--- a/tests/test_rollout_phases.py
+++ b/tests/test_rollout_phases.py
@@ -41,7 +41,7 @@
         evidence[_ROUTES[1]] = second
     traffic = dict.fromkeys(_ROUTES, 100)
     table = MemoryTableStore()
-    item = make_node_evidence(_MOVE, "i", 10, evidence, traffic)
+    item = make_node_evidence(_MOVE, "i", 10, 0, evidence, traffic)
     key = f"{EVIDENCE_PREFIX}{MODEL}/n0"
     table.transact([], [Write(key, msgspec.json.encode(item))])
     pool = EvidencePool(table, _MOVE, FakeClock())
@@ -92,7 +92,7 @@
         for number in range(8):
             route = Scope(("hint", "drill")[number % 2], "e0")
             lost = ScopeEvidence(1, 1, 2.3, 0.0, 0.0)
-            item = make_node_evidence(_MOVE, "i", 0, {route: lost}, {})
+            item = make_node_evidence(_MOVE, "i", 0, 0, {route: lost}, {})
             key = f"{EVIDENCE_PREFIX}{MODEL}/n{number}"
             table.transact([], [Write(key, msgspec.json.encode(item))])
         pool = EvidencePool(table, _MOVE, FakeClock())
@@ -115,6 +115,16 @@
         missed = decide(move, late)
         assert (missed.state, missed.share) == (MoveState.MISSED, 0.0)
 
+    def test_doubt_extends_the_watch_period(self) -> None:
+        """Guards against an end just before the verdict on a late fault."""
+        move = dataclasses.replace(_MOVE, state=MoveState.FULL, share=0.85)
+        doubt = ScopeEvidence(10, 4, 0.0, -1.0, 3.0)
+        doubtful = situation(first=doubt, now=111.2)
+        assert decide(move, situation(now=111.2)).state is MoveState.MET
+        assert decide(move, doubtful).state is MoveState.FULL
+        late = dataclasses.replace(doubtful, now=111.6)
+        assert decide(move, late).state is MoveState.MET
+
     def test_suspect_canary_is_taken_back_at_the_deadline(self) -> None:
         """Guards against a bad version that is reported as merely late."""
         decided = decide(_MOVE, situation(first=_FAILED, now=112.0))
