--- a/src/tanagerport/evidence.py
+++ b/src/tanagerport/evidence.py
@@ -6,7 +6,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Protocol
 
 import msgspec
@@ -144,7 +144,7 @@
         self._baselines: dict[str, _Baseline] = {}
         self._totals: dict[Scope, ScopeEvidence] = {}
         self._charts: dict[Scope, ScoreChart] = {}
-        self._traffic: dict[str, Mapping[Scope, int]] = {}
+        self._traffic: dict[tuple[str, str], Mapping[Scope, int]] = {}
         self._failed_at: dict[str, float] = {}
         self._verdict: Verdict | None = None
 
@@ -187,10 +187,18 @@
         """Returns the worst score of all scopes."""
         return max((item.worst for item in self._charts.values()), default=0.0)
 
-    def traffic(self) -> dict[Scope, int]:
-        """Returns ended requests of both versions by route."""
+    def traffic(
+        self, node_ids: Collection[str] | None = None
+    ) -> dict[Scope, int]:
+        """Returns ended requests of both versions by route.
+
+        Args:
+            node_ids: Nodes whose requests count; None for all.
+        """
         total: dict[Scope, int] = {}
-        for counts in self._traffic.values():
+        for (node_id, _), counts in self._traffic.items():
+            if node_ids is not None and node_id not in node_ids:
+                continue
             for scope, count in counts.items():
                 total[scope] = total.get(scope, 0) + count
         return total
@@ -279,7 +287,8 @@
         self._baselines[key] = _Baseline(
             item.instance, item.chosen, item.ungraded, routes
         )
-        self._traffic[f"{key}/{item.instance}"] = {
+        node_id = key.rpartition("/")[2]
+        self._traffic[(node_id, item.instance)] = {
             Scope(row.class_name, row.upstream_id): row.requests
             for row in item.traffic
         }
--- a/src/tanagerport/rollout.py
+++ b/src/tanagerport/rollout.py
@@ -291,6 +291,7 @@
             loaded=len(missing) < len(engines),
             missing=[vm.vm_id for vm in missing],
             upstream_ids=[vm.vm_id for vm in engines],
+            node_ids=[view.node_id for view in self._membership.live_nodes()],
             pool=pool,
             since=run.since,
             samples_then=run.samples_then,
--- a/src/tanagerport/rollout_phases.py
+++ b/src/tanagerport/rollout_phases.py
@@ -1,7 +1,7 @@
 """Decision of a rollout's next phase from what is known about it."""
 
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from tanagerport.canaries import CANARY_SHARE
 from tanagerport.detection import (
@@ -40,6 +40,8 @@
         loaded: Whether any engine has loaded the new version.
         missing: Engines that have not loaded it.
         upstream_ids: Engines that take new work.
+        node_ids: Live nodes; routes that only other nodes used are not
+            active, because no requests come to them.
         pool: Evidence of all nodes.
         since: Epoch seconds since when this holder saw the current share.
         samples_then: Samples of the new version at that time.
@@ -52,6 +54,7 @@
     loaded: bool
     missing: Sequence[str]
     upstream_ids: Sequence[str]
+    node_ids: Collection[str]
     pool: EvidencePool
     since: float
     samples_then: int
@@ -100,7 +103,9 @@
     if situation.missing:
         return [f"not loaded on {_names(situation.missing)}"]
     routes = active_routes(
-        pool.traffic(), situation.upstream_ids, ACTIVE_ROUTE_SHARE
+        pool.traffic(situation.node_ids),
+        situation.upstream_ids,
+        ACTIVE_ROUTE_SHARE,
     )
     plan = RampPlan(move.started, move.deadline)
     needed = plan.samples_needed(
@@ -127,7 +132,9 @@
 def _suspect_routes(situation: Situation) -> list[Scope]:
     pool = situation.pool
     routes = active_routes(
-        pool.traffic(), situation.upstream_ids, ACTIVE_ROUTE_SHARE
+        pool.traffic(situation.node_ids),
+        situation.upstream_ids,
+        ACTIVE_ROUTE_SHARE,
     )
     return [route for route in routes if pool.chart(route).worst >= PASS_SCORE]
 
--- a/tests/rollout_world.py
+++ b/tests/rollout_world.py
@@ -86,7 +86,8 @@
     def nodes(self, zone: str | None = None) -> Sequence[NodeView]:
         return self.views
 
-    live_nodes = nodes
+    def live_nodes(self, zone: str | None = None) -> Sequence[NodeView]:
+        return self.views
 
     def zones(self) -> Sequence[str]:
         return ["z"]
--- a/tests/test_rollout_phases.py
+++ b/tests/test_rollout_phases.py
@@ -52,6 +52,7 @@
         loaded=True,
         missing=[],
         upstream_ids=["e0", "e1"],
+        node_ids=["n0"],
         pool=pool,
         since=101.0,
         samples_then=0,
@@ -99,6 +100,12 @@
         pool.refresh()
         assert (pool.samples, pool.verdict) == (8, None)
 
+    def test_routes_of_dead_nodes_need_no_samples(self) -> None:
+        """Guards against a rollout that waits for a zone without nodes."""
+        assert decide(_MOVE, situation(second=None, node_ids=[])).state is (
+            MoveState.RAMP
+        )
+
     def test_upstream_that_left_needs_no_samples(self) -> None:
         """Guards against waiting for a route that takes no more work."""
         decided = decide(_MOVE, situation(second=None, upstream_ids=["e0"]))
