--- a/src/tanagerport/rollout_phases.py
+++ b/src/tanagerport/rollout_phases.py
@@ -1,7 +1,7 @@
 """Decision of a rollout's next phase from what is known about it."""
 
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from tanagerport.canaries import CANARY_SHARE
 from tanagerport.detection import (
@@ -21,6 +21,10 @@
 # good version reaches 3 now and then.
 _POOLED_SLOW_PASS_SCORE = 3.0
 _POOLED_FAILURE_PASS_SCORE = 2.0
+# With a score or ungraded slow samples above these, the watch period goes on
+# while the deadline permits.
+_DOUBT_SCORE = 2.0
+_UNGRADED = 2
 # A ramp stops here until the score falls or the version is convicted.
 _SUSPICION_SCORE = CONVICTION_SCORE / 2
 _NAMED_ROUTES = 3
@@ -36,6 +40,8 @@
         loaded: Whether any engine has loaded the new version.
         missing: Engines that have not loaded it.
         upstream_ids: Engines that take new work.
+        node_ids: Live nodes; routes that only other nodes used are not
+            active, because no requests come to them.
         pool: Evidence of all nodes.
         since: Epoch seconds since when this holder saw the current share.
         samples_then: Samples of the new version at that time.
@@ -48,6 +54,7 @@
     loaded: bool
     missing: Sequence[str]
     upstream_ids: Sequence[str]
+    node_ids: Collection[str]
     pool: EvidencePool
     since: float
     samples_then: int
@@ -96,7 +103,9 @@
     if situation.missing:
         return [f"not loaded on {_names(situation.missing)}"]
     routes = active_routes(
-        pool.traffic(), situation.upstream_ids, ACTIVE_ROUTE_SHARE
+        pool.traffic(situation.node_ids),
+        situation.upstream_ids,
+        ACTIVE_ROUTE_SHARE,
     )
     plan = RampPlan(move.started, move.deadline)
     needed = plan.samples_needed(
@@ -123,7 +132,9 @@
 def _suspect_routes(situation: Situation) -> list[Scope]:
     pool = situation.pool
     routes = active_routes(
-        pool.traffic(), situation.upstream_ids, ACTIVE_ROUTE_SHARE
+        pool.traffic(situation.node_ids),
+        situation.upstream_ids,
+        ACTIVE_ROUTE_SHARE,
     )
     return [route for route in routes if pool.chart(route).worst >= PASS_SCORE]
 
@@ -179,8 +190,13 @@
     move: VersionMove, situation: Situation, plan: RampPlan
 ) -> VersionMove:
     watched_until = situation.since + plan.watch_s(situation.since)
-    is_suspect = situation.pool.worst_score() >= _SUSPICION_SCORE
-    if situation.now < watched_until or is_suspect:
+    if situation.now < watched_until:
+        return move
+    score = situation.pool.worst_score()
+    is_doubtful = score >= _DOUBT_SCORE or situation.pool.ungraded > _UNGRADED
+    if score >= _SUSPICION_SCORE:
+        return move
+    if is_doubtful and situation.now < plan.last_end:
         return move
     samples = situation.pool.samples
     return _end(
