Let the large customer flood one tier

It now sends lesson-note only; the ratio of that tier is the one that fairness must keep. Not yet measured.

--- a/src/tanagerport/bench.py
+++ b/src/tanagerport/bench.py
@@ -133,7 +133,7 @@
 def scenario_trace(scenario: Scenario, seed: int) -> list[TracedRequest]:
     """Returns the requests of a scenario and seed."""
     options = TraceOptions(
-        phases=scenario.phases(scenario.load),
+        phases=scenario.phases(scenario.load, scenario.classes),
         classes=scenario.classes,
         customers=scenario.customers,
         zones=[zone.name for zone in scenario.zones],
@@ -143,7 +143,8 @@
     if scenario.large_load:
         large = dataclasses.replace(
             options,
-            phases=scenario.phases(scenario.large_load),
+            phases=scenario.phases(scenario.large_load, scenario.large_classes),
+            classes=scenario.large_classes,
             customers={LARGE_CUSTOMER: 1.0},
         )
         # Another seed, or both would draw the same markers.
--- a/src/tanagerport/bench_judge.py
+++ b/src/tanagerport/bench_judge.py
@@ -224,14 +224,22 @@
 
     Without are the calls that ended before the large customer's first call
     was sent, with are those sent between its first and last call. `ratio`
-    is the goodput with over the goodput without, by tier.
+    is the goodput with over the goodput without, by tier. The large customer
+    sends one tier, `tier`; those below it yield to it as to any other load
+    of that tier.
     """
     large = [c.sent_at for c in calls if c.request.customer == large_customer]
     small = [c for c in calls if c.request.customer != large_customer]
     first, last = min(large), max(large)
     without = goodput_by_tier([c for c in small if c.ended_at < first])
     during = goodput_by_tier([c for c in small if first <= c.sent_at <= last])
+    tiers = {
+        call.request.work_class.tier
+        for call in calls
+        if call.request.customer == large_customer
+    }
     return {
+        "tier": min(tiers),
         "without": without,
         "with": during,
         "ratio": {
