--- a/src/tanagerport/bench.py
+++ b/src/tanagerport/bench.py
@@ -21,13 +21,10 @@
     refusals,
     wasted_prefill_tokens,
 )
+from tanagerport.bench_plan import Scenario
 from tanagerport.bench_processes import BenchError
 from tanagerport.bench_runner import dump_history, run_side
-from tanagerport.bench_scenarios import (
-    LARGE_CUSTOMER,
-    SCENARIOS_BY_NAME,
-    Scenario,
-)
+from tanagerport.bench_scenarios import LARGE_CUSTOMER, SCENARIOS_BY_NAME
 from tanagerport.bench_stage import Side
 from tanagerport.bench_trace import (
     TracedRequest,
--- a/src/tanagerport/bench_faults.py
+++ b/src/tanagerport/bench_faults.py
@@ -7,8 +7,8 @@
 from collections.abc import Awaitable, Callable
 
 from tanagerport.bench_operators import Operators
+from tanagerport.bench_plan import Action, Fault, Rollout
 from tanagerport.bench_processes import NodeProcess
-from tanagerport.bench_scenarios import Action, Fault, Rollout
 from tanagerport.bench_stage import Side, Stage
 from tanagerport.bench_topology import PLATFORM
 from tanagerport.fault_proxy import LinkFaults
--- a/src/tanagerport/bench_operators.py
+++ b/src/tanagerport/bench_operators.py
@@ -10,10 +10,11 @@
 from typing import Any
 
 from tanagerport.bench_history import ClassChange, MoveHistory, Probe
+from tanagerport.bench_plan import Rollout
 from tanagerport.bench_processes import BenchError, exchange_json
-from tanagerport.bench_scenarios import MODEL, SERVICE, Rollout
 from tanagerport.bench_stage import OPERATOR_TOKEN, Side, Stage
 from tanagerport.bench_topology import PLATFORM
+from tanagerport.bench_workload import MODEL, SERVICE
 from tanagerport.config_records import (
     RecordBody,
     class_key,
--- a/src/tanagerport/bench_runner.py
+++ b/src/tanagerport/bench_runner.py
@@ -15,8 +15,8 @@
 from tanagerport.bench_faults import inject, start_rollout
 from tanagerport.bench_history import EngineOrder, Execution, History
 from tanagerport.bench_operators import Operators
+from tanagerport.bench_plan import Scenario
 from tanagerport.bench_processes import BenchError
-from tanagerport.bench_scenarios import Scenario
 from tanagerport.bench_stage import Side, Stage
 from tanagerport.bench_trace import TracedRequest
 
--- a/src/tanagerport/bench_stage.py
+++ b/src/tanagerport/bench_stage.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from tanagerport.bench_caller import Target
+from tanagerport.bench_plan import Scenario, node_id
 from tanagerport.bench_processes import (
     BenchError,
     HostProcess,
@@ -18,12 +19,6 @@
     exchange_json,
     free_addresses,
 )
-from tanagerport.bench_scenarios import (
-    MODEL,
-    OLD_VERSION,
-    Scenario,
-    node_id,
-)
 from tanagerport.bench_topology import (
     PLATFORM,
     Server,
@@ -31,6 +26,7 @@
     upstream_documents,
     vm_list,
 )
+from tanagerport.bench_workload import MODEL, OLD_VERSION
 
 OPERATOR_TOKEN = "bench-operator-token"
 _PEER_TOKEN = "bench-peer-token"
--- a/src/tanagerport/bench_topology.py
+++ b/src/tanagerport/bench_topology.py
@@ -9,13 +9,8 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Any
 
-from tanagerport.bench_scenarios import (
-    MODEL,
-    SERVICE,
-    Scenario,
-    engine_id,
-    service_id,
-)
+from tanagerport.bench_plan import Scenario, engine_id, service_id
+from tanagerport.bench_workload import MODEL, SERVICE
 from tanagerport.fault_proxy import FaultProxy
 
 PLATFORM = "platform"
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -13,13 +13,11 @@
 from tanagerport.bench import scenario_trace
 from tanagerport.bench_caller import AnswerDecoder, CallRecord
 from tanagerport.bench_judge import JUDGES
+from tanagerport.bench_plan import Action, Scenario, node_id
 from tanagerport.bench_scenarios import (
     LARGE_CUSTOMER,
     SCENARIOS,
     SCENARIOS_BY_NAME,
-    Action,
-    Scenario,
-    node_id,
 )
 from tanagerport.bench_topology import Server, Topology, upstream_documents
 from tanagerport.http_server import HttpServer
--- a/tests/test_bench_judge.py
+++ b/tests/test_bench_judge.py
@@ -8,8 +8,8 @@
 from tanagerport import bench_judge
 from tanagerport.bench_caller import CallRecord
 from tanagerport.bench_history import Execution, History
-from tanagerport.bench_scenarios import CLASSES, MODEL, SERVICE
 from tanagerport.bench_trace import TracedRequest
+from tanagerport.bench_workload import CLASSES, MODEL, SERVICE
 
 _CLASS = {item.work_class.name: item.work_class for item in CLASSES}
 
