--- a/src/tanagerport/bench.py
+++ b/src/tanagerport/bench.py
@@ -21,13 +21,10 @@
     refusals,
     wasted_prefill_tokens,
 )
+from tanagerport.bench_plan import Scenario
 from tanagerport.bench_processes import BenchError
 from tanagerport.bench_runner import dump_history, run_side
-from tanagerport.bench_scenarios import (
-    LARGE_CUSTOMER,
-    SCENARIOS_BY_NAME,
-    Scenario,
-)
+from tanagerport.bench_scenarios import LARGE_CUSTOMER, SCENARIOS_BY_NAME
 from tanagerport.bench_stage import Side
 from tanagerport.bench_trace import (
     TracedRequest,
@@ -133,7 +130,7 @@
 def scenario_trace(scenario: Scenario, seed: int) -> list[TracedRequest]:
     """Returns the requests of a scenario and seed."""
     options = TraceOptions(
-        phases=scenario.phases(scenario.load),
+        phases=scenario.phases(scenario.load, scenario.classes),
         classes=scenario.classes,
         customers=scenario.customers,
         zones=[zone.name for zone in scenario.zones],
@@ -143,7 +140,8 @@
     if scenario.large_load:
         large = dataclasses.replace(
             options,
-            phases=scenario.phases(scenario.large_load),
+            phases=scenario.phases(scenario.large_load, scenario.large_classes),
+            classes=scenario.large_classes,
             customers={LARGE_CUSTOMER: 1.0},
         )
         # Another seed, or both would draw the same markers.
