--- a/src/tanagerport/pipeline.py
+++ b/src/tanagerport/pipeline.py
@@ -66,6 +66,8 @@
 # tokens; engines may be this much slower than their target.
 _DOCUMENT_SLACK = 4
 KEY_HEADER = "Idempotency-Key"
+# Lets an engine's own logs and faults tell routes apart.
+CLASS_HEADER = "X-Class"
 _REPLAY_HEADER = "Idempotent-Replay"
 
 
@@ -569,6 +571,8 @@
         headers = {} if is_engine else dict(request.headers)
         headers[REQUEST_ID_HEADER] = request.request_id
         headers["Content-Type"] = request.content_type
+        if is_engine:
+            headers[CLASS_HEADER] = work_class.name
         if placement.version:
             headers[VERSION_HEADER] = placement.version
         if request.key:
