--- a/src/tanagerport/ramp.py
+++ b/src/tanagerport/ramp.py
@@ -13,7 +13,7 @@
 
 # Parts of the time from start to deadline. The rest is for loading and canary.
 _MARGIN_PART = 0.08
-_LAST_MARGIN_PART = 0.04
+_LAST_MARGIN_PART = 0.03
 _WATCH_PART = 0.28
 _RAMP_PART = 0.18
 # Shortest parts that are still accepted when the canary took longer.
