--- a/src/tanagerport/configuration.py
+++ b/src/tanagerport/configuration.py
@@ -167,6 +167,11 @@
         if not self._has_synced:
             self.sync()
         base = self._state.snapshot
+        # A repeated call is answered before the check: the operation's own
+        # effect, such as a started move, may be a finding for a second one.
+        accepted = self._config_log.find(operation_id, self.sync())
+        if accepted is not None:
+            return accepted
         self._check(change, base)
         return self._accept(change, base, operator, operation_id)
 
--- a/src/tanagerport/control_metrics.py
+++ b/src/tanagerport/control_metrics.py
@@ -60,11 +60,6 @@
             "Epoch time when the version in force was applied.",
             value=history[-1].applied_at if history else 0.0,
         )
-        yield GaugeMetricFamily(
-            "tanagerport_convictions",
-            "Versions that are known to be bad.",
-            value=len(configuration.convictions),
-        )
         peers = GaugeMetricFamily(
             "tanagerport_peer_config_version",
             "Configuration version that a peer last stated.",
--- a/src/tanagerport/cost_metrics.py
+++ b/src/tanagerport/cost_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of what the node itself costs, and of its rollouts."""
+"""Metrics of what the node itself costs."""
 
 import pathlib
 import resource
@@ -10,7 +10,6 @@
 from prometheus_client.registry import Collector
 
 from tanagerport.control_plane import ControlPlane
-from tanagerport.model import MoveState
 
 _STATM = pathlib.Path("/proc/self/statm")
 
@@ -51,28 +50,6 @@
         heartbeat_bytes.add_metric(["sent"], sent)
         heartbeat_bytes.add_metric(["received"], received)
         yield heartbeat_bytes
-        yield from self._collect_moves()
-
-    def _collect_moves(self) -> Iterator[Metric]:
-        state = GaugeMetricFamily(
-            "tanagerport_version_move_state",
-            "1 for the state of the latest rollout of a model.",
-            labels=["model", "version", "state"],
-        )
-        share = GaugeMetricFamily(
-            "tanagerport_version_move_share",
-            "Share of requests that a rollout sends to the new version.",
-            labels=["model", "version"],
-        )
-        for model, move in self._control.configuration.moves.items():
-            for name in MoveState:
-                state.add_metric(
-                    [model, move.new_version, name.value],
-                    float(move.state is name),
-                )
-            share.add_metric([model, move.new_version], move.share)
-        yield state
-        yield share
 
 
 def _resident_bytes() -> int:
--- a/src/tanagerport/interfaces.py
+++ b/src/tanagerport/interfaces.py
@@ -6,7 +6,7 @@
 import dataclasses
 import enum
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from typing import Any, Protocol
+from typing import Any, Protocol, runtime_checkable
 
 from tanagerport.model import VM, Request, VersionMove, WorkClass
 from tanagerport.peer_pb2 import Frame, Heartbeat
@@ -200,6 +200,16 @@
         """Takes the result of one dispatch."""
 
 
+@runtime_checkable
+class RouteTester(Protocol):
+    """A version policy that says which routes of a version need samples."""
+
+    def preferred_upstreams(
+        self, request: Request, version: str
+    ) -> Sequence[str]:
+        """Returns upstreams for a request, best first; empty for any."""
+
+
 @dataclasses.dataclass(frozen=True)
 class VersionSample:
     """Result of one dispatch, for the comparison of versions.
--- a/src/tanagerport/node.py
+++ b/src/tanagerport/node.py
@@ -25,6 +25,7 @@
 from tanagerport.pipeline import RequestPipeline, create_pipeline
 from tanagerport.platform import Platform, create_platform
 from tanagerport.rollout import MoverSettings, MoverTask, create_version_mover
+from tanagerport.rollout_metrics import RolloutCollector
 from tanagerport.settings import Settings
 from tanagerport.spill import ZoneSpill
 from tanagerport.status_report import StatusSources
@@ -266,13 +267,23 @@
     metrics = Metrics()
     metrics.registry.register(ControlCollector(control))
     metrics.registry.register(CostCollector(control))
-    policy = create_version_policy(control.configuration, clock)
+    policy = create_version_policy(
+        control.configuration, clock, control.membership
+    )
 
     scheduler = create_zone_scheduler(
         settings, control.membership, control.peers, policy, metrics, clock
     )
     explanations = ExplanationLog(clock)
     class_status = ClassStatusTracker(clock)
+    metrics.registry.register(
+        RolloutCollector(
+            control.configuration,
+            class_status,
+            policy.samples_by_scope,
+            clock,
+        )
+    )
     parts = NodeParts(
         platform=platform,
         control=control,
--- a/src/tanagerport/routing.py
+++ b/src/tanagerport/routing.py
@@ -5,7 +5,7 @@
 
 from tanagerport.clock import Clock
 from tanagerport.estimates import LengthEstimator, prompt_tokens
-from tanagerport.interfaces import MembershipView, VersionPolicy
+from tanagerport.interfaces import MembershipView, RouteTester, VersionPolicy
 from tanagerport.link_budget import LinkBudget
 from tanagerport.model import Request
 from tanagerport.prefix_cache import PrefixIndex, block_hashes
@@ -129,6 +129,12 @@
             use.versions[key] = self._match(use, model, wanted)
         return use.versions[key]
 
+    def preferred(self, request: Request, wanted: str) -> Sequence[str]:
+        """Returns upstreams where the version still needs samples."""
+        if not wanted or not isinstance(self._policy, RouteTester):
+            return ()
+        return self._policy.preferred_upstreams(request, wanted)
+
     def _match(self, use: UpstreamUse, model: str, wanted: str) -> str | None:
         loaded = use.load.versions.get(model, ()) if use.load else ()
         if wanted:
@@ -191,6 +197,11 @@
         cached = self._prefixes.cached_bytes(model, hashes)
         tokens = prompt_tokens(request)
         output = self._lengths.mean(request)
+        preferred = self._preferred(
+            request, version, uses, free, is_allowed, (tokens, output)
+        )
+        if preferred is not None:
+            return RoutingDecision(preferred, {}, hashes)
         choices: list[Choice] = []
         holders = [name for name in cached if name in free]
         if len(holders) > _HOLDERS_COMPARED:
@@ -208,6 +219,28 @@
                     break
         return self._pick(request, choices, hashes) if choices else None
 
+    def _preferred(
+        self,
+        request: Request,
+        version: str,
+        uses: Mapping[str, UpstreamUse],
+        free: FreeList,
+        is_allowed: Callable[[UpstreamUse], bool],
+        sizes: tuple[float, float],
+    ) -> Choice | None:
+        """Returns the first free upstream that a rollout wants tested."""
+        for name in self._matcher.preferred(request, version):
+            if name not in free or not is_allowed(uses[name]):
+                continue
+            use = uses[name]
+            named = self._matcher.version_at(
+                use, request.work_class.model, version
+            )
+            if named is not None:
+                tokens, output = sizes
+                return _estimate(use, named, tokens, output, 0.0)
+        return None
+
     @staticmethod
     def _candidates(
         uses: Mapping[str, UpstreamUse],
