--- a/src/tanagerport/bench_scenarios.py
+++ b/src/tanagerport/bench_scenarios.py
@@ -1,291 +1,24 @@
-"""Scenarios of the bench, as data."""
+"""Table of the bench's scenarios."""
 
 import dataclasses
-import enum
 from collections.abc import Mapping
 from typing import Any
 
-from tanagerport.bench_trace import ClassLoad, Phase
-from tanagerport.model import UpstreamKind, WorkClass
-from tanagerport.standin_batch import EngineProfile, VersionFault
-
-MODEL = "tutor"
-SERVICE = "booking"
-OLD_VERSION = "v1"
-NEW_VERSION = "v2"
-
-CLASSES = (
-    ClassLoad(
-        WorkClass(
-            "caption-hint", 0, UpstreamKind.ENGINE, MODEL,
-            deadline_s=3, typical_output_tokens=8,
-        ),
-        weight=0.35, min_tokens=4, max_tokens=12,
-    ),
-    ClassLoad(
-        WorkClass(
-            "coaching-turn", 0, UpstreamKind.ENGINE, MODEL,
-            deadline_s=6, typical_output_tokens=40,
-        ),
-        weight=0.25, min_tokens=20, max_tokens=60,
-    ),
-    ClassLoad(
-        WorkClass(
-            "lesson-note", 1, UpstreamKind.ENGINE, MODEL,
-            first_token_target_s=1.5, token_interval_target_s=0.06,
-            deadline_s=7, typical_output_tokens=60,
-        ),
-        weight=0.15, min_tokens=40, max_tokens=80,
-    ),
-    ClassLoad(
-        WorkClass(
-            "drill-set", 2, UpstreamKind.ENGINE, MODEL,
-            first_token_target_s=4.0, token_interval_target_s=0.08,
-            deadline_s=7, typical_output_tokens=120,
-        ),
-        weight=0.20, min_tokens=80, max_tokens=160,
-    ),
-    ClassLoad(
-        WorkClass(
-            "booking", 1, UpstreamKind.SERVICE, SERVICE,
-            first_token_target_s=1.0, deadline_s=3, idempotent=False,
-        ),
-        weight=0.05,
-    ),
-)  # fmt: skip
-
-# A batch of 13 decodes at 38 ms a token, just within the top tier's target of
-# 39 ms; the full batch of 16 takes 44 ms and misses it.
-PROFILE = EngineProfile(
-    step_s=0.012,
-    step_per_request_s=0.002,
-    prefill_s_per_token=0.00004,
-    max_batch=16,
+from tanagerport.bench_plan import (
+    ZONES,
+    Action,
+    Fault,
+    Rollout,
+    Scenario,
+    engine_id,
+    node_id,
 )
-# Short answers and faster engines give a rollout of 11 s enough requests.
-ROLLOUT_CLASSES = (
-    ClassLoad(
-        WorkClass(
-            "caption-hint", 0, UpstreamKind.ENGINE, MODEL,
-            deadline_s=3, typical_output_tokens=6,
-        ),
-        weight=0.6, min_tokens=4, max_tokens=8,
-    ),
-    ClassLoad(
-        WorkClass(
-            "drill-line", 2, UpstreamKind.ENGINE, MODEL,
-            first_token_target_s=1.5, token_interval_target_s=0.06,
-            deadline_s=3, typical_output_tokens=10,
-        ),
-        weight=0.35, min_tokens=6, max_tokens=14,
-    ),
-    CLASSES[-1],
-)  # fmt: skip
-ROLLOUT_PROFILE = dataclasses.replace(
-    PROFILE, step_s=0.006, step_per_request_s=0.001, load_time_s=0.5
-)
-# Largest batch that the capacity is computed with.
-_CAPACITY_BATCH = 10
-_UNCACHED_SHARE = 0.5
-_MEAN_PROMPT_TOKENS = 520
-
-
-@dataclasses.dataclass(frozen=True)
-class Zone:
-    """An availability zone of the bench.
-
-    Attributes:
-        name: Name of the zone.
-        region: Region.
-        nodes: Entry nodes.
-        engines: Engines.
-        services: Plain services.
-    """
-
-    name: str
-    region: str
-    nodes: int = 1
-    engines: int = 2
-    services: int = 1
-
-
-ZONES = (
-    Zone("lm-burnaby", "lower-mainland"),
-    Zone("lm-surrey", "lower-mainland"),
-    Zone("isl-nanaimo", "island-north"),
+from tanagerport.bench_workload import (
+    NEW_VERSION,
+    ROLLOUT_CLASSES,
+    ROLLOUT_PROFILE,
 )
-
-
-class Action(enum.StrEnum):
-    """What a fault does."""
-
-    UPSTREAM_FAULTS = "upstream_faults"
-    PLATFORM_FAULTS = "platform_faults"
-    LIST_LEAVING = "list_leaving"
-    SILENCE_LINKS = "silence_links"
-    CUT_ZONE = "cut_zone"
-    RESTORE_ZONE = "restore_zone"
-    KILL_NODE = "kill_node"
-    RESTART_NODE = "restart_node"
-    PAUSE_HOLDER = "pause_holder"
-    KILL_HOLDER = "kill_holder"
-    ADD_CLASS = "add_class"
-    RACE = "race"
-    STOP_NODE = "stop_node"
-
-
-@dataclasses.dataclass(frozen=True)
-class Fault:
-    """A fault at a time of the run.
-
-    Attributes:
-        at_s: Seconds after the first request may be sent.
-        action: What happens.
-        target: Upstream, node or zone.
-        details: Fields of the fault's document.
-    """
-
-    at_s: float
-    action: Action
-    target: str = ""
-    details: Mapping[str, object] = dataclasses.field(default_factory=dict)
-
-
-@dataclasses.dataclass(frozen=True)
-class Rollout:
-    """A version rollout that operators start.
-
-    Attributes:
-        version: Version to move to.
-        at_s: Time of the start in the run.
-        deadline_s: Seconds until the deadline.
-        fault: Fault of the version; None for a good one.
-        engines: VM ids of engines with the fault; empty for all.
-        bad_from_s: Time in the run from which the version is bad.
-    """
-
-    version: str = NEW_VERSION
-    at_s: float = 0.5
-    deadline_s: float = 11.0
-    fault: VersionFault | None = None
-    engines: tuple[str, ...] = ()
-    bad_from_s: float = 0.0
-
-    @property
-    def is_bad(self) -> bool:
-        """Whether the version becomes bad."""
-        return self.fault is not None
-
-    @property
-    def is_bad_at_first(self) -> bool:
-        """Whether it is bad from its first request on."""
-        return self.is_bad and self.bad_from_s <= self.at_s
-
-
-@dataclasses.dataclass(frozen=True)
-class Scenario:
-    """A scenario of the bench.
-
-    Attributes:
-        name: Name on the command line.
-        load: Offered load by end of phase in seconds, as a share of the
-            capacity of all engines.
-        zones: Zones with their nodes and upstreams.
-        customers: Customers and their share of requests.
-        faults: Faults in order of time.
-        profile: Profile of the engines.
-        profiles: Profiles that differ from it, by VM id.
-        proxied: Whether all links of nodes lead through fault proxies.
-        resend_share: Share of keyed requests that are sent twice.
-        resend_broken: Whether callers resend, with the same key, after
-            their connection broke.
-        large_load: Offered load of one more customer, like `load`.
-        rollout: Version rollout that operators start.
-        changes_classes: Whether operators add classes.
-        lease_s: Lifetime of the rollout controller's lease.
-        mix: Classes and their shares.
-        booking_weight: Weight of non-idempotent calls.
-        naive_violates: Invariants that `naive` is expected to violate.
-    """
-
-    name: str
-    load: tuple[tuple[float, float], ...] = ((8.0, 0.6),)
-    zones: tuple[Zone, ...] = ZONES
-    customers: Mapping[str, float] = dataclasses.field(
-        default_factory=lambda: {
-            "quietword": 3.0,
-            "deaf-services": 2.0,
-            "victoria-library": 1.0,
-            "surrey-college": 1.0,
-            "nanaimo-clinic": 1.0,
-        }
-    )
-    faults: tuple[Fault, ...] = ()
-    profile: EngineProfile = PROFILE
-    profiles: Mapping[str, EngineProfile] = dataclasses.field(
-        default_factory=dict
-    )
-    proxied: bool = False
-    resend_share: float = 0.0
-    resend_broken: bool = False
-    large_load: tuple[tuple[float, float], ...] = ()
-    rollout: Rollout | None = None
-    changes_classes: bool = False
-    lease_s: float = 3.0
-    mix: tuple[ClassLoad, ...] = CLASSES
-    booking_weight: float = 0.05
-    naive_violates: tuple[str, ...] = ()
-
-    @property
-    def classes(self) -> tuple[ClassLoad, ...]:
-        """Classes with their weights."""
-        return tuple(
-            item
-            if item.work_class.kind is UpstreamKind.ENGINE
-            else dataclasses.replace(item, weight=self.booking_weight)
-            for item in self.mix
-        )
-
-    def phases(self, load: tuple[tuple[float, float], ...]) -> list[Phase]:
-        """Returns rates over time for an offered load."""
-        rate = capacity_requests_per_s(self)
-        return [Phase(until_s, share * rate) for until_s, share in load]
-
-    def profile_of(self, vm_id: str) -> EngineProfile:
-        """Returns the profile of an engine."""
-        return self.profiles.get(vm_id, self.profile)
-
-
-def engine_id(zone: str, number: int) -> str:
-    """Returns the VM id of an engine; numbers start at 1."""
-    return f"engine-{zone}-{number}"
-
-
-def node_id(zone: str, number: int) -> str:
-    """Returns the id of an entry node; numbers start at 1."""
-    return f"entry-{zone}-{number}"
-
-
-def service_id(zone: str, number: int) -> str:
-    """Returns the VM id of a plain service; numbers start at 1."""
-    return f"service-{zone}-{number}"
-
-
-def capacity_requests_per_s(scenario: Scenario) -> float:
-    """Returns the requests a second that the engines can serve in target."""
-    engines = sum(zone.engines for zone in scenario.zones)
-    profile = scenario.profile
-    step_s = profile.step_s + profile.step_per_request_s * _CAPACITY_BATCH
-    weights = sum(item.weight for item in scenario.classes)
-    engine_weight = weights - scenario.booking_weight
-    tokens = sum(item.weight * item.mean_tokens for item in scenario.classes)
-    mean_tokens = tokens / engine_weight
-    prefill_s = (
-        _MEAN_PROMPT_TOKENS * _UNCACHED_SHARE * profile.prefill_s_per_token
-    )
-    seconds = mean_tokens * step_s / _CAPACITY_BATCH + prefill_s
-    return engines / seconds * weights / engine_weight
-
+from tanagerport.standin_batch import VersionFault
 
 _SLOW_ENGINE = engine_id("lm-burnaby", 1)
 _TWO_NODES = (
@@ -450,6 +183,13 @@
     )
 
 
+# A successor waits out the lease and 2 s for the last order; with a lease of
+# 3 s nothing was left of the rollout's 11 s for ramp and watch.
+_SHORT_LEASE_S = 1.5
+# Whichever node holds the lease, its zone keeps another one.
+_PAIRED_NODES = tuple(
+    dataclasses.replace(zone, nodes=2) for zone in _ROLLOUT_BASE.zones
+)
 _CHANGE_LOAD = ((9.0, 0.3),)
 _ADDED = {"name": "added-1"}
 
@@ -484,7 +224,9 @@
     _rollout_scenario(
         "paused_lease_holder",
         Rollout(),
-        faults=(Fault(3.0, Action.PAUSE_HOLDER, "", {"for_s": 5.0}),),
+        zones=_PAIRED_NODES,
+        lease_s=_SHORT_LEASE_S,
+        faults=(Fault(2.0, Action.PAUSE_HOLDER, "", {"for_s": 6.0}),),
         profiles={
             engine_id("lm-surrey", 1): dataclasses.replace(
                 ROLLOUT_PROFILE, checks_fencing=True
@@ -530,7 +272,9 @@
     _rollout_scenario(
         "mover_dies",
         Rollout(),
-        faults=(Fault(3.0, Action.KILL_HOLDER),),
+        zones=_PAIRED_NODES,
+        lease_s=_SHORT_LEASE_S,
+        faults=(Fault(2.0, Action.KILL_HOLDER),),
     ),
 )
 
--- a/src/tanagerport/zone_scheduler.py
+++ b/src/tanagerport/zone_scheduler.py
@@ -60,9 +60,17 @@
 # A waiting top-tier request looks for a slot again after these times: soon
 # where one was freed, later where none runs that could be stopped.
 _PREEMPT_AGAIN_S = 0.02
+# Short top-tier answers end all the time, so a slot is often free within this
+# time and no generation has to be paused for it.
+_PREEMPT_AFTER_S = 0.08
+# A lower-tier request is refused at dispatch if a long answer of its class
+# would miss its deadline even on an upstream this much faster than expected.
+_FINISH_OPTIMISM = 0.9
 _RECLAIM_AGAIN_S = 0.1
 _NO_VICTIMS_MAX_AGE_S = 0.3
 _WAIT_S = 1.0
+# A first token is due after 0.51 s, and a free engine takes about 0.1 s.
+_HOLD_OUT_S = 0.25
 _ASSUMED_INTERVAL_S = 0.02
 _DURATION_WEIGHT = 0.1
 # Prefill of a token costs an engine about a tenth of decoding one.
@@ -70,6 +78,13 @@
 _BYTES_PER_TOKEN = 4
 _WORKERS = 4
 _MODELS_PER_HEARTBEAT = 8
+_SPILLED_REASONS = frozenset(
+    {
+        RefusalReason.NO_UPSTREAM,
+        RefusalReason.QUEUE_FULL,
+        RefusalReason.DEADLINE_UNREACHABLE,
+    }
+)
 
 
 class ZoneScheduler:
@@ -259,11 +274,31 @@
             now = self._begin()
             if not self._needs_spill(request, now):
                 return None
-            zone = self._spill.choose(request, self._lengths.mean(request))
-            if zone is not None:
-                self._log_start(request, now)
-                self._log.add(request.request_id, now, "spilled", zone=zone)
-            return zone
+            target = self._choose_spill(request, now)
+            return target[0] if target else None
+
+    def choose_node(self, request: Request, refusal: Refusal) -> str | None:
+        """Returns a node of another zone for a refused request, or None."""
+        if refusal.reason not in _SPILLED_REASONS:
+            return None
+        with self._lock:
+            target = self._choose_spill(request, self._begin())
+            return target[1] if target else None
+
+    def _choose_spill(
+        self, request: Request, now: float
+    ) -> tuple[str, str] | None:
+        target = self._spill.choose(request, self._lengths.mean(request))
+        if target is not None:
+            self._log_start(request, now)
+            self._log.add(
+                request.request_id,
+                now,
+                "spilled",
+                zone=target[0],
+                node=target[1],
+            )
+        return target
 
     def take_cache_events(
         self, upstream_id: str, events: Iterable[CacheEvent], gap: bool
@@ -362,14 +397,17 @@
     ) -> None:
         """Takes the slot of a paused or cancelled dispatch."""
         now = self._clock.monotonic()
-        dispatch.is_changing = False
+        use.note_preemption(now)
         if lent_until is not None:
             self._holder.lend(use.vm.vm_id, lent_until)
         if dispatch.placement.placement_id in use.dispatches:
+            # A cancelled dispatch holds its slot until the pipeline has told
+            # the engine and releases it.
             if paused:
+                dispatch.is_changing = False
                 dispatch.is_paused, dispatch.paused_at = True, now
                 use.paused.append(dispatch)
-            self._pool.give(use, dispatch, now)
+                self._pool.give(use, dispatch, now)
             self._log.add(
                 dispatch.placement.request.request_id,
                 now,
@@ -526,6 +564,8 @@
     def _wait(self, ticket: Ticket) -> None:
         event = ticket.event
         assert event is not None
+        if ticket.tier == 0:
+            event.wait(_PREEMPT_AFTER_S)
         while not ticket.is_decided:
             pause_s = _WAIT_S
             if ticket.tier == 0:
@@ -629,11 +669,38 @@
             decision = self._route(ticket, key, now)
             if decision is None:
                 passed_over.append(ticket)
-            else:
+            elif not self._is_too_late(ticket, decision, now):
                 self._place(ticket, queue, decision, now)
         for ticket in passed_over:
             queue.push(ticket)
 
+    def _is_too_late(
+        self, ticket: Ticket, decision: RoutingDecision, now: float
+    ) -> bool:
+        """Refuses a taken ticket whose prefill would be wasted."""
+        remaining_s = ticket.request.deadline_at - now
+        speed = decision.best.use.speed
+        request = ticket.request
+        # Long answers of the class are the ones that miss their deadline.
+        longer = self._lengths.p90(request) - self._lengths.mean(request)
+        finish_s = decision.best.finish_s + longer * speed.interval_s
+        if (
+            ticket.tier == 0
+            or not speed.is_known
+            or finish_s * _FINISH_OPTIMISM <= remaining_s
+        ):
+            return False
+        self._bounds.leave(ticket.tier)
+        self._refuse(
+            ticket,
+            RefusalReason.DEADLINE_UNREACHABLE,
+            f"the answer takes {finish_s:.1f} s and the deadline is in"
+            f" {remaining_s:.1f} s",
+            now,
+            finish_s,
+        )
+        return True
+
     def _is_hopeless(self, ticket: Ticket, now: float) -> bool:
         """Refuses a taken ticket that can't be answered in time."""
         remaining_s = ticket.request.deadline_at - now
@@ -658,13 +725,34 @@
             # The version may have been convicted while the request waited.
             wanted = self._versions.choose_version(ticket.request)
             ticket.version = self._match_version(key, wanted)
-        return self._router.choose(
+        decision = self._router.choose(
             ticket.request,
             ticket.version,
             self._pool.uses,
             self._pool.free_list(key, ticket.tier),
             lambda use: self._is_allowed(use, ticket),
         )
+        if decision is not None and self._should_hold_out(
+            ticket, decision, now
+        ):
+            return None
+        return decision
+
+    def _should_hold_out(
+        self, ticket: Ticket, decision: RoutingDecision, now: float
+    ) -> bool:
+        """Returns whether a top-tier request waits for a better upstream.
+
+        Where only a slowed upstream is free, a short wait for another one
+        still meets the targets and the slow answer would not.
+        """
+        if ticket.tier > 0 or now - ticket.queued_at >= _HOLD_OUT_S:
+            return False
+        target_s = ticket.request.work_class.token_interval_target_s
+        return not decision.best.use.is_quick_for(target_s) and any(
+            use.usable > 0 and use.is_quick_for(target_s)
+            for use in self.suitable(ticket)
+        )
 
     def _place(
         self,
@@ -734,7 +822,10 @@
                 ),
                 default=TIERS,
             )
-            if waiting < tier or not use.is_free_for(dispatch.tier, now):
+            is_urgent = self._resume_order.is_urgent(dispatch, now)
+            if waiting < tier or not (
+                is_urgent or use.is_free_for(dispatch.tier, now)
+            ):
                 return
             use.paused.remove(dispatch)
             dispatch.is_paused, dispatch.is_changing = False, True
