--- a/src/tanagerport/commands.py
+++ b/src/tanagerport/commands.py
@@ -16,10 +16,14 @@
 from absl import flags
 
 from tanagerport import demo
-from tanagerport.change_documents import parse_change_document
+from tanagerport.config_checks import check_change
+from tanagerport.config_records import ConfigChange
+from tanagerport.exceptions import DocumentError
+from tanagerport.findings import Finding
 from tanagerport.logs import configure_logs
 from tanagerport.node import create_node
 from tanagerport.operator_client import OperatorClient
+from tanagerport.operator_documents import ApplyDocument, parse_document
 from tanagerport.settings import load_settings, parse_settings
 from tanagerport.status_table import format_explanation, format_status
 
@@ -136,7 +140,7 @@
     path = arguments[0]
     content = _read_file(path)
     if _looks_like_change(content):
-        parse_change_document(content, source=path)
+        _check_change(content, path)
     else:
         parse_settings(content, source=path)
     print(f"{path}: valid")
@@ -146,7 +150,7 @@
 def apply_file(values: flags.FlagValues, arguments: Sequence[str]) -> int:
     """Applies a change document."""
     content = _read_file(arguments[0])
-    parse_change_document(content, source=arguments[0])
+    _check_change(content, arguments[0])
     answer = _post(values, "/apply", json.loads(content))
     print(f"accepted as configuration version {answer['version']}")
     return 0
@@ -260,6 +264,25 @@
         raise flags.Error(f"{path}: {error.strerror}") from error
 
 
+def _check_change(content: bytes, path: str) -> None:
+    """Checks a change as the node will, before it is sent."""
+    try:
+        document = {"operator": "check", **json.loads(content)}
+    except (ValueError, TypeError) as error:
+        finding = Finding("document", f"is not a JSON object: {error}")
+        raise DocumentError(path, [finding]) from error
+    try:
+        change = parse_document(json.dumps(document).encode(), ApplyDocument)
+    except DocumentError as error:
+        raise DocumentError(path, error.findings) from error
+    findings = check_change(
+        ConfigChange(change.classes, change.remove_classes), {}, {}, {}
+    )
+    known = [item for item in findings if "remove_classes" not in item.place]
+    if known:
+        raise DocumentError(path, known)
+
+
 def _looks_like_change(content: bytes) -> bool:
     try:
         document = json.loads(content)
--- a/src/tanagerport/node.py
+++ b/src/tanagerport/node.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from tanagerport.cache_events import CacheEventReader
 from tanagerport.class_status import ClassStatusTracker
 from tanagerport.clock import Clock, SystemClock
 from tanagerport.configuration import ConfigurationStore
@@ -274,6 +275,9 @@
     scheduler = create_zone_scheduler(
         settings, control.membership, control.peers, policy, metrics, clock
     )
+    control.poller.add_reader(
+        CacheEventReader(scheduler.take_cache_events).read
+    )
     explanations = ExplanationLog(clock)
     class_status = ClassStatusTracker(clock)
     metrics.registry.register(
--- a/src/tanagerport/upstream_poll.py
+++ b/src/tanagerport/upstream_poll.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import concurrent.futures
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import msgspec
@@ -74,6 +74,7 @@
         )
         self._in_progress: dict[str, asyncio.Task[None]] = {}
         self._failures = 0
+        self._after_poll: list[Callable[[VM], None]] = []
         self._ranked_nodes: Sequence[str] = ()
         self._served: dict[str, bool] = {}
 
@@ -82,6 +83,10 @@
         """Reads that failed."""
         return self._failures
 
+    def add_reader(self, read: Callable[[VM], None]) -> None:
+        """Calls `read` with an engine after each poll of it, in a thread."""
+        self._after_poll.append(read)
+
     async def run(self) -> None:
         """Task that polls until it is cancelled."""
         while True:
@@ -166,7 +171,8 @@
 
     async def _poll_in_thread(self, vm: VM) -> None:
         loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._threads, self.poll, vm)
+        for read in (self.poll, *self._after_poll):
+            await loop.run_in_executor(self._threads, read, vm)
 
 
 def _to_report(message: _LoadMessage, now: float) -> LoadReport:
