--- a/src/tanagerport/zone_scheduler.py
+++ b/src/tanagerport/zone_scheduler.py
@@ -63,9 +63,6 @@
 # Short top-tier answers end all the time, so a slot is often free within this
 # time and no generation has to be paused for it.
 _PREEMPT_AFTER_S = 0.08
-# A lower-tier request is refused at dispatch if a long answer of its class
-# would miss its deadline even on an upstream this much faster than expected.
-_FINISH_OPTIMISM = 0.9
 _RECLAIM_AGAIN_S = 0.1
 _NO_VICTIMS_MAX_AGE_S = 0.3
 _WAIT_S = 1.0
@@ -684,11 +681,7 @@
         # Long answers of the class are the ones that miss their deadline.
         longer = self._lengths.p90(request) - self._lengths.mean(request)
         finish_s = decision.best.finish_s + longer * speed.interval_s
-        if (
-            ticket.tier == 0
-            or not speed.is_known
-            or finish_s * _FINISH_OPTIMISM <= remaining_s
-        ):
+        if ticket.tier == 0 or not speed.is_known or finish_s <= remaining_s:
             return False
         self._bounds.leave(ticket.tier)
         self._refuse(
