--- a/src/tanagerport/bench_scenarios.py
+++ b/src/tanagerport/bench_scenarios.py
@@ -48,8 +48,8 @@
     Scenario("steady"),
     Scenario(
         "burst",
-        load=((1.5, 0.6), (7.0, 2.0), (8.0, 0.4)),
-        naive_violates=("dispatch_once",),
+        load=((1.0, 0.6), (7.5, 2.0), (8.0, 0.4)),
+        naive_violates=("top_tier_shed", "dispatch_once", "refused_ran"),
     ),
     Scenario(
         "slow_engine",
@@ -83,6 +83,7 @@
             Fault(2.5, Action.SILENCE_LINKS, "engine-lm-burnaby"),
             Fault(4.0, Action.SILENCE_LINKS, "entry-"),
             Fault(5.0, Action.SILENCE_LINKS, "service-"),
+            Fault(5.5, Action.SILENCE_LINKS, "engine-lm-surrey"),
         ),
         booking_weight=0.15,
         naive_violates=("answer_integrity",),
--- a/src/tanagerport/naive.py
+++ b/src/tanagerport/naive.py
@@ -41,6 +41,7 @@
 _TRIES = 3
 _POLL_S = 1.0
 _FIRST_BYTE_TIMEOUT_S = 2.0
+_DEFAULT_DEADLINE_S = 30.0
 _READ_TIMEOUT_S = 5.0
 _READ_BYTES = 65536
 _POOL_CONNECTIONS = 256
@@ -66,6 +67,9 @@
         self._pool = urllib3.PoolManager(
             maxsize=_POOL_CONNECTIONS, block=False, retries=False
         )
+        self._deadlines = {
+            item.name: item.deadline_s for item in settings.classes
+        }
         self._own_classes = frozenset(item.name for item in settings.classes)
         self._classes = self._own_classes
         platform = settings.platform
@@ -140,7 +144,12 @@
         request_id = make_request_id()
         headers = {**_forwarded(environ), "X-Request-Id": request_id}
         reason = "no_upstream"
+        deadline_s = self._deadlines.get(environ.get("HTTP_X_CLASS", ""))
+        give_up_at = time.monotonic() + (deadline_s or _DEFAULT_DEADLINE_S)
         for vm in self._next_upstreams(name):
+            left_s = give_up_at - time.monotonic()
+            if left_s <= 0:
+                break
             try:
                 response = self._pool.urlopen(
                     environ["REQUEST_METHOD"],
@@ -148,7 +157,7 @@
                     body=body,
                     headers=headers,
                     timeout=urllib3.Timeout(
-                        connect=1.0, read=_FIRST_BYTE_TIMEOUT_S
+                        connect=1.0, read=min(left_s, _FIRST_BYTE_TIMEOUT_S)
                     ),
                     redirect=False,
                     preload_content=False,
