--- a/src/tanagerport/evidence.py
+++ b/src/tanagerport/evidence.py
@@ -6,7 +6,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Protocol
 
 import msgspec
@@ -37,6 +37,7 @@
 _MAX_POOLING_NODES = 16
 # Spaces the scans of one rollout: 600 records every 5 s.
 _RECORDS_PER_S = 120.0
+_MIN_READ_INTERVAL_S = 0.2
 
 
 class _RouteRow(msgspec.Struct, array_like=True, frozen=True):
@@ -63,6 +64,7 @@
         started: Start of the rollout, which identifies it.
         instance: Identity of the node's process.
         chosen: Requests chosen for the new version at the canary share.
+        ungraded: Slow samples that wait for control samples.
         routes: Sums by route.
         traffic: Ended requests of both versions by route.
     """
@@ -71,6 +73,7 @@
     started: float
     instance: str
     chosen: int
+    ungraded: int
     routes: list[_RouteRow]
     traffic: list[_TrafficRow]
 
@@ -79,6 +82,7 @@
     move: VersionMove,
     instance: str,
     chosen: int,
+    ungraded: int,
     evidence: Mapping[Scope, ScopeEvidence],
     traffic: Mapping[Scope, int],
 ) -> NodeEvidence:
@@ -88,6 +92,7 @@
         move.started,
         instance,
         chosen,
+        ungraded,
         [
             _RouteRow(
                 scope.class_name,
@@ -114,6 +119,7 @@
 
     instance: str
     chosen: int
+    ungraded: int
     routes: Mapping[Scope, ScopeEvidence]
 
 
@@ -138,7 +144,7 @@
         self._baselines: dict[str, _Baseline] = {}
         self._totals: dict[Scope, ScopeEvidence] = {}
         self._charts: dict[Scope, ScoreChart] = {}
-        self._traffic: dict[str, Mapping[Scope, int]] = {}
+        self._traffic: dict[tuple[str, str], Mapping[Scope, int]] = {}
         self._failed_at: dict[str, float] = {}
         self._verdict: Verdict | None = None
 
@@ -157,6 +163,11 @@
         """Ended requests of both versions."""
         return sum(self.traffic().values())
 
+    @property
+    def ungraded(self) -> int:
+        """Slow samples of all nodes that wait for control samples."""
+        return sum(item.ungraded for item in self._baselines.values())
+
     def matches(self, move: VersionMove) -> bool:
         """Returns whether the pool is about this rollout."""
         return (self._version, self._started) == (
@@ -176,10 +187,18 @@
         """Returns the worst score of all scopes."""
         return max((item.worst for item in self._charts.values()), default=0.0)
 
-    def traffic(self) -> dict[Scope, int]:
-        """Returns ended requests of both versions by route."""
+    def traffic(
+        self, node_ids: Collection[str] | None = None
+    ) -> dict[Scope, int]:
+        """Returns ended requests of both versions by route.
+
+        Args:
+            node_ids: Nodes whose requests count; None for all.
+        """
         total: dict[Scope, int] = {}
-        for counts in self._traffic.values():
+        for (node_id, _), counts in self._traffic.items():
+            if node_ids is not None and node_id not in node_ids:
+                continue
             for scope, count in counts.items():
                 total[scope] = total.get(scope, 0) + count
         return total
@@ -191,7 +210,10 @@
             StoreUnavailableError: The store can't be reached.
         """
         now = self._clock.monotonic()
-        if now - self._read_at < len(self._baselines) / _RECORDS_PER_S:
+        interval_s = max(
+            _MIN_READ_INTERVAL_S, len(self._baselines) / _RECORDS_PER_S
+        )
+        if now - self._read_at < interval_s:
             return
         increments: dict[Scope, ScopeEvidence] = {}
         for record in self._table.scan(f"{EVIDENCE_PREFIX}{self._model}/"):
@@ -262,8 +284,11 @@
         for route, evidence in routes.items():
             change = evidence.minus(old.get(route, ScopeEvidence()))
             increments.setdefault(route, ScopeEvidence()).add(change)
-        self._baselines[key] = _Baseline(item.instance, item.chosen, routes)
-        self._traffic[f"{key}/{item.instance}"] = {
+        self._baselines[key] = _Baseline(
+            item.instance, item.chosen, item.ungraded, routes
+        )
+        node_id = key.rpartition("/")[2]
+        self._traffic[(node_id, item.instance)] = {
             Scope(row.class_name, row.upstream_id): row.requests
             for row in item.traffic
         }
--- a/src/tanagerport/pipeline.py
+++ b/src/tanagerport/pipeline.py
@@ -66,6 +66,8 @@
 # tokens; engines may be this much slower than their target.
 _DOCUMENT_SLACK = 4
 KEY_HEADER = "Idempotency-Key"
+# Lets an engine's own logs and faults tell routes apart.
+CLASS_HEADER = "X-Class"
 _REPLAY_HEADER = "Idempotent-Replay"
 
 
@@ -569,13 +571,19 @@
         headers = {} if is_engine else dict(request.headers)
         headers[REQUEST_ID_HEADER] = request.request_id
         headers["Content-Type"] = request.content_type
+        if is_engine:
+            headers[CLASS_HEADER] = work_class.name
         if placement.version:
             headers[VERSION_HEADER] = placement.version
         if request.key:
             headers[KEY_HEADER] = request.key
         progress_s = self._timing.progress_timeout_s
         silent_after_s = max(progress_s, 2 * work_class.first_token_target_s)
-        if is_engine and not request.stream:
+        if not is_engine:
+            # A service can't be asked whether it has the call, and a slow
+            # charge must not be given up while it runs.
+            silent_after_s = max(silent_after_s, work_class.deadline_s / 2)
+        elif not request.stream:
             silent_after_s += _document_time(request)
         return UpstreamCall(
             address=placement.vm.address,
@@ -588,7 +596,10 @@
                 progress_s,
                 _SILENT_INTERVALS * work_class.token_interval_target_s,
             ),
-            can_probe=is_engine,
+            # Resuming what is not paused has no effect but its answer.
+            probe_path=f"/requests/{request.request_id}/resume"
+            if is_engine
+            else "",
         )
 
 
--- a/src/tanagerport/routing.py
+++ b/src/tanagerport/routing.py
@@ -5,7 +5,7 @@
 
 from tanagerport.clock import Clock
 from tanagerport.estimates import LengthEstimator, prompt_tokens
-from tanagerport.interfaces import MembershipView, VersionPolicy
+from tanagerport.interfaces import MembershipView, RouteTester, VersionPolicy
 from tanagerport.link_budget import LinkBudget
 from tanagerport.model import Request
 from tanagerport.prefix_cache import PrefixIndex, block_hashes
@@ -129,6 +129,12 @@
             use.versions[key] = self._match(use, model, wanted)
         return use.versions[key]
 
+    def preferred(self, request: Request, wanted: str) -> Sequence[str]:
+        """Returns upstreams where the version still needs samples."""
+        if not wanted or not isinstance(self._policy, RouteTester):
+            return ()
+        return self._policy.preferred_upstreams(request, wanted)
+
     def _match(self, use: UpstreamUse, model: str, wanted: str) -> str | None:
         loaded = use.load.versions.get(model, ()) if use.load else ()
         if wanted:
@@ -191,6 +197,11 @@
         cached = self._prefixes.cached_bytes(model, hashes)
         tokens = prompt_tokens(request)
         output = self._lengths.mean(request)
+        preferred = self._preferred(
+            request, version, uses, free, is_allowed, (tokens, output)
+        )
+        if preferred is not None:
+            return RoutingDecision(preferred, {}, hashes)
         choices: list[Choice] = []
         holders = [name for name in cached if name in free]
         if len(holders) > _HOLDERS_COMPARED:
@@ -208,6 +219,28 @@
                     break
         return self._pick(request, choices, hashes) if choices else None
 
+    def _preferred(
+        self,
+        request: Request,
+        version: str,
+        uses: Mapping[str, UpstreamUse],
+        free: FreeList,
+        is_allowed: Callable[[UpstreamUse], bool],
+        sizes: tuple[float, float],
+    ) -> Choice | None:
+        """Returns the first free upstream that a rollout wants tested."""
+        for name in self._matcher.preferred(request, version):
+            if name not in free or not is_allowed(uses[name]):
+                continue
+            use = uses[name]
+            named = self._matcher.version_at(
+                use, request.work_class.model, version
+            )
+            if named is not None:
+                tokens, output = sizes
+                return _estimate(use, named, tokens, output, 0.0)
+        return None
+
     @staticmethod
     def _candidates(
         uses: Mapping[str, UpstreamUse],
@@ -264,7 +297,7 @@
     interval_s = speed.interval_s
     # Every further request in the batch slows the whole batch down.
     usage = use.in_use / use.usable if use.usable > 0 else 1.0
-    finish_s = first_token_s + output * interval_s * (1.0 + 0.5 * usage)
+    finish_s = first_token_s + output * interval_s * (0.75 + 0.5 * usage)
     if use.load is not None and use.load.waiting:
         finish_s += use.load_weight * use.load.waiting * first_token_s
     if not speed.is_known:
@@ -300,8 +333,10 @@
         """Takes the free slots that a node of another zone reported."""
         self._free[zone, node_id] = (dict(slots), self._clock.monotonic())
 
-    def choose(self, request: Request, output_tokens: float) -> str | None:
-        """Returns a zone with a free slot and budget; takes both.
+    def choose(
+        self, request: Request, output_tokens: float
+    ) -> tuple[str, str] | None:
+        """Returns a zone and its node with a free slot; takes slot and bytes.
 
         Args:
             request: Request to spill.
@@ -312,10 +347,10 @@
         for zone, region in self._ordered_zones(own.region):
             if zone == own.zone or not self._membership.is_zone_reachable(zone):
                 continue
-            entry = self._find_slot(zone, request.work_class.model)
-            if entry is not None and self._budget.take(region, expected):
-                entry[request.work_class.model] -= 1
-                return zone
+            node_id = self._find_node(zone, request.work_class.model)
+            if node_id is not None and self._budget.take(region, expected):
+                self._free[zone, node_id][0][request.work_class.model] -= 1
+                return zone, node_id
         return None
 
     def _ordered_zones(self, own_region: str) -> Iterable[tuple[str, str]]:
@@ -325,15 +360,12 @@
             regions.items(), key=lambda item: (item[1] != own_region, item[0])
         )
 
-    def _find_slot(self, zone: str, model: str) -> dict[str, int] | None:
+    def _find_node(self, zone: str, model: str) -> str | None:
         oldest = self._clock.monotonic() - _REMOTE_SLOTS_MAX_AGE_S
-        best: dict[str, int] | None = None
-        for (reporting_zone, _), (slots, heard_at) in self._free.items():
-            if (
-                reporting_zone == zone
-                and heard_at >= oldest
-                and slots.get(model, 0) > 0
-                and (best is None or slots[model] > best[model])
-            ):
-                best = slots
+        best: str | None = None
+        most = 0
+        for (reporting_zone, node_id), (slots, heard_at) in self._free.items():
+            free = slots.get(model, 0)
+            if reporting_zone == zone and heard_at >= oldest and free > most:
+                best, most = node_id, free
         return best
--- a/tests/test_zone_scheduler.py
+++ b/tests/test_zone_scheduler.py
@@ -295,9 +295,10 @@
         node.place("low", tier=2)
         node.attach("low", control)
         node.start("top")
-        wait_for(lambda: "top" in node.placed)
-        assert control.events[-1] == "cancel preempted"
+        wait_for(lambda: "cancel preempted" in control.events)
+        assert node.placed == []
         node.finish("low", Outcome(complete=False))
+        wait_for(lambda: "top" in node.placed)
         assert node.scheduler.snapshot()["upstreams"]["e1"]["in_use"][0] == 1
 
     def test_each_waiting_request_stops_one_generation(self) -> None:
@@ -404,6 +405,23 @@
         chosen = [node.place(f"s{n}").vm.vm_id for n in range(3)]
         assert chosen == ["fast"] * 3
 
+    def test_top_tier_waits_for_an_engine_that_is_quick_enough(self) -> None:
+        """Guards against top-tier answers that are sure to be slow."""
+        clock = FakeClock()
+        node = Node([make_vm("fast", slots=1), make_vm("slow")], clock)
+        for name in ("a", "b"):
+            vm_id = node.place(name).vm.vm_id
+            node.finish(
+                name, Outcome(True, True, 0.05, 1 + 9 * (vm_id == "slow"), 50)
+            )
+        assert node.place("busy").vm.vm_id == "fast"
+        node.start("top")
+        assert node.waiting == 1
+        clock.advance(0.3)
+        node.scheduler.tick()
+        wait_for(lambda: "top" in node.placed)
+        assert node.placements["top"].vm.vm_id == "slow"
+
     def test_cached_prefix_is_preferred(self) -> None:
         node = Node([make_vm(f"e{number}") for number in range(4)])
         rng = random.Random(3)
@@ -502,6 +520,32 @@
             node.scheduler.tick()
         assert node.scheduler.snapshot()["upstreams"]["e1"]["limit"] <= 2
 
+    @pytest.mark.parametrize(
+        ("interval_s", "stall_s", "lowest"), [(0.02, 0.15, 8), (0.2, 0.0, 2)]
+    )
+    def test_running_answers_show_a_slowdown_but_not_a_stall(
+        self, interval_s: float, stall_s: float, lowest: int
+    ) -> None:
+        """Guards against a limit halved by the prefill of one request."""
+        clock = FakeClock()
+        node = Node([make_vm("e1", slots=8)], clock)
+        controls, limits = [], []
+        for number in range(8):
+            node.place(f"r{number}")
+            controls.append(node.attach(f"r{number}"))
+        for step in range(1, 25):
+            clock.advance(0.1)
+            for control in controls:
+                control.first_token_s = 0.05
+                generating_s = step * 0.1 - stall_s * (step >= 8)
+                control.output_tokens = int(generating_s / interval_s)
+            state = node.scheduler.snapshot()["upstreams"]["e1"]
+            limits.append(state["limit"])
+        if stall_s:
+            assert min(limits) >= lowest
+        else:
+            assert limits[-1] <= lowest
+
     def test_limit_grows_with_good_samples(self) -> None:
         clock = FakeClock()
         node = Node([make_vm("e1", slots=4)], clock)
