--- a/src/tanagerport/dispatch_control.py
+++ b/src/tanagerport/dispatch_control.py
@@ -4,7 +4,7 @@
 
 from tanagerport.call_watch import CallWatch
 from tanagerport.model import RefusalReason, UpstreamKind
-from tanagerport.scheduler import Placement
+from tanagerport.scheduler import DispatchProgress, Placement
 from tanagerport.upstream_client import UpstreamClient
 
 _log = structlog.get_logger(__name__)
@@ -25,12 +25,27 @@
         self._placement = placement
         self._client = client
         self._watch = watch
+        self._progress: DispatchProgress | None = None
+
+    @property
+    def first_token_s(self) -> float | None:
+        """Seconds from dispatch to the first token; None before it."""
+        return self._progress.first_token_s if self._progress else None
+
+    @property
+    def output_tokens(self) -> int:
+        """Tokens received so far."""
+        return self._progress.output_tokens if self._progress else 0
 
     @property
     def can_pause(self) -> bool:
         """Whether the upstream can pause this dispatch and resume it."""
         return self._is_engine and self._placement.vm.can_resume
 
+    def follow(self, progress: DispatchProgress) -> None:
+        """Reports the progress of the answer from now on."""
+        self._progress = progress
+
     def pause(self) -> bool:
         """Pauses the dispatch; returns whether the upstream confirmed it."""
         if not self.can_pause:
--- a/src/tanagerport/dispatched_answer.py
+++ b/src/tanagerport/dispatched_answer.py
@@ -103,6 +103,21 @@
             None if self.is_event_stream else clock.monotonic()
         )
         self._finished = False
+        control.follow(self)
+
+    @property
+    def first_token_s(self) -> float | None:
+        """Seconds from dispatch to the first byte; None before it."""
+        if self._first_byte_at is None:
+            return None
+        return self._first_byte_at - self._dispatched_at
+
+    @property
+    def output_tokens(self) -> int:
+        """Tokens received so far."""
+        if self._check is None:
+            return self._usage.completion_tokens
+        return self._usage.completion_tokens or self._check.tokens
 
     @property
     def status(self) -> int:
@@ -294,16 +309,10 @@
         )
 
     def _outcome(self, complete: bool) -> Outcome:
-        first_token_s = None
-        if self._first_byte_at is not None:
-            first_token_s = self._first_byte_at - self._dispatched_at
-        tokens = self._usage.completion_tokens
-        if self._check is not None:
-            tokens = tokens or self._check.tokens
         return Outcome(
             complete=complete,
-            first_token_s=first_token_s,
+            first_token_s=self.first_token_s,
             duration_s=self._clock.monotonic() - self._dispatched_at,
-            output_tokens=tokens,
+            output_tokens=self.output_tokens,
             cached_tokens=self._usage.cached_tokens,
         )
