Keep one record of decisions for each request

Cause: the scheduler and the pipeline each kept a log of their decisions and only the pipeline's was shown; the choice of a node to spill to stood in two modules.

No behaviour of scheduling changes.

--- a/src/tanagerport/explain.py
+++ b/src/tanagerport/explain.py
@@ -9,6 +9,8 @@
 from tanagerport.clock import Clock
 from tanagerport.model import Request
 
+Detail = str | float | None | Mapping[str, float]
+
 _REQUESTS = 4096
 _EVENTS_PER_REQUEST = 32
 
@@ -42,9 +44,7 @@
             cachetools.LRUCache(requests)
         )
 
-    def note(
-        self, request: Request, event: str, **details: str | float | None
-    ) -> None:
+    def note(self, request: Request, event: str, **details: Detail) -> None:
         """Adds a decision about a request.
 
         Args:
--- a/src/tanagerport/node.py
+++ b/src/tanagerport/node.py
@@ -28,7 +28,6 @@
 from tanagerport.rollout import MoverSettings, MoverTask, create_version_mover
 from tanagerport.rollout_metrics import RolloutCollector
 from tanagerport.settings import Settings
-from tanagerport.spill import ZoneSpill
 from tanagerport.status_report import StatusSources
 from tanagerport.upstream_client import UpstreamClient
 from tanagerport.version_policy import (
@@ -272,13 +271,19 @@
         control.configuration, clock, control.membership
     )
 
+    explanations = ExplanationLog(clock)
     scheduler = create_zone_scheduler(
-        settings, control.membership, control.peers, policy, metrics, clock
+        settings,
+        control.membership,
+        control.peers,
+        policy,
+        metrics,
+        clock,
+        explanations,
     )
     control.poller.add_reader(
         CacheEventReader(scheduler.take_cache_events).read
     )
-    explanations = ExplanationLog(clock)
     class_status = ClassStatusTracker(clock)
     metrics.registry.register(
         RolloutCollector(
@@ -307,9 +312,7 @@
             classes=lambda: control.configuration.classes,
             table=platform.table,
             version_policy=policy,
-            spill=ZoneSpill(
-                scheduler, control.membership, scheduler.link_budget
-            ),
+            spill=scheduler,
             explanations=explanations,
             class_status=class_status,
         ),
--- a/src/tanagerport/zone_scheduler.py
+++ b/src/tanagerport/zone_scheduler.py
@@ -16,9 +16,9 @@
     retry_after_s,
 )
 from tanagerport.clock import Clock
-from tanagerport.decisions import DecisionLog
 from tanagerport.estimates import LengthEstimator, prompt_tokens
 from tanagerport.exceptions import RefusedError
+from tanagerport.explain import ExplanationLog
 from tanagerport.interfaces import (
     MembershipView,
     NodeView,
@@ -94,6 +94,7 @@
         versions: Choice of versions.
         metrics: Metrics of the node.
         clock: Source of time.
+        explanations: Steps of recent requests.
         run_background: Whether a thread renews grants and limits. Without
             it, callers use `tick`.
     """
@@ -106,6 +107,7 @@
         versions: VersionPolicy,
         metrics: Metrics,
         clock: Clock,
+        explanations: ExplanationLog,
         run_background: bool = True,
     ) -> None:
         self._settings = settings
@@ -125,7 +127,7 @@
         self._durations: dict[str, float] = {}
         self._actions: list[Callable[[], None]] = []
         self._slots_shown: dict[str, int] = {}
-        self._log = DecisionLog()
+        self._explanations = explanations
         self._bounds = QueueBounds(
             settings.queue_limit, settings.caller_threads
         )
@@ -261,36 +263,43 @@
             self._tick(self._clock.monotonic())
         self._run_actions()
 
-    def should_spill(self, request: Request) -> str | None:
-        """Returns a zone that should serve the request, or None.
+    def choose_node(
+        self, request: Request, refusal: Refusal | None
+    ) -> str | None:
+        """Returns a node of another zone that should serve a request.
 
-        The zone's free slot and the link's bytes are taken; the caller
-        forwards the request or lets both expire.
+        The node's free slot and the link's bytes are taken.
+
+        Args:
+            request: Request that has not been dispatched.
+            refusal: Why this node refused it; None before it was tried.
+
+        Returns:
+            None if this zone serves the request, or no other can.
         """
+        if refusal is not None and refusal.reason not in _SPILLED_REASONS:
+            return None
         with self._lock:
             now = self._begin()
-            if not self._needs_spill(request, now):
+            if refusal is None and not self._needs_spill(request, now):
                 return None
             target = self._choose_spill(request, now)
-            return target[0] if target else None
-
-    def choose_node(self, request: Request, refusal: Refusal) -> str | None:
-        """Returns a node of another zone for a refused request, or None."""
-        if refusal.reason not in _SPILLED_REASONS:
-            return None
-        with self._lock:
-            target = self._choose_spill(request, self._begin())
             return target[1] if target else None
 
+    def record(self, node_id: str, sent_bytes: int) -> None:
+        """Counts the bytes of a forwarded request and its answer."""
+        for node in self._membership.nodes():
+            if node.node_id == node_id:
+                self._budget.record(node.region, sent_bytes, sent_bytes)
+
     def _choose_spill(
         self, request: Request, now: float
     ) -> tuple[str, str] | None:
+        """Returns the zone and the node to forward to."""
         target = self._spill.choose(request, self._lengths.mean(request))
         if target is not None:
-            self._log_start(request, now)
-            self._log.add(
-                request.request_id,
-                now,
+            self._explanations.note(
+                request,
                 "spilled",
                 zone=target[0],
                 node=target[1],
@@ -305,8 +314,7 @@
 
     def explain(self, request_id: str) -> Mapping[str, Any] | None:
         """Returns what was decided on a request; None when unknown."""
-        with self._lock:
-            return self._log.explain(request_id)
+        return self._explanations.explain(request_id)
 
     def snapshot(self) -> Mapping[str, Any]:
         """Returns limits, slots and queues for the status command."""
@@ -405,9 +413,8 @@
                 dispatch.is_paused, dispatch.paused_at = True, now
                 use.paused.append(dispatch)
                 self._pool.give(use, dispatch, now)
-            self._log.add(
-                dispatch.placement.request.request_id,
-                now,
+            self._explanations.note(
+                dispatch.placement.request,
                 "paused" if paused else "cancelled",
                 upstream=use.vm.vm_id,
                 lent=lent_until is not None,
@@ -464,7 +471,6 @@
         key = key_of(request.work_class)
         ticket = self._make_ticket(request, excluded, now)
         ticket.version = self._match_version(key, version)
-        self._log_start(request, now)
         refusal = self._check(ticket, key, now)
         if refusal is not None:
             self._refuse(ticket, *refusal, now)
@@ -529,9 +535,8 @@
     ) -> None:
         """Refuses what can't be met, except in the top tier."""
         wait_s = self._expected_wait_s(ticket, key, queue)
-        self._log.add(
-            ticket.request.request_id,
-            now,
+        self._explanations.note(
+            ticket.request,
             "waits",
             position=sum(queue.waiting[: ticket.tier + 1]),
             expected_wait_s=round(wait_s, 3),
@@ -611,9 +616,8 @@
         ticket.refusal = Refusal(
             reason, message, retry_after_s=retry_after_s(wait_s)
         )
-        self._log.add(
-            ticket.request.request_id,
-            now,
+        self._explanations.note(
+            ticket.request,
             "refused",
             reason=reason.value,
             message=message,
@@ -773,9 +777,8 @@
         if decision.hashes:
             self._prefixes.add(use.vm.vm_id, work_class.model, decision.hashes)
         queue.charge(ticket.tier, request.customer, ticket.cost)
-        self._log.add(
-            request.request_id,
-            now,
+        self._explanations.note(
+            request,
             "placed",
             upstream=use.vm.vm_id,
             version=best.version,
@@ -841,9 +844,8 @@
                 dispatch.placement.placement_id in use.dispatches
             ):
                 self._pool.give(use, dispatch, now)
-            self._log.add(
-                dispatch.placement.request.request_id,
-                now,
+            self._explanations.note(
+                dispatch.placement.request,
                 "resumed" if resumed else "cancelled",
                 upstream=use.vm.vm_id,
                 paused_s=round(now - dispatch.paused_at, 3),
@@ -879,9 +881,8 @@
         self._sampler.sample_ended(use, dispatch, outcome, now)
         if outcome.complete:
             self._record_whole(use, dispatch, outcome, queue)
-        self._log.add(
-            request.request_id,
-            now,
+        self._explanations.note(
+            request,
             "ended",
             complete=outcome.complete,
             first_token_s=outcome.first_token_s,
@@ -1005,15 +1006,6 @@
         use = self._pool.uses.get(placement.vm.vm_id)
         return use.dispatches.get(placement.placement_id) if use else None
 
-    def _log_start(self, request: Request, now: float) -> None:
-        self._log.start(
-            request.request_id,
-            request.work_class.name,
-            request.work_class.tier,
-            request.customer,
-            now,
-        )
-
     def _waiting_by_tier(
         self, key: ServeKey
     ) -> tuple[Sequence[int], Sequence[int]]:
@@ -1100,6 +1092,7 @@
     versions: VersionPolicy,
     metrics: Metrics,
     clock: Clock,
+    explanations: ExplanationLog | None = None,
     run_background: bool = True,
 ) -> ZoneScheduler:
     """Builds a scheduler and registers its messages.
@@ -1111,11 +1104,19 @@
         versions: Choice of versions.
         metrics: Metrics of the node.
         clock: Source of time.
+        explanations: Steps of recent requests.
         run_background: Whether a thread renews grants and limits; False
             for tests that call `tick`.
     """
     scheduler = ZoneScheduler(
-        settings, membership, peers, versions, metrics, clock, run_background
+        settings,
+        membership,
+        peers,
+        versions,
+        metrics,
+        clock,
+        explanations or ExplanationLog(clock),
+        run_background,
     )
     peers.register("Reclaim", scheduler.handle_reclaim)
     peers.add_heartbeat_part(scheduler)
--- a/tests/test_zone_scheduler.py
+++ b/tests/test_zone_scheduler.py
@@ -65,6 +65,9 @@
         self.placements: dict[str, Placement] = {}
         self.threads: list[threading.Thread] = []
 
+    def spill(self, request_id: str) -> str | None:
+        return self.scheduler.choose_node(self.request(request_id), None)
+
     def request(
         self, request_id: str, tier: int = 0, **details: Any
     ) -> Request:
@@ -574,24 +577,24 @@
 
     def test_only_when_the_zone_cannot_meet_the_target(self) -> None:
         node = self._node()
-        assert node.scheduler.should_spill(node.request("a")) is None
+        assert node.spill("a") is None
         node.place("running")
         for number in range(3):
             node.start(f"w{number}")
-        assert node.scheduler.should_spill(node.request("b")) == "zone-b"
+        assert node.spill("b") == "far-1"
         # The only free slot is taken.
-        assert node.scheduler.should_spill(node.request("c")) is None
+        assert node.spill("c") is None
 
     def test_not_without_budget_or_to_a_cut_off_zone(self) -> None:
         node = self._node(link_bytes_per_s=10)
         node.place("running")
         for number in range(3):
             node.start(f"w{number}")
-        assert node.scheduler.should_spill(node.request("a")) is None
+        assert node.spill("a") is None
         node = self._node()
         node.membership.vms.clear()
         node.membership.cut_zones.add("zone-b")
-        assert node.scheduler.should_spill(node.request("a")) is None
+        assert node.spill("a") is None
 
     def test_free_slots_are_told_to_other_zones_only(self) -> None:
         node = self._node()
