--- a/src/tanagerport/pipeline.py
+++ b/src/tanagerport/pipeline.py
@@ -219,8 +219,10 @@
             run = claim(request, caller)
         except DuplicateKeyError as error:
             return self._replay(request, error)
-        except BaseException:
+        except BaseException as error:
             self._count(-1)
+            if isinstance(error, RefusedError):
+                self._records.record_refusal(request)
             raise
         try:
             return self._place_or_forward(run)
@@ -268,7 +270,7 @@
         made_key = request.key is None
         if made_key:
             request = dataclasses.replace(request, key=uuid.uuid4().hex)
-        claim = self._store_claims.claim(request)
+        claim = self._store_claims.claim(request, made_key)
         recorder = self._answers.start(request.request_id)
         return _Run(request, claim, caller, recorder, made_key)
 
--- a/src/tanagerport/store_claims.py
+++ b/src/tanagerport/store_claims.py
@@ -94,11 +94,12 @@
         self._cursor = ""
         self._removed_at = clock.monotonic()
 
-    def claim(self, request: Request) -> StoreClaim:
+    def claim(self, request: Request, is_new_key: bool = False) -> StoreClaim:
         """Claims the request's key.
 
         Args:
             request: Request with a key.
+            is_new_key: Whether this node has just made the key.
 
         Returns:
             The claim; the call may be dispatched only under it.
@@ -123,7 +124,11 @@
                 Refusal(
                     RefusalReason.CLAIM_STORE_UNAVAILABLE,
                     f"the call can't be claimed: {error}",
-                    Ran.NO,
+                    # Without the store it can't be told whether an earlier
+                    # attempt with the key ran.
+                    Ran.NO
+                    if is_new_key or request.attempt == 1
+                    else Ran.UNKNOWN,
                     _RETRY_AFTER_S,
                 )
             ) from error
