--- a/src/tanagerport/peer_server.py
+++ b/src/tanagerport/peer_server.py
@@ -27,6 +27,9 @@
 _CALL_THREADS = 32
 _STREAM_THREADS = 128
 _SEND_TIMEOUT_S = 10.0
+# Their handlers only look up a table. A thread for each would add its
+# switch to the first token of every request with a key.
+_QUICK_METHODS = frozenset({"Claim", "Settle"})
 _LISTEN_BACKLOG = 1024
 _KEEPALIVE_IDLE_S = 60
 
@@ -62,11 +65,12 @@
         return handler
 
     async def call(self, method: str, message: Any) -> Any:
-        """Runs a unary handler in a thread."""
+        """Runs a unary handler, in a thread if it may block."""
+        handler = self.find(method)
+        if method in _QUICK_METHODS:
+            return handler(message)
         loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(
-            self._calls, self.find(method), message
-        )
+        return await loop.run_in_executor(self._calls, handler, message)
 
     async def stream(
         self, method: str, message: Any, send: Callable[[Frame], Any]
