Test which peer handlers run in a thread

Cause: the former test called Claim, whose handler now runs in the event loop on purpose, and failed. Reclaim, whose handler may block, takes its place with the same assertions; a second test covers claims.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -19,6 +19,8 @@
     ForwardRequest,
     Frame,
     Heartbeat,
+    ReclaimReply,
+    ReclaimRequest,
 )
 from tanagerport.peer_server import HandlerRegistry, PeerServer
 from tanagerport.peers import Peers
@@ -151,6 +153,24 @@
     """Guards against calls without an answer, an error or a bound."""
 
     def test_calls_the_handler_in_a_thread(self, nodes: _Nodes) -> None:
+        """Guards against a handler that blocks the event loop."""
+        first, second = nodes
+        threads: list[str] = []
+
+        def handle(request: ReclaimRequest) -> ReclaimReply:
+            threads.append(threading.current_thread().name)
+            return ReclaimReply(upstream_id=request.model)
+
+        second.peers.register("Reclaim", handle)
+        request = ReclaimRequest(model="k")
+        reply = first.peers.call("n2", "Reclaim", request, 5.0)
+        assert reply.upstream_id == "k"
+        assert threads[0].startswith("peer-call")
+        second.peers.call("n2", "Reclaim", request, 5.0)
+        assert threads[1] == threading.current_thread().name
+
+    def test_claims_are_answered_without_a_thread(self, nodes: _Nodes) -> None:
+        """Guards against a thread switch in the first token of each key."""
         first, second = nodes
         threads: list[str] = []
 
@@ -161,9 +181,7 @@
         second.peers.register("Claim", handle)
         reply = first.peers.call("n2", "Claim", ClaimRequest(key="k"), 5.0)
         assert reply.owner_request_id == "k"
-        assert threads[0].startswith("peer-call")
-        second.peers.call("n2", "Claim", ClaimRequest(key="k"), 5.0)
-        assert threads[1] == threading.current_thread().name
+        assert not threads[0].startswith("peer-call")
 
     def test_handler_error_and_missing_handler_are_peer_errors(
         self, nodes: _Nodes
