--- a/tests/test_bench_judge.py
+++ b/tests/test_bench_judge.py
@@ -161,6 +161,24 @@
         history = _history([_refused()], [_execution(request_id="other")])
         assert bench_judge.refused_ran(history) == 1
 
+    def test_accepts_a_resend_that_ran_after_the_refusal(self) -> None:
+        """Guards against blaming a true refusal for a later resend."""
+        refused = dataclasses.replace(_refused(), request_id="first")
+        resent = dataclasses.replace(_call(), request_id="second")
+        later = dataclasses.replace(
+            _execution(request_id="second"), started=refused.ended_at + 1
+        )
+        assert (
+            bench_judge.refused_ran(_history([refused, resent], [later])) == 0
+        )
+        for wrong in (
+            dataclasses.replace(later, request_id="first"),
+            dataclasses.replace(later, request_id="unseen"),
+            dataclasses.replace(later, started=refused.ended_at - 0.01),
+        ):
+            history = _history([refused, resent], [wrong])
+            assert bench_judge.refused_ran(history) == 1
+
     def test_accepts_ran_unknown_and_requests_that_did_not_start(self) -> None:
         calls = [_refused(ran="unknown"), _refused("b")]
         assert bench_judge.refused_ran(_history(calls, [_execution()])) == 0
