--- a/src/tanagerport/upstream_use.py
+++ b/src/tanagerport/upstream_use.py
@@ -1,7 +1,8 @@
 """What this node uses and observes of each upstream."""
 
 import dataclasses
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any
 
 from tanagerport.estimates import SpeedEstimator
 from tanagerport.interfaces import LoadReport
@@ -203,3 +204,17 @@
             if now - seen_at <= _CLASS_MEMORY_S
         ]
         return min(recent, default=float("inf"))
+
+
+def describe_use(use: UpstreamUse) -> Mapping[str, Any]:
+    """Returns what the status shows of an upstream's use and speed."""
+    base_s, prefill_s, interval_s = use.speed.parameters
+    return {
+        "usable": use.usable,
+        "in_use": list(use.in_use_by_tier),
+        "paused": len(use.paused),
+        "leaving": use.is_leaving,
+        "first_token_s": round(base_s, 4),
+        "prefill_s_per_token": round(prefill_s, 6),
+        "token_interval_s": round(interval_s, 5),
+    }
--- a/src/tanagerport/zone_scheduler.py
+++ b/src/tanagerport/zone_scheduler.py
@@ -1,13 +1,10 @@
 """Scheduler that shares the slots of upstreams with the zone's nodes."""
 
-import concurrent.futures
 import itertools
 import threading
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
-import structlog
-
 from tanagerport.admission import (
     ModelQueue,
     QueueBounds,
@@ -44,14 +41,13 @@
     Outcome,
     Placement,
 )
+from tanagerport.scheduler_threads import SchedulerThreads
 from tanagerport.settings import Settings
 from tanagerport.slot_coordinator import SlotCoordinator
 from tanagerport.slot_exchange import SlotExchange
 from tanagerport.slot_pool import ServeKey, SlotPool, key_of, keys_of
 from tanagerport.slots import TIERS, ServingMap, SlotHolder
-from tanagerport.upstream_use import Dispatch, UpstreamUse
-
-_log = structlog.get_logger(__name__)
+from tanagerport.upstream_use import Dispatch, UpstreamUse, describe_use
 
 _TICK_S = 0.1
 _HOUSEKEEPING_S = 10.0
@@ -73,7 +69,6 @@
 # Prefill of a token costs an engine about a tenth of decoding one.
 _PREFILL_COST = 0.1
 _BYTES_PER_TOKEN = 4
-_WORKERS = 4
 _MODELS_PER_HEARTBEAT = 8
 _SPILLED_REASONS = frozenset(
     {
@@ -116,10 +111,7 @@
         self._metrics = metrics
         self._clock = clock
         self._lock = threading.Lock()
-        self._run_background = run_background
-        self._thread: threading.Thread | None = None
-        self._workers: concurrent.futures.ThreadPoolExecutor | None = None
-        self._stopped = threading.Event()
+        self._threads = SchedulerThreads(self.tick, _TICK_S, run_background)
         self._draining = False
         self._ids = itertools.count(1)
         self._next_tick = self._next_cleaning = 0.0
@@ -198,7 +190,7 @@
                 ticket.event = threading.Event()
         self._run_actions()
         if not ticket.is_decided:
-            self._start_background()
+            self._threads.start()
             self._wait(ticket)
         if ticket.refusal is not None:
             raise RefusedError(ticket.refusal)
@@ -250,12 +242,8 @@
     # Interface of the node and of operators.
 
     def close(self) -> None:
-        """Stops the background thread."""
-        self._stopped.set()
-        if self._thread is not None:
-            self._thread.join()
-        if self._workers is not None:
-            self._workers.shutdown(wait=False)
+        """Stops the threads."""
+        self._threads.close()
 
     def tick(self) -> None:
         """Renews grants and limits and serves waiting requests."""
@@ -966,39 +954,13 @@
                 self._slots_shown[vm_id] = use.usable
                 self._metrics.slots.labels(vm_id).set(use.usable)
 
-    def _start_background(self) -> None:
-        if not self._run_background or self._thread is not None:
-            return
-        with self._lock:
-            if self._thread is None:
-                self._thread = threading.Thread(
-                    target=self._run_ticks, name="scheduler", daemon=True
-                )
-                self._thread.start()
-
-    def _run_ticks(self) -> None:
-        while not self._stopped.wait(_TICK_S):
-            try:
-                self.tick()
-            except Exception:
-                # Without the ticks waiting requests would never be served.
-                _log.exception("scheduler_tick_failed")
-
     def _run_actions(self) -> None:
         """Runs engine calls that were decided under the lock."""
         if not self._actions:
             return
         with self._lock:
             actions, self._actions = self._actions, []
-            if actions and self._run_background and self._workers is None:
-                self._workers = concurrent.futures.ThreadPoolExecutor(
-                    _WORKERS, thread_name_prefix="scheduler-resume"
-                )
-        for action in actions:
-            if self._workers is not None:
-                self._workers.submit(action)
-            else:
-                action()
+        self._threads.run(actions)
 
     # Helpers.
 
@@ -1055,26 +1017,18 @@
 
     def _describe(self, use: UpstreamUse, now: float) -> Mapping[str, Any]:
         vm = use.vm
-        own = self._serving.coordinator(vm.vm_id) == self._settings.node_id
-        limit = (
-            self._coordinator.limit(vm)
-            if own
-            else self._holder.last_limit(vm.vm_id) or vm.slots
-        )
-        base_s, prefill_s, interval_s = use.speed.parameters
+        coordinator = self._serving.coordinator(vm.vm_id)
+        if coordinator == self._settings.node_id:
+            limit = self._coordinator.limit(vm)
+        else:
+            limit = self._holder.last_limit(vm.vm_id) or vm.slots
         return {
             "limit": limit,
-            "coordinator": self._serving.coordinator(vm.vm_id),
+            "coordinator": coordinator,
             "granted": self._holder.granted(vm, now),
             "has_grant": self._holder.has_grant(vm, now),
-            "usable": use.usable,
-            "in_use": list(use.in_use_by_tier),
-            "paused": len(use.paused),
             "waiting": self._waiting_of(use),
-            "leaving": use.is_leaving,
-            "first_token_s": round(base_s, 4),
-            "prefill_s_per_token": round(prefill_s, 6),
-            "token_interval_s": round(interval_s, 5),
+            **describe_use(use),
         }
 
     def _waiting_of(self, use: UpstreamUse) -> list[int]:
