--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -8,6 +8,7 @@
 from tanagerport.bench_scenarios import SCENARIOS_BY_NAME
 
 _ADDED_FIRST_TOKEN_S = 0.005
+_BURST_TOP_TIER_GOODPUT = 0.99
 
 
 class TestSteady:
@@ -17,3 +18,12 @@
         result = measure(SCENARIOS_BY_NAME["steady"], 1, [Side.PRODUCT])
         added_s = result["product"]["median_added_first_token_s"]
         assert added_s <= _ADDED_FIRST_TOKEN_S
+
+
+class TestBurst:
+    """Guards against a burst that reaches the top tier."""
+
+    def test_top_tier_goodput_is_at_least_99_percent(self) -> None:
+        result = measure(SCENARIOS_BY_NAME["burst"], 3, [Side.PRODUCT])
+        goodput = result["product"]["goodput_by_tier"]["0"]
+        assert goodput >= _BURST_TOP_TIER_GOODPUT
