Share the read of a platform record and the configuration's interface

Cause: a read-through found the same 404 and 200 handling in the table and object store clients, the properties of ConfigurationView written again for the status, and a table printer of the slopes that nothing calls.

After: read_existing serves both clients, StatusConfiguration extends ConfigurationView, the printer is gone. Behaviour and tests are unchanged.

--- a/src/tanagerport/platform_http.py
+++ b/src/tanagerport/platform_http.py
@@ -147,6 +147,19 @@
             raise self.unexpected(path, response)
         return response
 
+    def read_existing(self, path: str) -> urllib3.BaseHTTPResponse | None:
+        """Returns the answer to a read, None if there is no such thing.
+
+        Raises:
+            PlatformError: The service gave another answer than 200 or 404.
+        """
+        response = self.read(path)
+        if response.status == 404:
+            return None
+        if response.status != 200:
+            raise self.unexpected(path, response)
+        return response
+
     def _text(self, path: str, cause: object) -> str:
         return f"{self._base_url}{path}: {cause}"
 
@@ -165,11 +178,9 @@
     def get(self, key: str) -> Record | None:
         """Returns the record, None if it does not exist."""
         path = f"/records/{urllib.parse.quote(key)}"
-        response = self._service.read(path)
-        if response.status == 404:
+        response = self._service.read_existing(path)
+        if response is None:
             return None
-        if response.status != 200:
-            raise self._service.unexpected(path, response)
         return _record(decode_reply(response, _RecordMessage))
 
     def scan(self, prefix: str, start_after: str = "") -> Sequence[Record]:
@@ -230,12 +241,8 @@
     def get(self, name: str) -> bytes | None:
         """Returns the object, None if it does not exist."""
         path = f"/{urllib.parse.quote(name)}"
-        response = self._service.read(path)
-        if response.status == 404:
-            return None
-        if response.status != 200:
-            raise self._service.unexpected(path, response)
-        return response.data
+        response = self._service.read_existing(path)
+        return response.data if response is not None else None
 
     def put(self, name: str, content: bytes) -> None:
         """Writes the object."""
--- a/src/tanagerport/slopes.py
+++ b/src/tanagerport/slopes.py
@@ -9,7 +9,7 @@
 import dataclasses
 import itertools
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator
 
 from tanagerport.clock import SystemClock
 from tanagerport.config_records import (
@@ -302,17 +302,3 @@
     for _ in range(repeats):
         action()
     return (time.process_time() - started) / repeats
-
-
-def as_table(slopes: Mapping[str, Mapping[str, object]]) -> str:
-    """Returns the slopes as lines of a Markdown table."""
-    lines = [
-        "| slope | value | unit | sizes | residual |",
-        "|---|---|---|---|---|",
-    ]
-    lines += [
-        f"| `{name}` | {item['slope']:g} | {item['unit']} |"
-        f" {', '.join(map(str, item['sizes']))} | {item['residual']:.1%} |"  # type: ignore[call-overload]
-        for name, item in slopes.items()
-    ]
-    return "\n".join(lines)
--- a/src/tanagerport/status_report.py
+++ b/src/tanagerport/status_report.py
@@ -8,8 +8,12 @@
 from tanagerport.clock import Clock
 from tanagerport.config_records import class_key
 from tanagerport.config_state import AppliedVersion, ConfigurationState
-from tanagerport.interfaces import MembershipView, NodeLiveness
-from tanagerport.model import VersionMove, VMRole, VMState, WorkClass
+from tanagerport.interfaces import (
+    ConfigurationView,
+    MembershipView,
+    NodeLiveness,
+)
+from tanagerport.model import VMRole, VMState
 from tanagerport.move_report import (
     SamplesByScope,
     report_convictions,
@@ -17,25 +21,9 @@
 )
 
 
-class StatusConfiguration(Protocol):
+class StatusConfiguration(ConfigurationView, Protocol):
     """What the status shows of the configuration."""
 
-    @property
-    def version(self) -> int:
-        """Highest configuration version in force."""
-
-    @property
-    def classes(self) -> Mapping[str, WorkClass]:
-        """Classes by name."""
-
-    @property
-    def moves(self) -> Mapping[str, VersionMove]:
-        """Latest rollout of each model."""
-
-    @property
-    def convictions(self) -> Mapping[tuple[str, str], str]:
-        """Reason by model and version that is known to be bad."""
-
     @property
     def history(self) -> Sequence[AppliedVersion]:
         """Latest applied versions with their lag, oldest first."""
