Serve the users' platform through an asyncio gateway

The gateway is a second edge of the product: it routes by host and path prefix, authenticates customers, shares quotas and loads between nodes and keeps one queue for each service. platform/ decodes the platform's names.

--- a/src/tanagerport/exceptions.py
+++ b/src/tanagerport/exceptions.py
@@ -8,7 +8,7 @@
 from tanagerport.findings import Finding, format_findings
 
 if TYPE_CHECKING:
-    from tanagerport.model import Refusal
+    from tanagerport.refusals import Refusal
 
 
 class TanagerportError(Exception):
--- /dev/null
+++ b/src/tanagerport/gateway/channel.py
@@ -0,0 +1,209 @@
+"""Byte channel over TCP with back-pressure and notice of a closed peer."""
+
+import asyncio
+import collections
+import socket
+from collections.abc import Callable
+from typing import cast
+
+# Unread bytes above this stop reading from the socket, so that a peer that
+# sends faster than its request is handled does not fill the memory.
+_MAX_UNREAD_BYTES = 256 * 1024
+# TCP keep-alive finds connections that something between the ends forgot.
+_KEEPALIVE_IDLE_S = 2
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 3
+# Unacknowledged bytes for this long mean that the path is gone.
+_USER_TIMEOUT_MS = 4000
+
+
+class Channel(asyncio.Protocol):
+    """One TCP connection.
+
+    Args:
+        on_connect: Called with the channel when a server accepted it.
+    """
+
+    def __init__(
+        self, on_connect: Callable[["Channel"], None] | None = None
+    ) -> None:
+        self._on_connect = on_connect
+        self._on_gone: Callable[[], object] | None = None
+        self._transport: asyncio.Transport | None = None
+        self._unread: collections.deque[bytes] = collections.deque()
+        self._unread_bytes = 0
+        self._eof = False
+        self._lost = False
+        self._error: Exception | None = None
+        self._reader: asyncio.Future[None] | None = None
+        self._writer: asyncio.Future[None] | None = None
+        self._write_paused = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the peer has not closed the connection."""
+        return (
+            not self._eof
+            and not self._lost
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether received bytes wait to be read."""
+        return bool(self._unread)
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether written bytes have not left the process."""
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
+    def notify_gone(self, callback: Callable[[], object] | None) -> None:
+        """Sets what is called once when the peer closes the connection."""
+        self._on_gone = callback
+
+    async def read(self) -> bytes:
+        """Returns received bytes; empty at the end of the stream.
+
+        Raises:
+            ConnectionError: The connection broke.
+        """
+        while not self._unread:
+            if self._error is not None:
+                raise ConnectionResetError(str(self._error))
+            if self._eof or self._lost:
+                return b""
+            self._reader = asyncio.get_running_loop().create_future()
+            try:
+                await self._reader
+            finally:
+                self._reader = None
+        data = self._unread.popleft()
+        self._unread_bytes -= len(data)
+        if self._unread_bytes <= _MAX_UNREAD_BYTES:
+            self._resume_reading()
+        return data
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes; does nothing on a closed connection."""
+        if self._transport is not None and not self._lost and data:
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Waits while the peer reads more slowly than bytes are written."""
+        while self._write_paused and not self._lost:
+            self._writer = asyncio.get_running_loop().create_future()
+            try:
+                await self._writer
+            finally:
+                self._writer = None
+
+    def close(self) -> None:
+        """Closes the connection after the written bytes were sent."""
+        self._on_gone = None
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self._on_gone = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Implements `asyncio.Protocol`."""
+        self._transport = cast(asyncio.Transport, transport)
+        _set_options(self._transport)
+        if self._on_connect is not None:
+            self._on_connect(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Implements `asyncio.Protocol`."""
+        self._unread.append(data)
+        self._unread_bytes += len(data)
+        if self._unread_bytes > _MAX_UNREAD_BYTES and self._transport:
+            self._transport.pause_reading()
+        _wake(self._reader)
+
+    def eof_received(self) -> bool:
+        """Implements `asyncio.Protocol`; keeps the other direction open."""
+        self._eof = True
+        _wake(self._reader)
+        self._notify()
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Implements `asyncio.Protocol`."""
+        self._lost = True
+        self._error = exc
+        _wake(self._reader)
+        _wake(self._writer)
+        self._notify()
+
+    def pause_writing(self) -> None:
+        """Implements `asyncio.Protocol`."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Implements `asyncio.Protocol`."""
+        self._write_paused = False
+        _wake(self._writer)
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and not self._lost:
+            self._transport.resume_reading()
+
+    def _notify(self) -> None:
+        callback, self._on_gone = self._on_gone, None
+        if callback is not None:
+            callback()
+
+
+def _wake(waiter: asyncio.Future[None] | None) -> None:
+    if waiter is not None and not waiter.done():
+        waiter.set_result(None)
+
+
+def _set_options(transport: asyncio.Transport) -> None:
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+    )
+    for level, option, value in options:
+        try:
+            sock.setsockopt(level, option, value)
+        except OSError:
+            # The connection may be gone already; the next read tells.
+            return
+
+
+async def open_channel(host: str, port: int, timeout_s: float) -> Channel:
+    """Opens a connection.
+
+    Args:
+        host: IP address.
+        port: TCP port.
+        timeout_s: Bound of the attempt, in seconds.
+
+    Raises:
+        ConnectionError: There was no connection in time.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, channel = await loop.create_connection(Channel, host, port)
+    except TimeoutError:
+        raise ConnectionError(
+            f"no connection to {host}:{port} within {timeout_s:g} s"
+        ) from None
+    except OSError as error:
+        raise ConnectionError(f"{host}:{port}: {error}") from error
+    return channel
--- /dev/null
+++ b/src/tanagerport/gateway/http_call.py
@@ -0,0 +1,139 @@
+"""HTTP/1.1 calls over a channel, with `h11` as the codec."""
+
+import dataclasses
+
+import h11
+
+from tanagerport.exceptions import TanagerportError
+from tanagerport.gateway.channel import Channel
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class CallError(TanagerportError):
+    """The peer broke the connection or sent bytes that are no answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status line and header fields of an answer.
+
+    Attributes:
+        status: HTTP status.
+        reason: Reason phrase.
+        headers: Fields as received, names in their original case.
+        values: Fields by lowercase name; the last one of a name.
+    """
+
+    status: int
+    reason: bytes
+    headers: Headers
+    values: dict[bytes, bytes]
+
+
+class HttpCall:
+    """One request and its answer on a connection.
+
+    Args:
+        channel: Connection that carries no other call.
+        request: Request line and fields.
+        body: Body of the request.
+        unread: Bytes that were received after an earlier answer.
+    """
+
+    def __init__(
+        self,
+        channel: Channel,
+        request: h11.Request,
+        body: bytes = b"",
+        unread: bytes = b"",
+    ) -> None:
+        self._channel = channel
+        self._request = request
+        self._codec = h11.Connection(h11.CLIENT)
+        self._bytes = self._codec.send(request) or b""
+        if body:
+            self._bytes += self._codec.send(h11.Data(body)) or b""
+        self._bytes += self._codec.send(h11.EndOfMessage()) or b""
+        if unread:
+            self._codec.receive_data(unread)
+        self._complete = False
+        self._head: AnswerHead | None = None
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole answer arrived."""
+        return self._complete
+
+    @property
+    def surplus(self) -> bytes:
+        """Bytes after the answer."""
+        return bytes(self._codec.trailing_data[0])
+
+    @property
+    def can_reuse(self) -> bool:
+        """Whether the connection may carry another call."""
+        return (
+            self._complete
+            and self._codec.their_state is h11.DONE
+            and not self._codec.trailing_data[0]
+            and self._channel.is_open
+            and not self._channel.has_unread
+            and not self._channel.has_unsent
+        )
+
+    def send(self) -> None:
+        """Sends the request."""
+        self._channel.write(self._bytes)
+        self._bytes = b""
+
+    def reopen(self) -> "HttpCall":
+        """Returns a call that reads the next answer to the same request."""
+        return HttpCall(self._channel, self._request, unread=self.surplus)
+
+    async def read_head(self) -> AnswerHead:
+        """Waits for the status line and the header fields.
+
+        Raises:
+            CallError: There is no valid answer.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                return AnswerHead(
+                    event.status_code,
+                    bytes(event.reason),
+                    event.headers.raw_items(),
+                    {name: bytes(value) for name, value in event.headers},
+                )
+            if not isinstance(event, h11.InformationalResponse):
+                raise CallError("the connection ended before the answer")
+
+    async def read_body(self) -> bytes:
+        """Returns the next bytes of the body; empty at its end.
+
+        Raises:
+            CallError: The body is incomplete.
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            self._complete = True
+            return b""
+        raise CallError("the connection ended within the answer")
+
+    async def _next_event(
+        self,
+    ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        try:
+            while True:
+                event = self._codec.next_event()
+                if event is h11.NEED_DATA:
+                    self._codec.receive_data(await self._channel.read())
+                else:
+                    return event
+        except h11.RemoteProtocolError as error:
+            raise CallError(f"invalid answer: {error}") from error
+        except ConnectionError as error:
+            raise CallError(f"the connection broke: {error}") from error
--- /dev/null
+++ b/src/tanagerport/gateway/metrics_rendering.py
@@ -0,0 +1,72 @@
+"""Rendering of a process's figures in the text format of Prometheus."""
+
+from collections.abc import Iterator
+
+import prometheus_client
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
+
+from tanagerport.gateway.counters import Counters, Histogram
+
+
+class _Collector:
+    """Collects the figures at the time of a scrape."""
+
+    def __init__(self, counters: Counters) -> None:
+        self._counters = counters
+
+    def collect(self) -> Iterator[Metric]:
+        """Implements the collector of `prometheus_client`."""
+        counters = self._counters
+        for name, text, label, values in (
+            ("refusals", "Refused requests.", "reason", counters.refusals),
+            ("retries", "Repeated dispatches.", "reason", counters.retries),
+            ("answers", "Answers of upstreams.", "outcome", counters.answers),
+            ("store_calls", "Store calls.", "outcome", counters.store_calls),
+        ):
+            family = CounterMetricFamily(
+                f"tanagerport_gateway_{name}", text, labels=[label]
+            )
+            for value, count in values.items():
+                family.add_metric([value], count)
+            yield family
+        yield CounterMetricFamily(
+            "tanagerport_gateway_clients_gone",
+            "Requests whose client left before the answer.",
+            value=counters.clients_gone,
+        )
+        for name, text, histogram in (
+            ("wait", "Time from arrival to dispatch.", counters.wait),
+            (
+                "first_byte",
+                "Time from arrival to the answer or its first event.",
+                counters.first_byte,
+            ),
+            (
+                "event_pause",
+                "Time between events of a stream.",
+                counters.event_pause,
+            ),
+        ):
+            yield _histogram(name, text, histogram)
+        for name, read in counters.gauges.items():
+            yield GaugeMetricFamily(
+                f"tanagerport_gateway_{name}", name, value=read()
+            )
+
+
+def _histogram(name: str, text: str, histogram: Histogram) -> Metric:
+    family = HistogramMetricFamily(f"tanagerport_gateway_{name}_seconds", text)
+    family.add_metric([], histogram.buckets(), histogram.sum_s)
+    return family
+
+
+def render(counters: Counters) -> bytes:
+    """Returns all figures as text."""
+    registry = prometheus_client.CollectorRegistry()
+    registry.register(_Collector(counters))
+    return prometheus_client.generate_latest(registry)
--- /dev/null
+++ b/src/tanagerport/gateway/node.py
@@ -0,0 +1,449 @@
+"""The gateway process: builds its parts, runs them and stops them."""
+
+import asyncio
+import os
+import random
+import secrets
+import signal
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
+
+from tanagerport.exceptions import PlatformError, SettingsError
+from tanagerport.gateway.client_server import ClientServer
+from tanagerport.gateway.counters import Counters
+from tanagerport.gateway.decision_log import DecisionLog
+from tanagerport.gateway.dialect import Dialect
+from tanagerport.gateway.domain import (
+    ClientLimits,
+    Configuration,
+    Service,
+    UpstreamRecord,
+)
+from tanagerport.gateway.forwarding import RequestForwarder
+from tanagerport.gateway.load_board import LoadBoard
+from tanagerport.gateway.peer_exchange import NodeReport, PeerExchange
+from tanagerport.gateway.placement import Placer
+from tanagerport.gateway.prompt_cache import PromptCacheMap
+from tanagerport.gateway.quotas import QuotaLedger
+from tanagerport.gateway.ready_server import ReadyServer
+from tanagerport.gateway.repeat_budget import RepeatBudget
+from tanagerport.gateway.route_table import RouteTable
+from tanagerport.gateway.scheduler import Scheduler
+from tanagerport.gateway.settings import GatewaySettings, parse_address
+from tanagerport.gateway.store_watch import TableWatch
+from tanagerport.gateway.table_store import (
+    Row,
+    RowWrite,
+    TableRows,
+    TableStore,
+)
+from tanagerport.gateway.upstream_health import UpstreamHealth
+from tanagerport.gateway.upstream_pool import UpstreamPool
+from tanagerport.gateway.upstream_registry import UpstreamRegistry
+
+# The load balancer takes a node out after two failed checks, one a second;
+# until then new connections still come.
+_OUT_OF_ROTATION_S = 2.5
+# New requests on open connections are refused this long before the kill, as
+# they would probably be cut.
+_LAST_REQUESTS_S = 4.5
+# The process ends this long before the kill, so that it ends by itself.
+_STOP_MARGIN_S = 0.4
+_HOUSEKEEPING_INTERVAL_S = 0.1
+# A pause of the process longer than this makes its beliefs stale.
+_PAUSE_S = 1.0
+# Share of the time in which a configuration must be in force that one call
+# to the store may wait; the rest is for finding out that it fell silent.
+_WATCH_SHARE = 0.6
+_MAX_WATCH_S = 4.0
+_NODE_TABLE = "tanagerport_nodes"
+_UNKNOWN_SERVICE = Service("")
+
+
+class PlatformCodec(Protocol):
+    """Decodes what the platform keeps in its store."""
+
+    @property
+    def configuration_table(self) -> str:
+        """Table that holds the configuration."""
+
+    @property
+    def upstream_table(self) -> str:
+        """Table that holds the upstreams."""
+
+    def decode_configuration(self, row: Row) -> Configuration | None:
+        """Returns a configuration; None if the row holds something else.
+
+        Raises:
+            DocumentError: The configuration has findings.
+        """
+
+    def decode_upstream(self, row: Row) -> UpstreamRecord:
+        """Returns an upstream.
+
+        Raises:
+            DocumentError: The row was not written by an upstream.
+        """
+
+
+class GatewayNode:
+    """One gateway process.
+
+    Args:
+        settings: Settings of the process.
+        dialect: Spelling of the header fields.
+        codec: Decodes rows of the store.
+        store: Client of the store.
+        counters: Figures of the process.
+        log: Log of decisions.
+        load_settings: Reads the settings again after a change.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        codec: PlatformCodec,
+        store: TableStore,
+        counters: Counters,
+        log: DecisionLog,
+        load_settings: Callable[[], GatewaySettings],
+    ) -> None:
+        self._settings = settings
+        self._codec = codec
+        self._store = store
+        self._log = log
+        self._load_settings = load_settings
+        self._routes: RouteTable | None = None
+        self._start = secrets.randbits(48)
+        self._stopping = asyncio.Event()
+        self._is_leaving = False
+        self._knows_upstreams = False
+        self._counters = counters
+        self._board = LoadBoard()
+        self._health = UpstreamHealth()
+        self._cache = PromptCacheMap()
+        self._pool = UpstreamPool()
+        self._registry = UpstreamRegistry()
+        self._quotas = QuotaLedger()
+        self._peers = PeerExchange(
+            settings.peer_host,
+            settings.peer_port,
+            self._make_report,
+            self._apply_report,
+            self._forget_peer,
+            log,
+        )
+        self._budget = RepeatBudget(
+            settings.retry_ratio,
+            settings.retry_window_s,
+            settings.retry_slack,
+            self._peers.count_nodes,
+        )
+        self._scheduler = Scheduler(
+            self._registry,
+            Placer(
+                settings.zone,
+                settings.regions,
+                self._board,
+                self._health,
+                self._cache,
+            ),
+            self._board,
+            self._health,
+            self._cache,
+            self._find_service,
+        )
+        self._forwarder = RequestForwarder(
+            dialect,
+            lambda: self._routes,
+            self._scheduler,
+            self._registry,
+            self._pool,
+            self._health,
+            self._quotas,
+            self._budget,
+            self._counters,
+            log,
+        )
+        self._server = ClientServer(self._forwarder, self._get_limits, log)
+        self._ready = ReadyServer(
+            dialect.ready_path, lambda: self.is_ready, self._counters
+        )
+        self._registry.notify_gone(self._forget_upstream)
+        self._registry.notify_change(self._scheduler.offer_places)
+        wait_s = min(
+            settings.config_apply_ms / 1000 * _WATCH_SHARE, _MAX_WATCH_S
+        )
+        self._watches = (
+            TableWatch(
+                store,
+                codec.configuration_table,
+                wait_s,
+                self._apply_configuration_rows,
+                self._apply_configuration_rows,
+                self._note_store,
+                log,
+            ),
+            TableWatch(
+                store,
+                codec.upstream_table,
+                wait_s,
+                self._read_upstreams,
+                self._change_upstreams,
+                self._note_store,
+                log,
+            ),
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the node may get new connections."""
+        return (
+            self._routes is not None
+            and self._knows_upstreams
+            and not self._is_leaving
+        )
+
+    async def run(self) -> None:
+        """Serves until the process is told to stop."""
+        settings = self._settings
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._log.info("started", zone=settings.zone, pid=os.getpid())
+        self._peers.add_hosts(
+            parse_address(seed).host for seed in settings.seeds
+        )
+        listen = parse_address(settings.listen)
+        ready = parse_address(settings.ready_listen)
+        await self._peers.start()
+        await self._ready.start(ready.host, ready.port)
+        await self._ready.start(settings.peer_host, settings.metrics_port)
+        await self._server.start(listen.host, listen.port)
+        tasks = [
+            loop.create_task(self._supervise(name, run))
+            for name, run in (
+                ("configuration", self._watches[0].run),
+                ("upstreams", self._watches[1].run),
+                ("reports", self._peers.run),
+                ("membership", self._run_membership),
+                ("housekeeping", self._run_housekeeping),
+            )
+        ]
+        await self._stopping.wait()
+        await self._drain()
+        for task in tasks:
+            task.cancel()
+        await self._server.close()
+        self._pool.close_all()
+        self._peers.close()
+        self._log.info("stopped")
+        self._log.flush()
+
+    async def _drain(self) -> None:
+        """Ends all requests in progress before the process is killed."""
+        self._is_leaving = True
+        started_at = time.monotonic()
+        grace_s = self._settings.drain_grace_s
+        self._log.info("stopping", requests=self._server.requests_in_progress)
+        self._server.start_draining()
+        self._peers.send_report()
+        await asyncio.sleep(min(_OUT_OF_ROTATION_S, grace_s / 2))
+        self._server.close_idle()
+        while time.monotonic() - started_at < grace_s - _STOP_MARGIN_S:
+            if not self._server.requests_in_progress:
+                return
+            if time.monotonic() - started_at > grace_s - _LAST_REQUESTS_S:
+                self._forwarder.refuse_new()
+            await asyncio.sleep(0.05)
+            self._server.close_idle()
+
+    def _reload(self) -> None:
+        try:
+            settings = self._load_settings()
+        except SettingsError as error:
+            self._log.error("settings_refused", error=str(error))
+            return
+        self._settings = settings
+        self._peers.add_hosts(
+            parse_address(seed).host for seed in settings.seeds
+        )
+        self._log.info("settings_reloaded")
+
+    async def _supervise(
+        self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        while True:
+            try:
+                await run()
+                return
+            except asyncio.CancelledError:
+                raise
+            except Exception as error:  # A part that failed starts again.
+                self._log.error("task_failed", task=name, error=repr(error))
+            await asyncio.sleep(0.1)
+
+    async def _run_housekeeping(self) -> None:
+        last = time.clock_gettime(time.CLOCK_BOOTTIME)
+        last_monotonic = time.monotonic()
+        while True:
+            await asyncio.sleep(_HOUSEKEEPING_INTERVAL_S)
+            boot_time = time.clock_gettime(time.CLOCK_BOOTTIME)
+            monotonic = time.monotonic()
+            # A pause shows on the clock that counts it, or as a long sleep.
+            if max(boot_time - last, monotonic - last_monotonic) > _PAUSE_S:
+                self._log.warning(
+                    "resumed_after_pause", pause_s=round(boot_time - last, 3)
+                )
+                self._store.drop_connections()
+                for watch in self._watches:
+                    watch.read_again()
+            last, last_monotonic = boot_time, monotonic
+            self._registry.drop_expired()
+            self._pool.close_expired()
+            self._scheduler.offer_places()
+            self._log.flush()
+
+    async def _run_membership(self) -> None:
+        """Writes this node's row and learns the addresses of others."""
+        row = RowWrite(
+            _NODE_TABLE, self._settings.node, self._settings.peer_host.encode()
+        )
+        has_written = False
+        while True:
+            try:
+                if not has_written:
+                    await self._store.transact([row])
+                    has_written = True
+                rows = await self._store.read(_NODE_TABLE)
+            except PlatformError as error:
+                self._log.debug("membership_unknown", error=str(error))
+                await asyncio.sleep(random.uniform(0.5, 1.5))
+                continue
+            self._peers.add_hosts(
+                row.value.decode("ascii", "replace")
+                for row in rows.rows
+                if row.value
+            )
+            await asyncio.sleep(random.uniform(20, 40))
+
+    def _find_service(self, name: str) -> Service:
+        if self._routes is None:
+            return _UNKNOWN_SERVICE
+        return self._routes.configuration.services.get(name, _UNKNOWN_SERVICE)
+
+    def _get_limits(self) -> ClientLimits:
+        if self._routes is None:
+            return ClientLimits()
+        return self._routes.configuration.limits
+
+    def _note_store(self, is_reachable: bool) -> None:
+        self._registry.note_store(is_reachable)
+
+    def _apply_configuration_rows(self, rows: TableRows) -> None:
+        for row in rows.rows:
+            if row.value is None:
+                continue
+            try:
+                configuration = self._codec.decode_configuration(row)
+            except PlatformError as error:
+                self._log.error(
+                    "configuration_unreadable", key=row.key, error=str(error)
+                )
+                continue
+            if configuration is not None:
+                self._apply_configuration(configuration)
+
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        current = self._routes
+        if current is not None and (
+            current.configuration.version >= configuration.version
+        ):
+            return
+        self._routes = RouteTable(configuration)
+        self._quotas.configure(
+            {customer.name: customer for customer in configuration.customers}
+        )
+        self._log.info(
+            "configuration_applied",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            customers=len(configuration.customers),
+        )
+
+    def _read_upstreams(self, rows: TableRows) -> None:
+        self._knows_upstreams = True
+        self._registry.replace_all(
+            record
+            for row in rows.rows
+            if (record := self._decode_upstream(row)) is not None
+        )
+
+    def _change_upstreams(self, rows: TableRows) -> None:
+        for row in rows.rows:
+            if row.value is None:
+                self._log.info("upstream_row_gone", upstream=row.key)
+                self._registry.remove(row.key)
+                continue
+            record = self._decode_upstream(row)
+            if record is not None:
+                self._registry.put(record)
+
+    def _decode_upstream(self, row: Row) -> UpstreamRecord | None:
+        try:
+            record = self._codec.decode_upstream(row)
+        except PlatformError as error:
+            self._log.warning(
+                "upstream_unreadable", key=row.key, error=str(error)
+            )
+            return None
+        known = self._registry.get(record.upstream_id)
+        if known is None or known.state is not record.state:
+            self._log.info(
+                "upstream_changed",
+                upstream=record.upstream_id,
+                service=record.service,
+                zone=record.zone,
+                state=record.state.value,
+                version=record.version,
+                slots=record.slots,
+            )
+        return record
+
+    def _forget_upstream(self, record: UpstreamRecord) -> None:
+        self._log.info("upstream_gone", upstream=record.upstream_id)
+        self._health.forget(record.upstream_id)
+        self._cache.forget(record.upstream_id)
+        self._pool.close_idle(record.upstream_id)
+
+    def _make_report(self, sequence: int, known: list[str]) -> NodeReport:
+        routes = self._routes
+        return NodeReport(
+            self._settings.node,
+            self._start,
+            sequence,
+            self._settings.peer_host,
+            self._settings.zone,
+            self._is_leaving,
+            0 if routes is None else routes.configuration.version,
+            [
+                (upstream_id, load.requests, load.unread_tokens)
+                for upstream_id, load in self._board.own_loads.items()
+            ],
+            [
+                (service, 0, count)
+                for service, count in self._scheduler.waiting.items()
+            ],
+            self._quotas.own_use,
+            known,
+        )
+
+    def _apply_report(self, report: NodeReport) -> None:
+        self._board.apply_report(report.node, report.loads)
+        self._quotas.apply_report(f"{report.node}/{report.start}", report.used)
+
+    def _forget_peer(self, node: str) -> None:
+        self._board.forget_node(node)
--- /dev/null
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -0,0 +1,239 @@
+"""Reports between nodes, as datagrams.
+
+A report holds the whole state that other nodes need, so a lost or late one
+is replaced by the next and nothing is sent again. A stream between two nodes
+would hold fresh reports up behind a lost packet, and one exchange of the
+product's gRPC heartbeat costs 0.97 ms of processor time (docs/CAPACITY.md),
+which at ten reports a second to each peer is above the control budget.
+"""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from tanagerport.gateway.decision_log import DecisionLog
+
+# Reports of a node. Places at an upstream change hands within tens of
+# milliseconds under load, and a report is about 200 bytes.
+_REPORT_INTERVAL_S = 0.1
+# The least time between two reports where a change calls for one at once.
+_MIN_REPORT_INTERVAL_S = 0.03
+# A node that was not heard for this long does not share budgets any more.
+_PEER_LIFETIME_S = 30.0
+# A node that was not heard for this long is probably gone.
+_PEER_SILENT_S = 1.5
+# Nodes that get this node's reports; at the planned size reports go to the
+# nodes of the own zone first.
+_MAX_PEERS = 32
+_MAX_DATAGRAM_BYTES = 60_000
+
+
+class NodeReport(msgspec.Struct, array_like=True, frozen=True):
+    """What a node tells the others.
+
+    Attributes:
+        node: Name of the node.
+        start: Random number of this start of the node.
+        sequence: Grows with every report of this start.
+        host: IP address of the node.
+        zone: Availability zone of the node.
+        leaving: Whether the node is stopping.
+        configuration: Version of the configuration in force there.
+        loads: Upstream, requests in progress and unread prompt tokens.
+        waiting: Service, tier and waiting requests.
+        used: Units of quota since the start, by customer.
+        known: Hosts of other nodes that it hears.
+    """
+
+    node: str
+    start: int
+    sequence: int
+    host: str
+    zone: str
+    leaving: bool
+    configuration: int
+    loads: list[tuple[str, int, int]]
+    waiting: list[tuple[str, int, int]]
+    used: dict[str, float]
+    known: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """Another node.
+
+    Attributes:
+        host: IP address.
+        node: Name; empty until it was heard.
+        start: Random number of its start.
+        sequence: Newest report.
+        heard_at: Monotonic seconds of its newest report.
+        added_at: Monotonic seconds at which its address was learned.
+        leaving: Whether it is stopping.
+        configuration: Version of its configuration.
+    """
+
+    host: str
+    added_at: float
+    node: str = ""
+    start: int = 0
+    sequence: int = -1
+    heard_at: float = float("-inf")
+    leaving: bool = False
+    configuration: int = 0
+
+
+class PeerExchange(asyncio.DatagramProtocol):
+    """Sends this node's reports and receives those of others.
+
+    Args:
+        host: IP address of this node.
+        port: UDP port, the same on all nodes.
+        make_report: Makes the report of a sequence number and known hosts.
+        on_report: Called with each new report.
+        on_lost: Called with the name of a node that stopped reporting.
+        log: Log of decisions.
+        now: Monotonic clock, in seconds.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        make_report: Callable[[int, list[str]], NodeReport],
+        on_report: Callable[[NodeReport], None],
+        on_lost: Callable[[str], None],
+        log: DecisionLog,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._make_report = make_report
+        self._on_report = on_report
+        self._on_lost = on_lost
+        self._log = log
+        self._now = now
+        self._peers: dict[str, Peer] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(NodeReport)
+        self._sequence = 0
+        self._sent_at = float("-inf")
+
+    @property
+    def peers(self) -> tuple[Peer, ...]:
+        """Nodes whose addresses are known."""
+        return tuple(self._peers.values())
+
+    def count_nodes(self) -> int:
+        """Returns the nodes that share budgets, this one included."""
+        return 1 + sum(1 for peer in self._peers.values() if peer.node)
+
+    def count_heard(self) -> int:
+        """Returns the other nodes that report at present."""
+        oldest = self._now() - _PEER_SILENT_S
+        return sum(
+            1 for peer in self._peers.values() if peer.heard_at >= oldest
+        )
+
+    async def start(self) -> None:
+        """Opens the port."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self._host, self._port)
+        )
+
+    def close(self) -> None:
+        """Closes the port."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def add_hosts(self, hosts: Iterable[str]) -> None:
+        """Adds addresses of nodes."""
+        for host in hosts:
+            if host != self._host and host not in self._peers:
+                self._peers[host] = Peer(host, self._now())
+
+    async def run(self) -> None:
+        """Sends reports until it is cancelled."""
+        while True:
+            self.send_report()
+            self._drop_silent()
+            await asyncio.sleep(_REPORT_INTERVAL_S)
+
+    def send_soon(self) -> None:
+        """Sends a report at once, unless the last one is too recent."""
+        if self._now() - self._sent_at >= _MIN_REPORT_INTERVAL_S:
+            self.send_report()
+
+    def send_report(self) -> None:
+        """Sends a report to all known nodes."""
+        if self._transport is None or not self._peers:
+            return
+        self._sequence += 1
+        self._sent_at = self._now()
+        oldest = self._now() - _PEER_SILENT_S
+        heard = [
+            peer.host
+            for peer in self._peers.values()
+            if peer.heard_at >= oldest
+        ]
+        report = self._make_report(self._sequence, heard)
+        data = self._encoder.encode(report)
+        if len(data) > _MAX_DATAGRAM_BYTES:
+            self._log.error("report_too_large", size=len(data))
+            return
+        for peer in list(self._peers.values())[:_MAX_PEERS]:
+            self._transport.sendto(data, (peer.host, self._port))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Implements `asyncio.DatagramProtocol`."""
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self._transport = transport
+
+    def error_received(self, exc: Exception) -> None:
+        """Implements `asyncio.DatagramProtocol`."""
+        self._log.debug("report_not_sent", error=str(exc))
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Implements `asyncio.DatagramProtocol`."""
+        try:
+            report = self._decoder.decode(data)
+        except msgspec.DecodeError as error:
+            self._log.warning(
+                "report_unreadable", sender=addr[0], error=str(error)
+            )
+            return
+        if report.host == self._host:
+            return
+        peer = self._peers.get(report.host)
+        if peer is None:
+            peer = self._peers[report.host] = Peer(report.host, self._now())
+        if peer.start == report.start and peer.sequence >= report.sequence:
+            return
+        if peer.node and peer.start != report.start:
+            self._on_lost(peer.node)
+        if not peer.node:
+            self._log.info("peer_found", peer=report.node, host=report.host)
+        peer.node = report.node
+        peer.start = report.start
+        peer.sequence = report.sequence
+        peer.heard_at = self._now()
+        peer.leaving = report.leaving
+        peer.configuration = report.configuration
+        self.add_hosts(report.known)
+        self._on_report(report)
+
+    def _drop_silent(self) -> None:
+        now = self._now()
+        for host, peer in list(self._peers.items()):
+            last = max(peer.heard_at, peer.added_at)
+            if now - last > _PEER_LIFETIME_S:
+                del self._peers[host]
+                if peer.node:
+                    self._log.info("peer_lost", peer=peer.node, host=host)
+                    self._on_lost(peer.node)
--- /dev/null
+++ b/src/tanagerport/gateway/ready_server.py
@@ -0,0 +1,94 @@
+"""HTTP answers to readiness checks and scrapes of metrics."""
+
+import asyncio
+from collections.abc import Callable
+
+import h11
+
+from tanagerport.gateway.channel import Channel
+from tanagerport.gateway.counters import Counters
+
+_IDLE_TIMEOUT_S = 30.0
+
+
+class ReadyServer:
+    """Answers whether the node is ready, and renders its metrics.
+
+    Args:
+        ready_path: Path of the readiness check.
+        is_ready: Returns whether the node may get new connections.
+        counters: Figures of the process.
+    """
+
+    def __init__(
+        self,
+        ready_path: bytes,
+        is_ready: Callable[[], bool],
+        counters: Counters,
+    ) -> None:
+        self._ready_path = ready_path
+        self._is_ready = is_ready
+        self._counters = counters
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, host: str, port: int) -> None:
+        """Listens for connections."""
+        await asyncio.get_running_loop().create_server(
+            lambda: Channel(self._accept), host, port
+        )
+
+    def _accept(self, channel: Channel) -> None:
+        task = asyncio.get_running_loop().create_task(self._serve(channel))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, channel: Channel) -> None:
+        codec = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                event = codec.next_event()
+                if event is h11.NEED_DATA:
+                    async with asyncio.timeout(_IDLE_TIMEOUT_S):
+                        data = await channel.read()
+                    if not data:
+                        return
+                    codec.receive_data(data)
+                elif isinstance(event, h11.Request):
+                    self._answer(channel, codec, event)
+                elif event is h11.PAUSED:
+                    codec.start_next_cycle()
+                elif event is h11.ConnectionClosed or isinstance(
+                    event, h11.ConnectionClosed
+                ):
+                    return
+        except (TimeoutError, ConnectionError, h11.ProtocolError):
+            # Nobody waits for an answer on this connection any more.
+            return
+        finally:
+            channel.close()
+
+    def _answer(
+        self, channel: Channel, codec: h11.Connection, request: h11.Request
+    ) -> None:
+        path = bytes(request.target).partition(b"?")[0]
+        content_type = b"text/plain; version=0.0.4; charset=utf-8"
+        if path == self._ready_path:
+            status, body = (200, b"") if self._is_ready() else (503, b"")
+        elif path == b"/metrics":
+            # Scrapes are rare; the library costs 5 MB that a node without
+            # them does not need.
+            from tanagerport.gateway import metrics_rendering  # noqa: PLC0415
+
+            status, body = 200, metrics_rendering.render(self._counters)
+        else:
+            status, body = 404, b""
+        headers = [
+            (b"Content-Type", content_type),
+            (b"Content-Length", b"%d" % len(body)),
+        ]
+        for event in (
+            h11.Response(status_code=status, headers=headers),
+            h11.Data(body),
+            h11.EndOfMessage(),
+        ):
+            channel.write(codec.send(event) or b"")
--- /dev/null
+++ b/src/tanagerport/gateway/request_headers.py
@@ -0,0 +1,132 @@
+"""Reading and rewriting of header fields between clients and upstreams."""
+
+from tanagerport.gateway.client_server import ClientRequest, passable
+from tanagerport.gateway.dialect import Dialect
+from tanagerport.gateway.domain import (
+    Customer,
+    PromptPart,
+    UpstreamRecord,
+    WorkEstimate,
+)
+from tanagerport.gateway.http_call import AnswerHead, Headers
+
+
+def parse_number(value: bytes | None) -> int | None:
+    """Returns a whole number, None if the text is not one."""
+    if value is None:
+        return None
+    text = value.strip()
+    return int(text) if text.isdigit() and len(text) < 16 else None
+
+
+def read_work(dialect: Dialect, values: dict[bytes, bytes]) -> WorkEstimate:
+    """Returns the work that a request states, as far as it can be read."""
+    prompt, _, output = values.get(dialect.work_tokens, b"").partition(b",")
+    prompt_tokens = parse_number(prompt) or 0
+    max_output = parse_number(output) or 0
+    expected = parse_number(values.get(dialect.output_estimate))
+    return WorkEstimate(
+        prompt_tokens,
+        max_output,
+        max_output if expected is None else min(expected, max_output),
+        _read_parts(values.get(dialect.prompt_parts, b"")),
+    )
+
+
+def _read_parts(value: bytes) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in value.split(b","):
+        part_id, _, tokens = entry.strip().partition(b":")
+        count = parse_number(tokens)
+        if not part_id or count is None:
+            break
+        parts.append(PromptPart(part_id.decode("latin-1"), count))
+    return tuple(parts)
+
+
+def read_key(dialect: Dialect, values: dict[bytes, bytes]) -> str:
+    """Returns the API key of a request; empty without one."""
+    scheme, _, key = values.get(b"authorization", b"").partition(b" ")
+    if scheme.lower() != dialect.authorization_scheme:
+        return ""
+    return key.strip().decode("latin-1")
+
+
+def upstream_headers(
+    dialect: Dialect,
+    request: ClientRequest,
+    upstream: UpstreamRecord,
+    customer: Customer | None,
+    deadline_s: float,
+    last_event_id: int | None,
+) -> Headers:
+    """Returns the fields of a request to an upstream.
+
+    Args:
+        dialect: Spelling of the fields.
+        request: Request of the client.
+        upstream: Upstream that is to run it.
+        customer: Customer that the key belongs to.
+        deadline_s: Seconds that the upstream may take.
+        last_event_id: Last event that the client has, where the stream goes
+            on from there; None passes on what the client said.
+    """
+    replaced = {b"content-length", b"authorization", dialect.deadline_ms}
+    if last_event_id is not None:
+        replaced.add(dialect.last_event_id)
+    headers = [
+        (name, value)
+        for name, value in passable(request.headers, request.values)
+        if not _is_reserved(dialect, name.lower())
+        and name.lower() not in replaced
+    ]
+    deadline_ms = max(int(deadline_s * 1000), 1)
+    headers.append((dialect.deadline_ms, b"%d" % deadline_ms))
+    headers.append(
+        (dialect.target_upstream, upstream.upstream_id.encode("latin-1"))
+    )
+    if customer is not None:
+        headers.append((dialect.customer, customer.name.encode("latin-1")))
+    if last_event_id is not None:
+        headers.append((dialect.last_event_id, b"%d" % last_event_id))
+    if request.body or request.method in {b"POST", b"PUT", b"PATCH"}:
+        headers.append((b"Content-Length", b"%d" % len(request.body)))
+    return headers
+
+
+def _is_reserved(dialect: Dialect, name: bytes) -> bool:
+    return name in dialect.reserved or name.startswith(
+        dialect.reserved_prefixes
+    )
+
+
+def client_headers(head: AnswerHead, body_length: int | None) -> Headers:
+    """Returns the fields of an upstream's answer for the client.
+
+    Args:
+        head: Answer of the upstream.
+        body_length: Length of the body; None for a stream.
+    """
+    headers = [
+        (name, value)
+        for name, value in passable(head.headers, head.values)
+        if name.lower() != b"content-length"
+    ]
+    if body_length is not None:
+        headers.append((b"Content-Length", b"%d" % body_length))
+    return headers
+
+
+def idle_timeout_s(head: AnswerHead) -> float | None:
+    """Returns how long the upstream keeps an idle connection, in seconds."""
+    for field in head.values.get(b"keep-alive", b"").split(b","):
+        name, _, value = field.strip().partition(b"=")
+        if name.lower() == b"timeout":
+            number = parse_number(value)
+            return None if number is None else float(number)
+    return None
+
+
+def closes_connection(head: AnswerHead) -> bool:
+    """Whether the upstream closes the connection after its answer."""
+    return b"close" in head.values.get(b"connection", b"").lower()
--- /dev/null
+++ b/src/tanagerport/gateway/scheduler.py
@@ -0,0 +1,125 @@
+"""Admission and placement of the requests of all services."""
+
+import time
+from collections.abc import Callable
+
+from tanagerport.gateway.admission import AdmissionQueue
+from tanagerport.gateway.domain import Service
+from tanagerport.gateway.load_board import LoadBoard
+from tanagerport.gateway.placement import Placer
+from tanagerport.gateway.prompt_cache import PromptCacheMap
+from tanagerport.gateway.upstream_health import UpstreamHealth
+from tanagerport.gateway.upstream_registry import UpstreamRegistry
+from tanagerport.gateway.work import Placement, WorkItem
+from tanagerport.refusals import Refusal
+
+
+class Scheduler:
+    """Gives places at upstreams to requests.
+
+    Args:
+        registry: Upstreams that may be used.
+        placer: Chooses among them.
+        board: Loads of upstreams.
+        health: Speeds and failures of upstreams.
+        cache: Parts of prompts that upstreams hold.
+        find_service: Returns a service of the configuration in force.
+        now: Monotonic clock, in seconds.
+    """
+
+    def __init__(
+        self,
+        registry: UpstreamRegistry,
+        placer: Placer,
+        board: LoadBoard,
+        health: UpstreamHealth,
+        cache: PromptCacheMap,
+        find_service: Callable[[str], Service],
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._registry = registry
+        self._placer = placer
+        self._board = board
+        self._health = health
+        self._cache = cache
+        self._find_service = find_service
+        self._now = now
+        self._queues: dict[str, AdmissionQueue] = {}
+
+    @property
+    def waiting(self) -> dict[str, int]:
+        """Waiting requests by service."""
+        return {
+            service: queue.size
+            for service, queue in self._queues.items()
+            if queue.size
+        }
+
+    async def acquire(self, item: WorkItem) -> Placement:
+        """Waits for a place at an upstream of the request's service.
+
+        Raises:
+            RefusedError: The request can't be answered in time.
+        """
+        queue = self._queues.get(item.service)
+        if queue is None:
+            queue = AdmissionQueue(
+                self._find_place, self._occupy, self.release, self._now
+            )
+            self._queues[item.service] = queue
+        return await queue.acquire(item)
+
+    def record_first_event(
+        self, placement: Placement, first_byte_s: float
+    ) -> None:
+        """Records the first event or the head of an answer."""
+        if placement.has_first_event:
+            return
+        placement.has_first_event = True
+        upstream = placement.upstream
+        self._board.record_first_event(
+            upstream.upstream_id, placement.prompt_tokens
+        )
+        self._health.record_success(
+            upstream.upstream_id,
+            upstream.service,
+            first_byte_s,
+            placement.tokens_ahead,
+        )
+        self._cache.record(upstream.upstream_id, placement.item.work.parts)
+
+    def release(self, placement: Placement) -> None:
+        """Gives a place back; a second call has no effect."""
+        if placement.is_released:
+            return
+        placement.is_released = True
+        upstream_id = placement.upstream.upstream_id
+        if not placement.has_first_event:
+            self._board.record_first_event(upstream_id, placement.prompt_tokens)
+        self._board.end(upstream_id)
+        queue = self._queues.get(placement.item.service)
+        if queue is not None:
+            queue.offer_places()
+
+    def offer_places(self) -> None:
+        """Looks for places after a change of loads or upstreams."""
+        for queue in self._queues.values():
+            queue.offer_places()
+
+    def refuse_waiting(self, refusal: Refusal) -> None:
+        """Refuses all requests that wait."""
+        for queue in self._queues.values():
+            queue.refuse_all(refusal)
+
+    def _find_place(self, item: WorkItem) -> Placement | None:
+        return self._placer.choose(
+            item,
+            self._find_service(item.service),
+            self._registry.usable(item.service),
+            self._now(),
+        )
+
+    def _occupy(self, placement: Placement) -> None:
+        self._board.start(
+            placement.upstream.upstream_id, placement.prompt_tokens
+        )
--- /dev/null
+++ b/src/tanagerport/gateway/settings.py
@@ -0,0 +1,140 @@
+"""Settings of a gateway process, as JSON."""
+
+import dataclasses
+import pathlib
+
+import msgspec
+
+from tanagerport.exceptions import SettingsError
+from tanagerport.findings import Finding
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of a gateway process.
+
+    Attributes:
+        node: Name of the node.
+        zone: Availability zone of the node.
+        regions: Region of each availability zone.
+        listen: `ip:port` for clients.
+        ready_listen: `ip:port` of the readiness check.
+        peer_host: IP address of the node for other nodes.
+        peer_port: UDP port for other nodes, the same on all nodes.
+        metrics_port: TCP port of the metrics.
+        seeds: Addresses of a few other nodes; their ports are ignored.
+        store: `ip:port` of the table store.
+        drain_grace_s: Time between the request to stop and the kill.
+        config_apply_ms: Time in which a configuration must be in force.
+        upstream_leave_ms: Time in which a leaving upstream must be left alone.
+        retry_ratio: Repeated dispatches for each request, over all nodes.
+        retry_window_s: Window of that ratio, in seconds.
+        retry_slack: Repeated dispatches beyond the ratio in each window.
+        canary_share: Most traffic for a version that is not proved.
+        canary_slack: Requests to it beyond that share.
+        rollback_ms: Time in which a bad version must lose all traffic.
+    """
+
+    node: str
+    zone: str
+    regions: dict[str, str]
+    listen: str
+    ready_listen: str
+    peer_host: str
+    peer_port: int
+    metrics_port: int
+    seeds: list[str] = []
+    store: str
+    drain_grace_s: float = 8.0
+    config_apply_ms: float = 2500
+    upstream_leave_ms: float = 2500
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 20.0
+    canary_share: float = 0.1
+    canary_slack: float = 50.0
+    rollback_ms: float = 5000
+
+    @property
+    def region(self) -> str:
+        """Region of the node; empty if its zone is not listed."""
+        return self.regions.get(self.zone, "")
+
+
+def parse_address(text: str) -> Address:
+    """Parses `ip:port`.
+
+    Raises:
+        ValueError: The text has another form.
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator or not host or not port.isdecimal():
+        raise ValueError(f"{text!r} is not of the form ip:port")
+    if not 0 < int(port) < 65536:
+        raise ValueError(f"port {port} is not between 1 and 65535")
+    return Address(host, int(port))
+
+
+def _positive(settings: GatewaySettings) -> list[Finding]:
+    return [
+        Finding(name, f"{getattr(settings, name)} is not above 0")
+        for name in (
+            "drain_grace_s",
+            "config_apply_ms",
+            "upstream_leave_ms",
+            "retry_window_s",
+        )
+        if not getattr(settings, name) > 0
+    ]
+
+
+def _addresses(settings: GatewaySettings) -> list[Finding]:
+    findings = []
+    places = [
+        ("listen", settings.listen),
+        ("ready_listen", settings.ready_listen),
+        ("store", settings.store),
+    ]
+    for place, text in places:
+        try:
+            parse_address(text)
+        except ValueError as error:
+            findings.append(Finding(place, str(error)))
+    return findings
+
+
+def load_gateway_settings(path: str) -> GatewaySettings:
+    """Reads and checks a settings file; unknown fields are ignored.
+
+    Args:
+        path: Path of a JSON file.
+
+    Raises:
+        SettingsError: The file can't be read or has findings.
+    """
+    try:
+        content = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise SettingsError(path, [Finding("", str(error))]) from error
+    try:
+        settings = msgspec.json.decode(content, type=GatewaySettings)
+    except msgspec.DecodeError as error:
+        raise SettingsError(path, [Finding("", str(error))]) from error
+    findings = _addresses(settings) + _positive(settings)
+    if settings.zone not in settings.regions:
+        findings.append(
+            Finding("zone", f"{settings.zone!r} is not listed in `regions`")
+        )
+    if findings:
+        raise SettingsError(path, findings)
+    return settings
--- /dev/null
+++ b/src/tanagerport/gateway/work.py
@@ -0,0 +1,65 @@
+"""One request on its way through admission and placement."""
+
+import dataclasses
+
+from tanagerport.gateway.domain import (
+    NO_WORK,
+    Route,
+    UpstreamRecord,
+    WorkEstimate,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class WorkItem:
+    """A request that needs a place at an upstream.
+
+    Attributes:
+        request_id: Id of the client attempt.
+        route: Route of the request.
+        service: Service that is to run it.
+        tier: 0 is the most important tier.
+        arrived_at: Monotonic seconds of its arrival.
+        deadline_at: Monotonic seconds at which it must have its final answer.
+        work: Tokens to read and to generate.
+        excluded: Upstreams that this request should not go to again.
+    """
+
+    request_id: str
+    route: Route
+    service: str
+    tier: int
+    arrived_at: float
+    deadline_at: float
+    work: WorkEstimate = NO_WORK
+    excluded: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def target_at(self) -> float:
+        """Monotonic seconds at which the answer or first event is late."""
+        return self.arrived_at + self.route.target_s
+
+
+@dataclasses.dataclass(slots=True)
+class Placement:
+    """A place at an upstream that a request holds.
+
+    Attributes:
+        upstream: Upstream that runs the request.
+        item: The request.
+        prompt_tokens: Prompt tokens that the upstream probably has to read.
+        tokens_ahead: The same with those of earlier requests there.
+        predicted_s: Predicted seconds to the first byte.
+        placed_at: Monotonic seconds at which the place was given.
+        has_first_event: Whether the prompt was read.
+        is_released: Whether the place was given back.
+    """
+
+    upstream: UpstreamRecord
+    item: WorkItem
+    prompt_tokens: int
+    tokens_ahead: int
+    predicted_s: float
+    placed_at: float
+    has_first_event: bool = False
+    is_released: bool = False
