Predict pauses and the end of an answer before a request is placed

Change: a placement must finish in time; a request waits for an upstream that meets its targets while there is one, and no longer than its client.

--- a/src/tanagerport/gateway/admission.py
+++ b/src/tanagerport/gateway/admission.py
@@ -18,9 +18,9 @@
 
 # Window over which the rate of freed places is measured, in seconds.
 _RATE_WINDOW_S = 2.0
-# A request needs at least this long at an upstream; with less time left it is
-# not sent any more.
-_MIN_SERVICE_S = 0.05
+# A waiting request is refused this long before its client leaves, so that the
+# client learns when to come back.
+_LEAVE_MARGIN_S = 0.15
 # Shortest and longest time after which a refused client should come back.
 _MIN_RETRY_AFTER_S = 0.2
 _MAX_RETRY_AFTER_S = 10.0
@@ -81,7 +81,7 @@
         self._check_wait(item)
         entry = _Waiting(item, asyncio.get_running_loop().create_future())
         self._waiting.append(entry)
-        give_up_at = item.deadline_at - _MIN_SERVICE_S
+        give_up_at = item.patience_at - _LEAVE_MARGIN_S
         try:
             async with asyncio.timeout(max(give_up_at - self._now(), 0)):
                 return await entry.future
@@ -141,7 +141,7 @@
     def _check_wait(self, item: WorkItem) -> None:
         if len(self._waiting) >= _MAX_WAITING:
             raise self._refusal(item, f"{_MAX_WAITING} requests wait already")
-        left_s = item.deadline_at - self._now() - _MIN_SERVICE_S
+        left_s = item.patience_at - self._now() - _LEAVE_MARGIN_S
         wait_s = self.expected_wait_s(item)
         if wait_s > left_s:
             raise self._refusal(
--- a/src/tanagerport/gateway/domain.py
+++ b/src/tanagerport/gateway/domain.py
@@ -5,6 +5,13 @@
 from collections.abc import Mapping
 
 
+# Clients leave a stream after a gap of 2 s, four times the target or eight
+# times the longest pause that is on time, whichever is longest.
+_MIN_PATIENCE_S = 2.0
+_PATIENCE_TARGETS = 4.0
+_PATIENCE_PAUSES = 8.0
+
+
 class RequestKind(enum.StrEnum):
     """What a route carries and what may be repeated."""
 
@@ -46,6 +53,18 @@
     is_resumable: bool = False
     event_interval_target_s: float | None = None
 
+    @property
+    def first_event_patience_s(self) -> float:
+        """Seconds after which clients leave if nothing has arrived."""
+        if self.kind is not RequestKind.STREAM:
+            return self.timeout_s
+        pause_s = self.event_interval_target_s or 0.0
+        return max(
+            _MIN_PATIENCE_S,
+            _PATIENCE_TARGETS * self.target_s,
+            _PATIENCE_PAUSES * pause_s,
+        )
+
     @property
     def can_repeat(self) -> bool:
         """Whether a request may run more than once."""
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -47,6 +47,8 @@
 # The same within a stream, against the target of the pause.
 _SILENT_PAUSES = 4.0
 _MIN_STREAM_SILENCE_S = 1.0
+# Events of a stream between two reports of its pace.
+_PACE_EVENTS = 8
 # Time after which a refused client may come back when a retry may help at
 # once, in seconds, and its spread.
 _SHORT_RETRY_AFTER_S = 0.3
@@ -594,6 +596,7 @@
         """Relays the events of a stream as they arrive."""
         splitter = EventSplitter()
         last_event_at = self._now()
+        pace = _Pace()
         while True:
             data = await self._read_events(job, placement, exchange)
             events = splitter.feed(data)
@@ -609,8 +612,15 @@
                     self._scheduler.record_first_event(
                         placement, now - exchange.started_at
                     )
+                    pace.first_at = now
                 else:
                     self._counters.event_pause.observe(now - last_event_at)
+                    pace.longest_s = max(pace.longest_s, now - last_event_at)
+                pace.events += len(events)
+                pace.unreported += len(events)
+                if pace.unreported > _PACE_EVENTS:
+                    self._scheduler.record_pace(placement, pace.mean_s(now))
+                    pace.unreported = 0
                 last_event_at = now
                 self._send_events(job, head, events)
                 await job.answer.drain()
@@ -619,7 +629,19 @@
         if not job.answer.is_started:
             self._start_stream(job, head)
         job.answer.finish()
-        self._note_answer(job, placement, head.status)
+        self._note_answer(
+            job,
+            placement,
+            head.status,
+            first_s=round(pace.first_at - exchange.started_at, 3),
+            mean_pause_s=round(pace.mean_s(last_event_at), 4),
+            longest_pause_s=round(pace.longest_s, 3),
+            events=pace.events,
+            prompt_tokens=placement.prompt_tokens,
+            tokens_ahead=placement.tokens_ahead,
+            expected_tokens=job.item.work.expected_output_tokens,
+            max_tokens=job.item.work.max_output_tokens,
+        )
 
     async def _read_events(
         self, job: _Job, placement: Placement, exchange: "_Exchange"
@@ -673,7 +695,7 @@
         )
 
     def _note_answer(
-        self, job: _Job, placement: Placement, status: int
+        self, job: _Job, placement: Placement, status: int, **fields: float
     ) -> None:
         self._counters.answers[f"{status // 100}xx"] += 1
         self._log.info(
@@ -684,9 +706,24 @@
             last_event=job.last_event_id,
             dispatches=job.dispatches,
             after_s=round(self._now() - job.request.received_at, 3),
+            **fields,
         )
 
 
+@dataclasses.dataclass(slots=True)
+class _Pace:
+    """Times of the events of one stream."""
+
+    first_at: float = 0.0
+    longest_s: float = 0.0
+    events: int = 0
+    unreported: int = 0
+
+    def mean_s(self, last_at: float) -> float:
+        """Returns the mean time between events, in seconds."""
+        return (last_at - self.first_at) / max(self.events - 1, 1)
+
+
 @dataclasses.dataclass(slots=True)
 class _Exchange:
     """A call in progress on a connection."""
--- a/src/tanagerport/gateway/placement.py
+++ b/src/tanagerport/gateway/placement.py
@@ -1,7 +1,7 @@
 """Choice of the upstream for a request."""
 
 import dataclasses
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from tanagerport.gateway.domain import Service, UpstreamRecord
 from tanagerport.gateway.load_board import LoadBoard, UpstreamLoad
@@ -18,17 +18,38 @@
 _BATCH_S = 0.05
 # Cost of an upstream that fails all its requests, in seconds.
 _FAILURE_S = 1.0
+# Answers are up to twice as long as their estimate in 19 of 20 cases; a margin
+# for all of them would leave slow upstreams without work.
+_LENGTH_MARGIN = 1.3
+# Prompt tokens that an engine reads in one step beside running streams.
+_CHUNK_TOKENS = 1024
 # Requests in progress on an upstream that failed last, by this node.
 _PROBATION_PLACES = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Candidate:
-    cost_s: float
+class Prediction:
+    """What is expected of a request at an upstream.
+
+    Attributes:
+        upstream: The upstream.
+        prompt_tokens: Prompt tokens that it has to read.
+        tokens_ahead: The same with those of earlier requests there.
+        first_s: Seconds to the first byte.
+        finish_s: Seconds to the end of the answer.
+        is_in_time: Whether the answer ends before the deadline.
+        is_on_target: Whether the first byte and all pauses meet the targets.
+        cost_s: Cost of the placement, in seconds of waiting.
+    """
+
     upstream: UpstreamRecord
-    load: UpstreamLoad
     prompt_tokens: int
-    predicted_s: float
+    tokens_ahead: int
+    first_s: float
+    finish_s: float
+    is_in_time: bool
+    is_on_target: bool
+    cost_s: float
 
 
 class Placer:
@@ -64,10 +85,13 @@
         self,
         item: WorkItem,
         service: Service,
-        upstreams: Iterable[UpstreamRecord],
+        upstreams: Sequence[UpstreamRecord],
         now: float,
     ) -> Placement | None:
-        """Returns a place for a request, None if all are taken.
+        """Returns a place for a request, None if it should wait.
+
+        A request waits for an upstream that meets its targets as long as
+        there is one; then any upstream that finishes in time will do.
 
         Args:
             item: Request to place.
@@ -75,66 +99,87 @@
             upstreams: Upstreams that may run it.
             now: Monotonic seconds.
         """
-        candidates = (
-            self._rate(item, service, upstream, load)
-            for upstream, load in self._with_place(service, upstreams, item)
-        )
-        best = min(candidates, key=_cost, default=None)
+        free = []
+        can_meet_target = False
+        for upstream in upstreams:
+            upstream_id = upstream.upstream_id
+            if upstream_id in item.excluded or self._health.is_ejected(
+                upstream_id
+            ):
+                continue
+            load = self._board.load(upstream_id)
+            prediction = self._predict(item, service, upstream, load, now)
+            can_meet_target |= prediction.is_on_target
+            if self._has_place(service, upstream, load):
+                free.append(prediction)
+        best = _best(free, can_meet_target)
         if best is None:
             return None
         return Placement(
             best.upstream,
             item,
             best.prompt_tokens,
-            best.load.unread_tokens + best.prompt_tokens,
-            best.predicted_s,
+            best.tokens_ahead,
+            best.first_s,
             now,
         )
 
-    def _with_place(
-        self,
-        service: Service,
-        upstreams: Iterable[UpstreamRecord],
-        item: WorkItem,
-    ) -> Iterable[tuple[UpstreamRecord, UpstreamLoad]]:
-        for upstream in upstreams:
-            upstream_id = upstream.upstream_id
-            if upstream_id in item.excluded:
-                continue
-            if self._health.is_ejected(upstream_id):
-                continue
-            load = self._board.load(upstream_id)
-            limit = self.places(upstream, service)
-            if self._health.is_probation(upstream_id):
-                limit = min(limit, _PROBATION_PLACES)
-            if load.requests < limit:
-                yield upstream, load
+    def _has_place(
+        self, service: Service, upstream: UpstreamRecord, load: UpstreamLoad
+    ) -> bool:
+        limit = self.places(upstream, service)
+        if self._health.is_probation(upstream.upstream_id):
+            limit = min(limit, _PROBATION_PLACES)
+        return load.requests < limit
 
-    def _rate(
+    def _predict(
         self,
         item: WorkItem,
         service: Service,
         upstream: UpstreamRecord,
         load: UpstreamLoad,
-    ) -> _Candidate:
+        now: float,
+    ) -> Prediction:
         upstream_id = upstream.upstream_id
         fill = load.requests / self.places(upstream, service)
+        work = item.work
+        route = item.route
         prompt_tokens = 0
+        longest_pause_s = 0.0
         if service.is_engine:
-            cached = self._cache.cached_tokens(upstream_id, item.work.parts)
-            prompt_tokens = max(item.work.prompt_tokens - cached, 1)
+            cached = self._cache.cached_tokens(upstream_id, work.parts)
+            prompt_tokens = max(work.prompt_tokens - cached, 1)
+            tokens_ahead = load.unread_tokens + prompt_tokens
             token_s = self._health.token_s(upstream_id, service.name)
-            predicted_s = token_s * (load.unread_tokens + prompt_tokens)
+            event_s = self._health.event_s(upstream_id, service.name)
+            first_s = token_s * tokens_ahead
+            events = work.expected_output_tokens / service.tokens_per_event
+            finish_s = first_s + _LENGTH_MARGIN * events * event_s
+            # Running streams pause while a chunk of a prompt is read in each
+            # of the steps that make up one event.
+            longest_pause_s = event_s + token_s * min(
+                tokens_ahead, service.tokens_per_event * _CHUNK_TOKENS
+            )
         else:
-            call_s = self._health.call_s(upstream_id, service.name)
-            predicted_s = call_s * (1 + fill)
-        cost_s = (
-            predicted_s
+            tokens_ahead = 0
+            first_s = self._health.call_s(upstream_id, service.name)
+            first_s *= 1 + fill
+            finish_s = first_s
+        pause_target_s = route.event_interval_target_s
+        is_smooth = pause_target_s is None or longest_pause_s <= pause_target_s
+        return Prediction(
+            upstream,
+            prompt_tokens,
+            tokens_ahead,
+            first_s,
+            finish_s,
+            now + finish_s <= item.deadline_at,
+            is_smooth and now + first_s <= item.target_at,
+            first_s
             + self._distance_s(upstream)
             + _BATCH_S * fill
-            + _FAILURE_S * self._health.failure_share(upstream_id)
+            + _FAILURE_S * self._health.failure_share(upstream_id),
         )
-        return _Candidate(cost_s, upstream, load, prompt_tokens, predicted_s)
 
     def _distance_s(self, upstream: UpstreamRecord) -> float:
         if upstream.zone == self._zone:
@@ -145,8 +190,21 @@
         return _OTHER_REGION_S
 
 
-def _cost(candidate: _Candidate) -> float:
-    return candidate.cost_s
+def _best(
+    free: Sequence[Prediction], can_meet_target: bool
+) -> Prediction | None:
+    """Returns the best free upstream; None if a better one is worth a wait."""
+    in_time = [entry for entry in free if entry.is_in_time]
+    on_target = [entry for entry in in_time if entry.is_on_target]
+    if on_target:
+        return min(on_target, key=_cost)
+    if can_meet_target:
+        return None
+    return min(in_time, key=_cost, default=None)
+
+
+def _cost(prediction: Prediction) -> float:
+    return prediction.cost_s
 
 
 PlaceFinder = Callable[[WorkItem], Placement | None]
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -88,6 +88,13 @@
         )
         self._cache.record(upstream.upstream_id, placement.item.work.parts)
 
+    def record_pace(self, placement: Placement, event_s: float) -> None:
+        """Records the mean time between events of a stream, in seconds."""
+        upstream = placement.upstream
+        self._health.record_pace(
+            upstream.upstream_id, upstream.service, event_s
+        )
+
     def release(self, placement: Placement) -> None:
         """Gives a place back; a second call has no effect."""
         if placement.is_released:
--- a/src/tanagerport/gateway/upstream_health.py
+++ b/src/tanagerport/gateway/upstream_health.py
@@ -11,6 +11,7 @@
 # recent accelerator, and a short call of a web service.
 _DEFAULT_TOKEN_S = 0.00002
 _DEFAULT_CALL_S = 0.05
+_DEFAULT_EVENT_S = 0.02
 # An upstream without an answer for this many failures in a row gets no work
 # for a while; each further failure doubles that time.
 _FAILURES_TO_EJECT = 2
@@ -27,6 +28,7 @@
 class _Record:
     token_s: float | None = None
     call_s: float | None = None
+    event_s: float | None = None
     failures_in_row: int = 0
     rejections_in_row: int = 0
     failure_share: float = 0.0
@@ -45,6 +47,7 @@
         self._records: dict[str, _Record] = {}
         self._token_s_by_service: dict[str, float] = {}
         self._call_s_by_service: dict[str, float] = {}
+        self._event_s_by_service: dict[str, float] = {}
 
     def is_ejected(self, upstream_id: str) -> bool:
         """Whether an upstream gets no work at present."""
@@ -77,6 +80,23 @@
             return record.call_s
         return self._call_s_by_service.get(service, _DEFAULT_CALL_S)
 
+    def event_s(self, upstream_id: str, service: str) -> float:
+        """Returns the mean seconds between events of a stream."""
+        record = self._records.get(upstream_id)
+        if record is not None and record.event_s is not None:
+            return record.event_s
+        return self._event_s_by_service.get(service, _DEFAULT_EVENT_S)
+
+    def record_pace(
+        self, upstream_id: str, service: str, event_s: float
+    ) -> None:
+        """Records the mean time between events of a stream, in seconds."""
+        record = self._record(upstream_id)
+        record.event_s = _blend(record.event_s, event_s)
+        self._event_s_by_service[service] = _blend(
+            self._event_s_by_service.get(service), event_s
+        )
+
     def record_success(
         self,
         upstream_id: str,
--- a/src/tanagerport/gateway/work.py
+++ b/src/tanagerport/gateway/work.py
@@ -34,6 +34,14 @@
     work: WorkEstimate = NO_WORK
     excluded: set[str] = dataclasses.field(default_factory=set)
 
+    @property
+    def patience_at(self) -> float:
+        """Monotonic seconds at which the client leaves without an answer."""
+        return min(
+            self.deadline_at,
+            self.arrived_at + self.route.first_event_patience_s,
+        )
+
     @property
     def target_at(self) -> float:
         """Monotonic seconds at which the answer or first event is late."""
