Count quotas in a sliding window that survives restarts of nodes

Change: use is counted in the quota's own window; a starting node takes the use of the last window from the others and else assumes that it was used up.

--- a/src/tanagerport/gateway/domain.py
+++ b/src/tanagerport/gateway/domain.py
@@ -4,7 +4,6 @@
 import enum
 from collections.abc import Mapping
 
-
 # Clients leave a stream after a gap of 2 s, four times the target or eight
 # times the longest pause that is on time, whichever is longest.
 _MIN_PATIENCE_S = 2.0
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -263,7 +263,9 @@
             if missing_s is not None:
                 raise _refused(
                     RefusalReason.QUOTA_EXCEEDED,
-                    f"the quota of {customer.name} is used up",
+                    f"{units:g} units are missing in the quota of"
+                    f" {customer.name}, {customer.rate_per_s:g} a second"
+                    f" and {customer.burst:g} at once",
                     retry_after_s=missing_s + self._short_retry(),
                 )
         return _Job(request, answer, item, customer, units)
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -25,7 +25,7 @@
 from tanagerport.gateway.peer_exchange import NodeReport, PeerExchange
 from tanagerport.gateway.placement import Placer
 from tanagerport.gateway.prompt_cache import PromptCacheMap
-from tanagerport.gateway.quotas import QuotaLedger
+from tanagerport.gateway.quotas import QuotaLedger, QuotaRules
 from tanagerport.gateway.ready_server import ReadyServer
 from tanagerport.gateway.repeat_budget import RepeatBudget
 from tanagerport.gateway.route_table import RouteTable
@@ -126,7 +126,13 @@
         self._cache = PromptCacheMap()
         self._pool = UpstreamPool()
         self._registry = UpstreamRegistry()
-        self._quotas = QuotaLedger()
+        self._quotas = QuotaLedger(
+            QuotaRules(
+                settings.quota_window_s,
+                settings.quota_tolerance,
+                settings.is_first_start,
+            )
+        )
         self._peers = PeerExchange(
             settings.peer_host,
             settings.peer_port,
@@ -364,9 +370,6 @@
         ):
             return
         self._routes = RouteTable(configuration)
-        self._quotas.configure(
-            {customer.name: customer for customer in configuration.customers}
-        )
         self._log.info(
             "configuration_applied",
             version=configuration.version,
@@ -437,13 +440,16 @@
                 (service, 0, count)
                 for service, count in self._scheduler.waiting.items()
             ],
-            self._quotas.own_use,
+            round(self._quotas.uptime_s, 1),
+            self._quotas.report(),
             known,
         )
 
     def _apply_report(self, report: NodeReport) -> None:
         self._board.apply_report(report.node, report.loads)
-        self._quotas.apply_report(f"{report.node}/{report.start}", report.used)
+        self._quotas.apply_report(
+            f"{report.node}/{report.start}", report.uptime_s, report.uses
+        )
 
     def _forget_peer(self, node: str) -> None:
         self._board.forget_node(node)
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from tanagerport.gateway.decision_log import DecisionLog
+from tanagerport.gateway.quotas import CustomerUse
 
 # Reports of a node. Places at an upstream change hands within tens of
 # milliseconds under load, and a report is about 200 bytes.
@@ -45,7 +46,8 @@
         configuration: Version of the configuration in force there.
         loads: Upstream, requests in progress and unread prompt tokens.
         waiting: Service, tier and waiting requests.
-        used: Units of quota since the start, by customer.
+        uptime_s: Seconds since the start.
+        uses: Use of quotas.
         known: Hosts of other nodes that it hears.
     """
 
@@ -58,7 +60,8 @@
     configuration: int
     loads: list[tuple[str, int, int]]
     waiting: list[tuple[str, int, int]]
-    used: dict[str, float]
+    uptime_s: float
+    uses: list[CustomerUse]
     known: list[str]
 
 
--- a/src/tanagerport/gateway/quotas.py
+++ b/src/tanagerport/gateway/quotas.py
@@ -1,64 +1,140 @@
 """Quotas of customers, shared by all nodes.
 
-Every node debits its own use and what the others report, so the buckets of
-all nodes hold the same amount but for the delay of the reports. A node that
-stops reporting is assumed to use its even share until it is forgotten.
+A customer may use its rate times the window, plus its burst, in any window.
+Every node counts its own use and what the others report, so all nodes see the
+same use but for the delay of the reports. A node that stops reporting is
+assumed to use its even share until it is forgotten. A node that starts takes
+the use of the last window from the others; as long as it knows none that is
+old enough, it assumes that the quota was used up before its start.
 """
 
+import collections
 import dataclasses
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Sequence
 
 from tanagerport.gateway.domain import Customer, WorkEstimate
 
+# Part of the tolerance that is given out, so that no request within the quota
+# is refused because reports are late; the rest covers what they miss.
+_TOLERANCE_SHARE = 0.5
 # A silent node is taken for gone after this long: its clients have moved.
 _SILENT_LIFETIME_S = 8.0
 # A node that reported less than this ago is not silent.
 _REPORT_INTERVAL_S = 1.0
+# Use is counted in slices of this length, in seconds.
+_SLICE_S = 0.1
+# Shortest time after which a refused customer is told to come back.
+_MIN_WAIT_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaRules:
+    """How quotas are counted.
+
+    Attributes:
+        window_s: Window of a quota, in seconds.
+        tolerance: Units that a customer may use beyond its quota in a window,
+            over all nodes.
+        is_first_start: Whether the whole system starts for the first time, so
+            that nothing was used before.
+    """
 
+    window_s: float = 8.0
+    tolerance: float = 0.0
+    is_first_start: bool = False
 
-@dataclasses.dataclass(slots=True)
-class _Bucket:
-    level: float
-    updated_at: float
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CustomerUse:
+    """A node's report about one customer.
+
+    Attributes:
+        customer: Name of the customer.
+        total: Units that the node has used since its start.
+        recent: Units that all nodes used in the last window, as it knows.
+    """
+
+    customer: str
+    total: int
+    recent: int
+
+
+class _Window:
+    """Units that were used within the last window."""
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._slices: collections.deque[list[float]] = collections.deque()
+        self._total = 0.0
+
+    def add(self, now: float, units: float) -> None:
+        """Adds units; negative ones take back what was added."""
+        self._total += units
+        if self._slices and now - self._slices[-1][0] < _SLICE_S:
+            self._slices[-1][1] += units
+        else:
+            self._slices.append([now, units])
+
+    def total(self, now: float) -> float:
+        """Returns the units of the window that ends now."""
+        while self._slices and self._slices[0][0] <= now - self._window_s:
+            self._total -= self._slices.popleft()[1]
+        return self._total
+
+    def wait_s(self, now: float, units: float) -> float:
+        """Returns the seconds until that many units leave the window."""
+        missing = units
+        for added_at, added in self._slices:
+            missing -= added
+            if missing <= 0:
+                return max(added_at + self._window_s - now, _MIN_WAIT_S)
+        return self._window_s
 
 
 @dataclasses.dataclass(slots=True)
 class _PeerUse:
     reported_at: float
-    used: dict[str, float]
+    totals: dict[str, int]
 
 
 class QuotaLedger:
-    """Token buckets by customer.
+    """Use of all customers within the last window.
 
     Args:
+        rules: How quotas are counted.
         now: Monotonic clock, in seconds.
     """
 
-    def __init__(self, now: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        rules: QuotaRules,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._rules = rules
         self._now = now
-        self._buckets: dict[str, _Bucket] = {}
-        self._customers: dict[str, Customer] = {}
+        self._windows: dict[str, _Window] = {}
         self._own_use: dict[str, float] = {}
         self._peers: dict[str, _PeerUse] = {}
+        self._started_at = now()
+        self._knows_past = rules.is_first_start
 
     @property
-    def own_use(self) -> dict[str, float]:
-        """Units that this node has used since its start, by customer."""
-        return self._own_use
-
-    def configure(self, customers: Mapping[str, Customer]) -> None:
-        """Applies the customers of a new configuration."""
-        for name, customer in customers.items():
-            previous = self._customers.get(name)
-            bucket = self._buckets.get(name)
-            if bucket is None or previous is None:
-                self._buckets[name] = _Bucket(customer.burst, self._now())
-                continue
-            self._refill(previous, bucket)
-            bucket.level = min(bucket.level, customer.burst)
-        self._customers = dict(customers)
+    def uptime_s(self) -> float:
+        """Seconds since the start of this ledger."""
+        return self._now() - self._started_at
+
+    def report(self) -> list[CustomerUse]:
+        """Returns what the other nodes need to know."""
+        now = self._now()
+        return [
+            CustomerUse(
+                name,
+                round(self._own_use.get(name, 0.0)),
+                round(window.total(now)),
+            )
+            for name, window in self._windows.items()
+        ]
 
     def units(self, customer: Customer, work: WorkEstimate) -> float:
         """Returns the units that a request costs."""
@@ -75,58 +151,79 @@
         """
         if customer.rate_per_s <= 0:
             return None
-        bucket = self._buckets.setdefault(
-            customer.name, _Bucket(customer.burst, self._now())
-        )
-        self._refill(customer, bucket)
-        # A request above the burst size could never pass; it may once the
-        # bucket is full.
-        needed = min(units, customer.burst)
-        if bucket.level < needed:
-            return (needed - bucket.level) / customer.rate_per_s
-        bucket.level -= units
-        self._own_use[customer.name] = (
-            self._own_use.get(customer.name, 0.0) + units
-        )
+        now = self._now()
+        used = self._window(customer.name).total(now)
+        excess = used + units - self._allowed(customer)
+        # A request above the whole quota passes once nothing else is used.
+        if excess > 0 and used > 0:
+            return self._window(customer.name).wait_s(now, excess)
+        self._count(customer.name, units)
         return None
 
     def give_back(self, customer: Customer, units: float) -> None:
         """Returns the units of a request that did not run."""
-        bucket = self._buckets.get(customer.name)
-        if customer.rate_per_s <= 0 or bucket is None:
-            return
-        bucket.level = min(bucket.level + units, customer.burst)
-        self._own_use[customer.name] = (
-            self._own_use.get(customer.name, 0.0) - units
-        )
+        if customer.rate_per_s > 0:
+            self._count(customer.name, -units)
 
-    def apply_report(self, node: str, used: Mapping[str, float]) -> None:
-        """Debits what another node has used since its last report.
+    def apply_report(
+        self, node: str, uptime_s: float, uses: Sequence[CustomerUse]
+    ) -> None:
+        """Counts what another node has used since its last report.
 
         Args:
             node: Name and start of the node, so that a restart counts anew.
-            used: Units since the start of that node, by customer.
+            uptime_s: Seconds since the start of that node.
+            uses: Its report about each customer.
         """
         previous = self._peers.get(node)
-        for name, total in used.items():
-            bucket = self._buckets.get(name)
-            if bucket is None:
-                continue
-            known = 0.0 if previous is None else previous.used.get(name, 0.0)
-            bucket.level -= total - known
-        self._peers[node] = _PeerUse(self._now(), dict(used))
-
-    def _refill(self, customer: Customer, bucket: _Bucket) -> None:
-        now = self._now()
-        elapsed_s = now - bucket.updated_at
-        bucket.updated_at = now
-        silent = self._count_silent()
-        share = 1.0 - silent / (len(self._peers) + 1)
-        bucket.level = min(
-            bucket.level + elapsed_s * customer.rate_per_s * share,
-            customer.burst,
+        if previous is not None:
+            self._count_changes(previous.totals, uses)
+        elif uptime_s < self._rules.window_s:
+            self._count_changes({}, uses)
+        else:
+            self._adopt(uses)
+        self._peers[node] = _PeerUse(
+            self._now(), {use.customer: use.total for use in uses}
         )
 
+    def _count_changes(
+        self, known: dict[str, int], uses: Sequence[CustomerUse]
+    ) -> None:
+        now = self._now()
+        for use in uses:
+            change = use.total - known.get(use.customer, 0)
+            if change:
+                self._window(use.customer).add(now, change)
+
+    def _adopt(self, uses: Sequence[CustomerUse]) -> None:
+        """Takes over the use of the last window from a node met anew."""
+        now = self._now()
+        for use in uses:
+            window = self._window(use.customer)
+            missing = use.recent - window.total(now)
+            if missing > 0:
+                window.add(now, missing)
+        self._knows_past = True
+
+    def _count(self, name: str, units: float) -> None:
+        self._window(name).add(self._now(), units)
+        self._own_use[name] = self._own_use.get(name, 0.0) + units
+
+    def _window(self, name: str) -> _Window:
+        window = self._windows.get(name)
+        if window is None:
+            window = self._windows[name] = _Window(self._rules.window_s)
+        return window
+
+    def _allowed(self, customer: Customer) -> float:
+        """Returns the units that this node may see used in a window."""
+        rules = self._rules
+        allowed = customer.rate_per_s * rules.window_s + customer.burst
+        allowed += _TOLERANCE_SHARE * rules.tolerance
+        if not self._knows_past:
+            allowed *= min(self.uptime_s / rules.window_s, 1.0)
+        return allowed * (1 - self._count_silent() / (len(self._peers) + 1))
+
     def _count_silent(self) -> int:
         now = self._now()
         for node, peer in list(self._peers.items()):
--- a/src/tanagerport/gateway/settings.py
+++ b/src/tanagerport/gateway/settings.py
@@ -33,6 +33,7 @@
         peer_port: UDP port for other nodes, the same on all nodes.
         metrics_port: TCP port of the metrics.
         seeds: Addresses of a few other nodes; their ports are ignored.
+        is_first_start: Whether the whole system starts for the first time.
         store: `ip:port` of the table store.
         drain_grace_s: Time between the request to stop and the kill.
         config_apply_ms: Time in which a configuration must be in force.
@@ -40,6 +41,9 @@
         retry_ratio: Repeated dispatches for each request, over all nodes.
         retry_window_s: Window of that ratio, in seconds.
         retry_slack: Repeated dispatches beyond the ratio in each window.
+        quota_window_s: Window of a customer's quota, in seconds.
+        quota_tolerance: Units that a customer may use beyond its quota in
+            a window, over all nodes.
         canary_share: Most traffic for a version that is not proved.
         canary_slack: Requests to it beyond that share.
         rollback_ms: Time in which a bad version must lose all traffic.
@@ -54,6 +58,7 @@
     peer_port: int
     metrics_port: int
     seeds: list[str] = []
+    is_first_start: bool = False
     store: str
     drain_grace_s: float = 8.0
     config_apply_ms: float = 2500
@@ -61,6 +66,8 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 20.0
+    quota_window_s: float = 8.0
+    quota_tolerance: float = 0.0
     canary_share: float = 0.1
     canary_slack: float = 50.0
     rollback_ms: float = 5000
