Keep the use of quotas near their limit in the store

Cause: a kill of all nodes forgets the window of each customer. Change: one node writes the use of customers above 0.6 of their quota twice a second; a node reads it before it is ready. Nothing is written otherwise.

--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -25,6 +25,7 @@
 from tanagerport.gateway.peer_exchange import NodeReport, PeerExchange
 from tanagerport.gateway.placement import Placer
 from tanagerport.gateway.prompt_cache import PromptCacheMap
+from tanagerport.gateway.quota_checkpoint import QuotaCheckpoint
 from tanagerport.gateway.quotas import QuotaLedger, QuotaRules
 from tanagerport.gateway.ready_server import ReadyServer
 from tanagerport.gateway.repeat_budget import RepeatBudget
@@ -130,9 +131,11 @@
             QuotaRules(
                 settings.quota_window_s,
                 settings.quota_tolerance,
-                settings.is_first_start,
             )
         )
+        self._checkpoint = QuotaCheckpoint(
+            store, self._quotas, settings.node, self._is_first_node, log
+        )
         self._peers = PeerExchange(
             settings.peer_host,
             settings.peer_port,
@@ -209,6 +212,7 @@
         return (
             self._routes is not None
             and self._knows_upstreams
+            and self._checkpoint.is_loaded
             and not self._is_leaving
         )
 
@@ -236,6 +240,7 @@
                 ("upstreams", self._watches[1].run),
                 ("reports", self._peers.run),
                 ("membership", self._run_membership),
+                ("checkpoint", self._checkpoint.run),
                 ("housekeeping", self._run_housekeeping),
             )
         ]
@@ -451,5 +456,11 @@
             f"{report.node}/{report.start}", report.uptime_s, report.uses
         )
 
+    def _is_first_node(self) -> bool:
+        """Whether this node's name is the first of those that report."""
+        return all(
+            self._settings.node <= peer.node for peer in self._peers.heard()
+        )
+
     def _forget_peer(self, node: str) -> None:
         self._board.forget_node(node)
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -136,12 +136,12 @@
         """Returns the nodes that share budgets, this one included."""
         return 1 + sum(1 for peer in self._peers.values() if peer.node)
 
-    def count_heard(self) -> int:
+    def heard(self) -> list[Peer]:
         """Returns the other nodes that report at present."""
         oldest = self._now() - _PEER_SILENT_S
-        return sum(
-            1 for peer in self._peers.values() if peer.heard_at >= oldest
-        )
+        return [
+            peer for peer in self._peers.values() if peer.heard_at >= oldest
+        ]
 
     async def start(self) -> None:
         """Opens the port."""
@@ -179,13 +179,8 @@
             return
         self._sequence += 1
         self._sent_at = self._now()
-        oldest = self._now() - _PEER_SILENT_S
-        heard = [
-            peer.host
-            for peer in self._peers.values()
-            if peer.heard_at >= oldest
-        ]
-        report = self._make_report(self._sequence, heard)
+        known = [peer.host for peer in self.heard()]
+        report = self._make_report(self._sequence, known)
         data = self._encoder.encode(report)
         if len(data) > _MAX_DATAGRAM_BYTES:
             self._log.error("report_too_large", size=len(data))
--- a/src/tanagerport/gateway/quotas.py
+++ b/src/tanagerport/gateway/quotas.py
@@ -4,8 +4,7 @@
 Every node counts its own use and what the others report, so all nodes see the
 same use but for the delay of the reports. A node that stops reporting is
 assumed to use its even share until it is forgotten. A node that starts takes
-the use of the last window from the others; as long as it knows none that is
-old enough, it assumes that the quota was used up before its start.
+the use of the last window from the others and from the checkpoint.
 """
 
 import collections
@@ -18,12 +17,15 @@
 # Part of the tolerance that is given out, so that no request within the quota
 # is refused because reports are late; the rest covers what they miss.
 _TOLERANCE_SHARE = 0.5
+# A customer above this part of its quota is near it.
+_NEAR_SHARE = 0.6
 # A silent node is taken for gone after this long: its clients have moved.
 _SILENT_LIFETIME_S = 8.0
 # A node that reported less than this ago is not silent.
 _REPORT_INTERVAL_S = 1.0
 # Use is counted in slices of this length, in seconds.
 _SLICE_S = 0.1
+_QUARTERS = 4
 # Shortest time after which a refused customer is told to come back.
 _MIN_WAIT_S = 0.1
 
@@ -36,13 +38,10 @@
         window_s: Window of a quota, in seconds.
         tolerance: Units that a customer may use beyond its quota in a window,
             over all nodes.
-        is_first_start: Whether the whole system starts for the first time, so
-            that nothing was used before.
     """
 
     window_s: float = 8.0
     tolerance: float = 0.0
-    is_first_start: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,12 +51,13 @@
     Attributes:
         customer: Name of the customer.
         total: Units that the node has used since its start.
-        recent: Units that all nodes used in the last window, as it knows.
+        recent: Units that all nodes used in each quarter of the last window,
+            as it knows, the latest quarter first.
     """
 
     customer: str
     total: int
-    recent: int
+    recent: tuple[int, ...]
 
 
 class _Window:
@@ -82,6 +82,27 @@
             self._total -= self._slices.popleft()[1]
         return self._total
 
+    def by_age(self, now: float) -> tuple[int, ...]:
+        """Returns the units of each quarter of the window, latest first."""
+        quarters = [0.0] * _QUARTERS
+        self.total(now)
+        for added_at, units in self._slices:
+            age = (now - added_at) / self._window_s
+            quarters[min(int(age * _QUARTERS), _QUARTERS - 1)] += units
+        return tuple(round(units) for units in quarters)
+
+    def raise_to(self, now: float, recent: Sequence[int]) -> None:
+        """Adds what is missing to the units of each quarter."""
+        known = self.by_age(now)
+        for quarter, units in enumerate(recent[:_QUARTERS]):
+            missing = units - known[quarter]
+            if missing > 0:
+                # The end of the quarter, so that it counts long enough.
+                added_at = now - quarter * self._window_s / _QUARTERS
+                self._total += missing
+                self._slices.append([added_at, missing])
+        self._slices = collections.deque(sorted(self._slices))
+
     def wait_s(self, now: float, units: float) -> float:
         """Returns the seconds until that many units leave the window."""
         missing = units
@@ -117,13 +138,34 @@
         self._own_use: dict[str, float] = {}
         self._peers: dict[str, _PeerUse] = {}
         self._started_at = now()
-        self._knows_past = rules.is_first_start
+        self._knows_past = False
+        self._customers: dict[str, Customer] = {}
 
     @property
     def uptime_s(self) -> float:
         """Seconds since the start of this ledger."""
         return self._now() - self._started_at
 
+    @property
+    def window_s(self) -> float:
+        """Window of a quota, in seconds."""
+        return self._rules.window_s
+
+    def set_past_known(self) -> None:
+        """Ends the time in which use before the start is unknown."""
+        self._knows_past = True
+
+    def near_quota(self) -> list[CustomerUse]:
+        """Returns the use of customers that are near their quota."""
+        now = self._now()
+        return [
+            use
+            for use in self.report()
+            if use.customer in self._customers
+            and self._windows[use.customer].total(now)
+            > _NEAR_SHARE * self._allowed(self._customers[use.customer])
+        ]
+
     def report(self) -> list[CustomerUse]:
         """Returns what the other nodes need to know."""
         now = self._now()
@@ -131,7 +173,7 @@
             CustomerUse(
                 name,
                 round(self._own_use.get(name, 0.0)),
-                round(window.total(now)),
+                window.by_age(now),
             )
             for name, window in self._windows.items()
         ]
@@ -152,6 +194,7 @@
         if customer.rate_per_s <= 0:
             return None
         now = self._now()
+        self._customers[customer.name] = customer
         used = self._window(customer.name).total(now)
         excess = used + units - self._allowed(customer)
         # A request above the whole quota passes once nothing else is used.
@@ -181,7 +224,7 @@
         elif uptime_s < self._rules.window_s:
             self._count_changes({}, uses)
         else:
-            self._adopt(uses)
+            self.adopt(uses)
         self._peers[node] = _PeerUse(
             self._now(), {use.customer: use.total for use in uses}
         )
@@ -195,14 +238,11 @@
             if change:
                 self._window(use.customer).add(now, change)
 
-    def _adopt(self, uses: Sequence[CustomerUse]) -> None:
+    def adopt(self, uses: Sequence[CustomerUse]) -> None:
         """Takes over the use of the last window from a node met anew."""
         now = self._now()
         for use in uses:
-            window = self._window(use.customer)
-            missing = use.recent - window.total(now)
-            if missing > 0:
-                window.add(now, missing)
+            self._window(use.customer).raise_to(now, use.recent)
         self._knows_past = True
 
     def _count(self, name: str, units: float) -> None:
@@ -221,7 +261,7 @@
         allowed = customer.rate_per_s * rules.window_s + customer.burst
         allowed += _TOLERANCE_SHARE * rules.tolerance
         if not self._knows_past:
-            allowed *= min(self.uptime_s / rules.window_s, 1.0)
+            return 0.0
         return allowed * (1 - self._count_silent() / (len(self._peers) + 1))
 
     def _count_silent(self) -> int:
--- a/src/tanagerport/gateway/settings.py
+++ b/src/tanagerport/gateway/settings.py
@@ -33,7 +33,6 @@
         peer_port: UDP port for other nodes, the same on all nodes.
         metrics_port: TCP port of the metrics.
         seeds: Addresses of a few other nodes; their ports are ignored.
-        is_first_start: Whether the whole system starts for the first time.
         store: `ip:port` of the table store.
         drain_grace_s: Time between the request to stop and the kill.
         config_apply_ms: Time in which a configuration must be in force.
@@ -58,7 +57,6 @@
     peer_port: int
     metrics_port: int
     seeds: list[str] = []
-    is_first_start: bool = False
     store: str
     drain_grace_s: float = 8.0
     config_apply_ms: float = 2500
--- a/src/tanagerport/gateway/table_store.py
+++ b/src/tanagerport/gateway/table_store.py
@@ -86,5 +86,11 @@
             StoreConflictError: An expected version did not hold.
         """
 
+    def time_s(self) -> float:
+        """Returns the steady clock of the store, as of its last answer.
+
+        Zero before the first answer; in seconds.
+        """
+
     def drop_connections(self) -> None:
         """Closes all connections, as after a pause of the process."""
