Serve what can still meet its target first, by customer tier and route tier

Cause: all customers of a site may have one tier, so requests were ordered by their target alone; under overload that makes all of them late. Samples of short prompts also spoilt the estimate of the time for each token. Change: requests that can't meet their target go last; the route's tier orders within the customer's; time for each token from long prompts only; a report follows each dispatch.

--- a/src/tanagerport/gateway/admission.py
+++ b/src/tanagerport/gateway/admission.py
@@ -176,6 +176,12 @@
             self._on_abandoned(future.result())
 
 
-def _rank(item: WorkItem, now: float) -> tuple[bool, int, float]:
-    """Returns the order of a request: on time, tier, then target."""
-    return (now > item.target_at, item.tier, item.target_at)
+def _rank(item: WorkItem, now: float) -> tuple[bool, int, int, float]:
+    """Returns the order of a request.
+
+    Requests that can still meet their target go first: under overload an
+    order by target alone would make all of them late. The tier of the
+    customer goes before that of the route.
+    """
+    is_late = now + item.best_first_s > item.target_at
+    return (is_late, item.tier, item.route.tier, item.target_at)
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -163,6 +163,7 @@
             self._health,
             self._cache,
             self._find_service,
+            self._peers.send_soon,
         )
         self._forwarder = RequestForwarder(
             dialect,
--- a/src/tanagerport/gateway/placement.py
+++ b/src/tanagerport/gateway/placement.py
@@ -36,6 +36,7 @@
         prompt_tokens: Prompt tokens that it has to read.
         tokens_ahead: The same with those of earlier requests there.
         first_s: Seconds to the first byte.
+        alone_s: The same if the upstream had no other prompt to read.
         finish_s: Seconds to the end of the answer.
         is_in_time: Whether the answer ends before the deadline.
         is_on_target: Whether the first byte and all pauses meet the targets.
@@ -46,6 +47,7 @@
     prompt_tokens: int
     tokens_ahead: int
     first_s: float
+    alone_s: float
     finish_s: float
     is_in_time: bool
     is_on_target: bool
@@ -101,6 +103,7 @@
         """
         free = []
         can_meet_target = False
+        item.best_first_s = float("inf")
         for upstream in upstreams:
             upstream_id = upstream.upstream_id
             if upstream_id in item.excluded or self._health.is_ejected(
@@ -110,6 +113,7 @@
             load = self._board.load(upstream_id)
             prediction = self._predict(item, service, upstream, load, now)
             can_meet_target |= prediction.is_on_target
+            item.best_first_s = min(item.best_first_s, prediction.alone_s)
             if self._has_place(service, upstream, load):
                 free.append(prediction)
         best = _best(free, can_meet_target)
@@ -152,7 +156,10 @@
             tokens_ahead = load.unread_tokens + prompt_tokens
             token_s = self._health.token_s(upstream_id, service.name)
             event_s = self._health.event_s(upstream_id, service.name)
-            first_s = token_s * tokens_ahead
+            first_s = self._health.first_event_s(
+                upstream_id, service.name, tokens_ahead
+            )
+            alone_s = first_s - token_s * load.unread_tokens
             events = work.expected_output_tokens / service.tokens_per_event
             finish_s = first_s + _LENGTH_MARGIN * events * event_s
             # Running streams pause while a chunk of a prompt is read in each
@@ -163,6 +170,7 @@
         else:
             tokens_ahead = 0
             first_s = self._health.call_s(upstream_id, service.name)
+            alone_s = first_s
             first_s *= 1 + fill
             finish_s = first_s
         pause_target_s = route.event_interval_target_s
@@ -172,6 +180,7 @@
             prompt_tokens,
             tokens_ahead,
             first_s,
+            alone_s,
             finish_s,
             now + finish_s <= item.deadline_at,
             is_smooth and now + first_s <= item.target_at,
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -24,6 +24,7 @@
         health: Speeds and failures of upstreams.
         cache: Parts of prompts that upstreams hold.
         find_service: Returns a service of the configuration in force.
+        on_occupied: Called after a place was taken.
         now: Monotonic clock, in seconds.
     """
 
@@ -35,6 +36,7 @@
         health: UpstreamHealth,
         cache: PromptCacheMap,
         find_service: Callable[[str], Service],
+        on_occupied: Callable[[], None],
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self._registry = registry
@@ -43,6 +45,7 @@
         self._health = health
         self._cache = cache
         self._find_service = find_service
+        self._on_occupied = on_occupied
         self._now = now
         self._queues: dict[str, AdmissionQueue] = {}
 
@@ -130,3 +133,4 @@
         self._board.start(
             placement.upstream.upstream_id, placement.prompt_tokens
         )
+        self._on_occupied()
--- a/src/tanagerport/gateway/upstream_health.py
+++ b/src/tanagerport/gateway/upstream_health.py
@@ -11,6 +11,11 @@
 # recent accelerator, and a short call of a web service.
 _DEFAULT_TOKEN_S = 0.00002
 _DEFAULT_CALL_S = 0.05
+_DEFAULT_BASE_S = 0.01
+# Prompts below the first bound show the time that every answer takes, those
+# above the second one the time for each token.
+_SHORT_PROMPT_TOKENS = 256
+_LONG_PROMPT_TOKENS = 1024
 _DEFAULT_EVENT_S = 0.02
 # An upstream without an answer for this many failures in a row gets no work
 # for a while; each further failure doubles that time.
@@ -29,6 +34,7 @@
     token_s: float | None = None
     call_s: float | None = None
     event_s: float | None = None
+    base_s: float | None = None
     failures_in_row: int = 0
     rejections_in_row: int = 0
     failure_share: float = 0.0
@@ -73,6 +79,16 @@
             return record.token_s
         return self._token_s_by_service.get(service, _DEFAULT_TOKEN_S)
 
+    def first_event_s(
+        self, upstream_id: str, service: str, prompt_tokens: int
+    ) -> float:
+        """Returns the seconds until the first event of a stream."""
+        record = self._records.get(upstream_id)
+        base_s = None if record is None else record.base_s
+        if base_s is None:
+            base_s = _DEFAULT_BASE_S
+        return base_s + prompt_tokens * self.token_s(upstream_id, service)
+
     def call_s(self, upstream_id: str, service: str) -> float:
         """Returns the seconds until the first byte of an answer."""
         record = self._records.get(upstream_id)
@@ -122,8 +138,11 @@
         self._call_s_by_service[service] = _blend(
             self._call_s_by_service.get(service), first_byte_s
         )
-        if tokens_ahead > 0:
-            token_s = first_byte_s / tokens_ahead
+        if 0 < tokens_ahead < _SHORT_PROMPT_TOKENS:
+            record.base_s = _blend(record.base_s, first_byte_s)
+        elif tokens_ahead > _LONG_PROMPT_TOKENS:
+            base_s = record.base_s or _DEFAULT_BASE_S
+            token_s = max(first_byte_s - base_s, 0.0) / tokens_ahead
             record.token_s = _blend(record.token_s, token_s)
             self._token_s_by_service[service] = _blend(
                 self._token_s_by_service.get(service), token_s
--- a/src/tanagerport/gateway/work.py
+++ b/src/tanagerport/gateway/work.py
@@ -18,10 +18,12 @@
         request_id: Id of the client attempt.
         route: Route of the request.
         service: Service that is to run it.
-        tier: 0 is the most important tier.
+        tier: Tier of the customer, else of the route; 0 is the most important.
         arrived_at: Monotonic seconds of its arrival.
         deadline_at: Monotonic seconds at which it must have its final answer.
         work: Tokens to read and to generate.
+        best_first_s: Seconds to the first byte at an upstream that is idle, as
+            of the last look for a place.
         excluded: Upstreams that this request should not go to again.
     """
 
@@ -32,6 +34,7 @@
     arrived_at: float
     deadline_at: float
     work: WorkEstimate = NO_WORK
+    best_first_s: float = 0.0
     excluded: set[str] = dataclasses.field(default_factory=set)
 
     @property
