Share free places between nodes and leave silent upstreams alone

Cause: 41 and 55 requests were sent to one dark upstream at the same moment, as all nodes saw its places fall free at once; late requests were placed a tenth of a second before their clients left. Change: a node takes its share of places that all see free, and those it gave up itself; an upstream that should have answered gets no work until it is heard, by any node; a request is placed only if its first event can come before its client leaves. A returning client's target counts from its first attempt, and refused clients return after up to a third of their time.

--- a/src/tanagerport/gateway/admission.py
+++ b/src/tanagerport/gateway/admission.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import random
 import time
 from collections.abc import Callable
@@ -21,11 +22,11 @@
 # A waiting request is refused this long before its client leaves, so that the
 # client learns when to come back.
 _LEAVE_MARGIN_S = 0.15
-# Shortest and longest time after which a refused client should come back.
-_MIN_RETRY_AFTER_S = 0.2
-_MAX_RETRY_AFTER_S = 10.0
+# Clients wait up to this part of the time that they have left.
+_RETRY_SHARE = 1 / 3
+_MIN_RETRY_AFTER_S = 0.1
 # Spread of that time, so that clients do not come back together.
-_RETRY_SPREAD = 0.3
+_RETRY_SPREAD = 0.7
 # Most requests that wait for one service at a node; beyond it even the
 # bookkeeping of waiting costs more than a refusal.
 _MAX_WAITING = 512
@@ -81,7 +82,7 @@
         self._check_wait(item)
         entry = _Waiting(item, asyncio.get_running_loop().create_future())
         self._waiting.append(entry)
-        give_up_at = item.patience_at - _LEAVE_MARGIN_S
+        give_up_at = item.patience_at - _LEAVE_MARGIN_S - _best_first_s(item)
         try:
             async with asyncio.timeout(max(give_up_at - self._now(), 0)):
                 return await entry.future
@@ -142,6 +143,7 @@
         if len(self._waiting) >= _MAX_WAITING:
             raise self._refusal(item, f"{_MAX_WAITING} requests wait already")
         left_s = item.patience_at - self._now() - _LEAVE_MARGIN_S
+        left_s -= _best_first_s(item)
         wait_s = self.expected_wait_s(item)
         if wait_s > left_s:
             raise self._refusal(
@@ -151,10 +153,10 @@
             )
 
     def _refusal(self, item: WorkItem, message: str) -> RefusedError:
-        spread = 1 + self._random.uniform(-_RETRY_SPREAD, _RETRY_SPREAD)
-        retry_after_s = min(
-            max(self.expected_wait_s(item), _MIN_RETRY_AFTER_S) * spread,
-            _MAX_RETRY_AFTER_S,
+        left_s = item.deadline_at - self._now()
+        retry_after_s = max(
+            left_s * _RETRY_SHARE * self._random.uniform(_RETRY_SPREAD, 1),
+            _MIN_RETRY_AFTER_S,
         )
         return RefusedError(
             Refusal(
@@ -176,6 +178,11 @@
             self._on_abandoned(future.result())
 
 
+def _best_first_s(item: WorkItem) -> float:
+    """Returns the least time to a first byte; 0 if no upstream is usable."""
+    return 0.0 if math.isinf(item.best_first_s) else item.best_first_s
+
+
 def _rank(item: WorkItem, now: float) -> tuple[bool, int, int, float]:
     """Returns the order of a request.
 
@@ -184,4 +191,5 @@
     customer goes before that of the route.
     """
     is_late = now + item.best_first_s > item.target_at
-    return (is_late, item.tier, item.route.tier, item.target_at)
+    due_at = item.deadline_at if is_late else item.target_at
+    return (is_late, item.tier, item.route.tier, due_at)
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -11,6 +11,7 @@
 
 from tanagerport.exceptions import RefusedError
 from tanagerport.gateway import request_headers
+from tanagerport.gateway.attempt_age import AttemptAges
 from tanagerport.gateway.channel import Channel
 from tanagerport.gateway.client_server import ClientAnswer, ClientRequest
 from tanagerport.gateway.counters import Counters
@@ -135,6 +136,7 @@
         self._log = log
         self._now = now
         self._random = random.Random()
+        self._ages = AttemptAges()
         self._refuses_new = False
 
     def refuse_new(self) -> None:
@@ -242,8 +244,10 @@
             values.get(self._dialect.deadline_ms)
         )
         limit_s = route.timeout_s
+        age_s = 0.0
         if deadline_ms is not None:
             limit_s = min(limit_s, deadline_ms / 1000)
+            age_s = self._ages.age_s(route.name, deadline_ms)
         tier = route.tier
         if customer is not None and customer.tier is not None:
             tier = customer.tier
@@ -254,6 +258,7 @@
             tier,
             request.received_at,
             request.received_at + limit_s,
+            age_s,
             work,
         )
         units = 0.0
@@ -296,6 +301,9 @@
             except _DispatchError as error:
                 self._note_failure(job, placement, error)
                 self._check_repeat(job, error)
+            except asyncio.CancelledError:
+                self._note_abandoned(placement)
+                raise
             finally:
                 self._scheduler.release(placement)
             job.item.excluded.add(placement.upstream.upstream_id)
@@ -325,6 +333,22 @@
             after_s=round(self._now() - placement.placed_at, 3),
         )
 
+    def _note_abandoned(self, placement: Placement) -> None:
+        """Records that a client or its deadline ended a dispatch."""
+        waited_s = self._now() - placement.placed_at
+        if placement.has_first_event or waited_s < max(
+            _SILENT_PREDICTIONS * placement.predicted_s, _MIN_SILENCE_S
+        ):
+            return
+        self._health.record_failure(placement.upstream.upstream_id)
+        self._log.warning(
+            "dispatch_abandoned",
+            request=placement.item.request_id,
+            upstream=placement.upstream.upstream_id,
+            after_s=round(waited_s, 3),
+            predicted_s=round(placement.predicted_s, 3),
+        )
+
     def _check_repeat(self, job: _Job, error: _DispatchError) -> None:
         """Raises the refusal if the request may not be sent again."""
         if error.reason is RetryReason.CONNECT_FAILED:
@@ -471,6 +495,7 @@
             async with asyncio.timeout(self._silence_s(job, placement)):
                 for _ in range(_MAX_STRAY_ANSWERS):
                     head = await exchange.call.read_head()
+                    self._scheduler.record_heard(placement)
                     if self._is_own(job, head):
                         return head
                     # An extra answer to an earlier request came first.
@@ -601,6 +626,7 @@
         pace = _Pace()
         while True:
             data = await self._read_events(job, placement, exchange)
+            self._scheduler.record_heard(placement)
             events = splitter.feed(data)
             if not data and splitter.partial:
                 raise _DispatchError(
--- a/src/tanagerport/gateway/load_board.py
+++ b/src/tanagerport/gateway/load_board.py
@@ -5,6 +5,7 @@
 last place of an upstream to two requests; the upstream then queues one.
 """
 
+import collections
 import dataclasses
 import time
 from collections.abc import Callable, Iterable
@@ -12,6 +13,10 @@
 # A node that has not reported for this long no longer counts: its requests
 # have ended with it, or it is cut off and its places can't be known.
 _REPORT_LIFETIME_S = 1.5
+# Time until the other nodes know of a request, with some spare.
+_REPORT_DELAY_S = 0.15
+# An upstream that was heard this lately is not silent for this node.
+_HEARD_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -21,10 +26,33 @@
     Attributes:
         requests: Requests that were sent and have not ended.
         unread_tokens: Prompt tokens of those without a first event.
+        is_silent: Whether a node waits there without hearing anything.
     """
 
     requests: int = 0
     unread_tokens: int = 0
+    is_silent: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _OwnUse:
+    """What this node did at an upstream.
+
+    Attributes:
+        busy_since: Monotonic seconds since when it has requests there.
+        heard_at: Monotonic seconds of the last byte from there.
+        starts: Times of requests that were started lately.
+        ends: Times of requests that ended lately.
+    """
+
+    busy_since: float = 0.0
+    heard_at: float = float("-inf")
+    starts: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    ends: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,24 +65,83 @@
     """Loads of upstreams by node.
 
     Args:
+        count_nodes: Returns the nodes that share the upstreams.
         now: Monotonic clock, in seconds.
     """
 
-    def __init__(self, now: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        count_nodes: Callable[[], int],
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._count_nodes = count_nodes
         self._now = now
+        self._uses: dict[str, _OwnUse] = {}
         self._own: dict[str, UpstreamLoad] = {}
         self._reports: dict[str, _Report] = {}
 
-    @property
-    def own_loads(self) -> dict[str, UpstreamLoad]:
-        """Loads of this node, for its report."""
-        return self._own
+    def own_loads(self) -> list[tuple[str, int, int, bool]]:
+        """Returns the loads of this node, for its report."""
+        return [
+            (upstream_id, load.requests, load.unread_tokens, load.is_silent)
+            for upstream_id, load in self._own.items()
+        ]
 
     def start(self, upstream_id: str, prompt_tokens: int) -> None:
         """Counts a request that is sent to an upstream."""
         load = self._own.setdefault(upstream_id, UpstreamLoad())
+        use = self._uses.setdefault(upstream_id, _OwnUse())
+        if load.requests == 0:
+            use.busy_since = self._now()
         load.requests += 1
         load.unread_tokens += prompt_tokens
+        use.starts.append(self._now())
+
+    def record_heard(self, upstream_id: str) -> None:
+        """Records that bytes came from an upstream."""
+        use = self._uses.setdefault(upstream_id, _OwnUse())
+        use.heard_at = self._now()
+        load = self._own.get(upstream_id)
+        if load is not None:
+            load.is_silent = False
+
+    def silent_s(self, upstream_id: str) -> float:
+        """Returns for how long this node waits without hearing anything."""
+        if upstream_id not in self._own:
+            return 0.0
+        use = self._uses[upstream_id]
+        return self._now() - max(use.busy_since, use.heard_at)
+
+    def mark_silent(self, upstream_id: str) -> None:
+        """Tells the other nodes that an upstream is silent."""
+        if upstream_id in self._own:
+            self._own[upstream_id].is_silent = True
+
+    def may_start(self, upstream_id: str, free: int) -> bool:
+        """Returns whether this node may take one of the free places.
+
+        Free places are seen by all nodes at once, before their reports tell
+        who took them. So within that time a node takes back the places that
+        it gave up itself, and its share of the others.
+
+        Args:
+            upstream_id: Upstream with free places.
+            free: Number of free places.
+        """
+        use = self._uses.get(upstream_id)
+        if use is None:
+            return True
+        oldest = self._now() - _REPORT_DELAY_S
+        for times in (use.starts, use.ends):
+            while times and times[0] < oldest:
+                times.popleft()
+        share = max(free // max(self._count_nodes(), 1), 1)
+        return len(use.starts) < len(use.ends) + share
+
+    def forget(self, upstream_id: str) -> None:
+        """Drops what is known of an upstream that is gone."""
+        if upstream_id not in self._own:
+            self._uses.pop(upstream_id, None)
 
     def record_first_event(self, upstream_id: str, prompt_tokens: int) -> None:
         """Counts a prompt that was read."""
@@ -63,24 +150,26 @@
     def end(self, upstream_id: str) -> None:
         """Counts a request that ended."""
         load = self._own[upstream_id]
+        self._uses[upstream_id].ends.append(self._now())
         load.requests -= 1
         if load.requests == 0:
             del self._own[upstream_id]
 
     def apply_report(
-        self, node: str, loads: Iterable[tuple[str, int, int]]
+        self, node: str, loads: Iterable[tuple[str, int, int, bool]]
     ) -> None:
         """Replaces the report of another node.
 
         Args:
             node: Name of the node.
-            loads: Upstream id, requests and unread prompt tokens.
+            loads: Upstream id, requests, unread prompt tokens and whether the
+                upstream is silent.
         """
         self._reports[node] = _Report(
             self._now(),
             {
-                upstream_id: UpstreamLoad(requests, unread_tokens)
-                for upstream_id, requests, unread_tokens in loads
+                upstream_id: UpstreamLoad(requests, unread_tokens, is_silent)
+                for upstream_id, requests, unread_tokens, is_silent in loads
             },
         )
 
@@ -95,10 +184,18 @@
         if own is not None:
             total.requests = own.requests
             total.unread_tokens = own.unread_tokens
+            total.is_silent = own.is_silent
         oldest = self._now() - _REPORT_LIFETIME_S
         for report in self._reports.values():
             remote = report.loads.get(upstream_id)
             if remote is not None and report.received_at >= oldest:
                 total.requests += remote.requests
                 total.unread_tokens += remote.unread_tokens
+                total.is_silent |= remote.is_silent and not self._hears(
+                    upstream_id
+                )
         return total
+
+    def _hears(self, upstream_id: str) -> bool:
+        use = self._uses.get(upstream_id)
+        return use is not None and self._now() - use.heard_at < _HEARD_S
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -122,7 +122,6 @@
         self._is_leaving = False
         self._knows_upstreams = False
         self._counters = counters
-        self._board = LoadBoard()
         self._health = UpstreamHealth()
         self._cache = PromptCacheMap()
         self._pool = UpstreamPool()
@@ -144,6 +143,7 @@
             self._forget_peer,
             log,
         )
+        self._board = LoadBoard(self._peers.count_heard_nodes)
         self._budget = RepeatBudget(
             settings.retry_ratio,
             settings.retry_window_s,
@@ -426,6 +426,7 @@
         self._log.info("upstream_gone", upstream=record.upstream_id)
         self._health.forget(record.upstream_id)
         self._cache.forget(record.upstream_id)
+        self._board.forget(record.upstream_id)
         self._pool.close_idle(record.upstream_id)
 
     def _make_report(self, sequence: int, known: list[str]) -> NodeReport:
@@ -438,10 +439,7 @@
             self._settings.zone,
             self._is_leaving,
             0 if routes is None else routes.configuration.version,
-            [
-                (upstream_id, load.requests, load.unread_tokens)
-                for upstream_id, load in self._board.own_loads.items()
-            ],
+            self._board.own_loads(),
             [
                 (service, 0, count)
                 for service, count in self._scheduler.waiting.items()
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -44,7 +44,8 @@
         zone: Availability zone of the node.
         leaving: Whether the node is stopping.
         configuration: Version of the configuration in force there.
-        loads: Upstream, requests in progress and unread prompt tokens.
+        loads: Upstream, requests in progress, unread prompt tokens and
+            whether it is silent.
         waiting: Service, tier and waiting requests.
         uptime_s: Seconds since the start.
         uses: Use of quotas.
@@ -58,7 +59,7 @@
     zone: str
     leaving: bool
     configuration: int
-    loads: list[tuple[str, int, int]]
+    loads: list[tuple[str, int, int, bool]]
     waiting: list[tuple[str, int, int]]
     uptime_s: float
     uses: list[CustomerUse]
@@ -136,6 +137,10 @@
         """Returns the nodes that share budgets, this one included."""
         return 1 + sum(1 for peer in self._peers.values() if peer.node)
 
+    def count_heard_nodes(self) -> int:
+        """Returns the nodes that report at present, this one included."""
+        return 1 + len(self.heard())
+
     def heard(self) -> list[Peer]:
         """Returns the other nodes that report at present."""
         oldest = self._now() - _PEER_SILENT_S
--- a/src/tanagerport/gateway/placement.py
+++ b/src/tanagerport/gateway/placement.py
@@ -21,8 +21,14 @@
 # Answers are up to twice as long as their estimate in 19 of 20 cases; a margin
 # for all of them would leave slow upstreams without work.
 _LENGTH_MARGIN = 1.3
+# Time for the first event to reach the client before it leaves.
+_PATIENCE_MARGIN_S = 0.1
 # Prompt tokens that an engine reads in one step beside running streams.
 _CHUNK_TOKENS = 1024
+# An upstream that sends nothing for this long, and for this many times what is
+# expected, gets no further work until it is heard again.
+_MIN_SILENCE_S = 0.4
+_SILENT_PREDICTIONS = 2.0
 # Requests in progress on an upstream that failed last, by this node.
 _PROBATION_PLACES = 1
 
@@ -111,6 +117,8 @@
             ):
                 continue
             load = self._board.load(upstream_id)
+            if load.is_silent or self._is_silent(service, upstream_id, load):
+                continue
             prediction = self._predict(item, service, upstream, load, now)
             can_meet_target |= prediction.is_on_target
             item.best_first_s = min(item.best_first_s, prediction.alone_s)
@@ -134,7 +142,27 @@
         limit = self.places(upstream, service)
         if self._health.is_probation(upstream.upstream_id):
             limit = min(limit, _PROBATION_PLACES)
-        return load.requests < limit
+        return load.requests < limit and self._board.may_start(
+            upstream.upstream_id, limit - load.requests
+        )
+
+    def _is_silent(
+        self, service: Service, upstream_id: str, load: UpstreamLoad
+    ) -> bool:
+        """Whether requests wait at an upstream that should have answered."""
+        silent_s = self._board.silent_s(upstream_id)
+        if silent_s < _MIN_SILENCE_S:
+            return False
+        if service.is_engine:
+            expected_s = self._health.first_event_s(
+                upstream_id, service.name, load.unread_tokens
+            ) + self._health.event_s(upstream_id, service.name)
+        else:
+            expected_s = self._health.call_s(upstream_id, service.name)
+        if silent_s < _MIN_SILENCE_S + _SILENT_PREDICTIONS * expected_s:
+            return False
+        self._board.mark_silent(upstream_id)
+        return True
 
     def _predict(
         self,
@@ -182,7 +210,8 @@
             first_s,
             alone_s,
             finish_s,
-            now + finish_s <= item.deadline_at,
+            now + finish_s <= item.deadline_at
+            and now + first_s <= item.patience_at - _PATIENCE_MARGIN_S,
             is_smooth and now + first_s <= item.target_at,
             first_s
             + self._distance_s(upstream)
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -91,6 +91,10 @@
         )
         self._cache.record(upstream.upstream_id, placement.item.work.parts)
 
+    def record_heard(self, placement: Placement) -> None:
+        """Records that bytes of an answer arrived."""
+        self._board.record_heard(placement.upstream.upstream_id)
+
     def record_pace(self, placement: Placement, event_s: float) -> None:
         """Records the mean time between events of a stream, in seconds."""
         upstream = placement.upstream
--- a/src/tanagerport/gateway/work.py
+++ b/src/tanagerport/gateway/work.py
@@ -21,6 +21,7 @@
         tier: Tier of the customer, else of the route; 0 is the most important.
         arrived_at: Monotonic seconds of its arrival.
         deadline_at: Monotonic seconds at which it must have its final answer.
+        age_s: Seconds between the client's first attempt and the arrival.
         work: Tokens to read and to generate.
         best_first_s: Seconds to the first byte at an upstream that is idle, as
             of the last look for a place.
@@ -33,6 +34,7 @@
     tier: int
     arrived_at: float
     deadline_at: float
+    age_s: float = 0.0
     work: WorkEstimate = NO_WORK
     best_first_s: float = 0.0
     excluded: set[str] = dataclasses.field(default_factory=set)
@@ -48,7 +50,7 @@
     @property
     def target_at(self) -> float:
         """Monotonic seconds at which the answer or first event is late."""
-        return self.arrived_at + self.route.target_s
+        return self.arrived_at - self.age_s + self.route.target_s
 
 
 @dataclasses.dataclass(slots=True)
