Wait longer for changes of the store and notice silence by peers' reports

Change: a watch waits 3 s in place of 1.5 s; a report that knows a newer row for 0.3 s makes a node reconnect.

--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -54,10 +54,11 @@
 _HOUSEKEEPING_INTERVAL_S = 0.1
 # A pause of the process longer than this makes its beliefs stale.
 _PAUSE_S = 1.0
-# Share of the time in which a configuration must be in force that one call
-# to the store may wait; the rest is for finding out that it fell silent.
-_WATCH_SHARE = 0.6
-_MAX_WATCH_S = 4.0
+# A call that waits for changes ends this long before the time in which a node
+# must be back in touch, so that a connection that fell silent is found by then.
+# Where only one node is concerned, the reports of the others tell it sooner.
+_WATCH_MARGIN_S = 1.0
+_MIN_WATCH_S = 0.5
 _NODE_TABLE = "tanagerport_nodes"
 _UNKNOWN_SERVICE = Service("")
 
@@ -183,9 +184,7 @@
         )
         self._registry.notify_gone(self._forget_upstream)
         self._registry.notify_change(self._scheduler.offer_places)
-        wait_s = min(
-            settings.config_apply_ms / 1000 * _WATCH_SHARE, _MAX_WATCH_S
-        )
+        wait_s = max(settings.contact_ms / 1000 - _WATCH_MARGIN_S, _MIN_WATCH_S)
         self._watches = (
             TableWatch(
                 store,
@@ -439,6 +438,10 @@
             self._settings.zone,
             self._is_leaving,
             0 if routes is None else routes.configuration.version,
+            (
+                self._watches[0].changed_at_version,
+                self._watches[1].changed_at_version,
+            ),
             self._board.own_loads(),
             [
                 (service, 0, count)
@@ -450,6 +453,10 @@
         )
 
     def _apply_report(self, report: NodeReport) -> None:
+        for watch, version in zip(
+            self._watches, report.table_versions, strict=True
+        ):
+            watch.expect(version)
         self._board.apply_report(report.node, report.loads)
         self._quotas.apply_report(
             f"{report.node}/{report.start}", report.uptime_s, report.uses
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -44,6 +44,8 @@
         zone: Availability zone of the node.
         leaving: Whether the node is stopping.
         configuration: Version of the configuration in force there.
+        table_versions: Store version of the newest known row, for the tables
+            of the configuration and of the upstreams.
         loads: Upstream, requests in progress, unread prompt tokens and
             whether it is silent.
         waiting: Service, tier and waiting requests.
@@ -59,6 +61,7 @@
     zone: str
     leaving: bool
     configuration: int
+    table_versions: tuple[int, int]
     loads: list[tuple[str, int, int, bool]]
     waiting: list[tuple[str, int, int]]
     uptime_s: float
--- a/src/tanagerport/gateway/settings.py
+++ b/src/tanagerport/gateway/settings.py
@@ -35,6 +35,8 @@
         seeds: Addresses of a few other nodes; their ports are ignored.
         store: `ip:port` of the table store.
         drain_grace_s: Time between the request to stop and the kill.
+        contact_ms: Time after a disruption in which a node has to be back in
+            touch with the store.
         config_apply_ms: Time in which a configuration must be in force.
         upstream_leave_ms: Time in which a leaving upstream must be left alone.
         retry_ratio: Repeated dispatches for each request, over all nodes.
@@ -59,6 +61,7 @@
     seeds: list[str] = []
     store: str
     drain_grace_s: float = 8.0
+    contact_ms: float = 4000
     config_apply_ms: float = 2500
     upstream_leave_ms: float = 2500
     retry_ratio: float = 0.2
--- a/src/tanagerport/gateway/store_watch.py
+++ b/src/tanagerport/gateway/store_watch.py
@@ -15,6 +15,9 @@
 
 _MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 0.8
+# Another node that knows a newer row for this long proves that this node's
+# connection to the store fell silent.
+_BEHIND_S = 0.3
 
 
 class TableWatch:
@@ -55,6 +58,14 @@
         self._version: int | None = None
         self._answered_at = now()
         self._is_lost = False
+        self._changed_at_version = 0
+        self._behind_since: float | None = None
+        self._kick = asyncio.Event()
+
+    @property
+    def changed_at_version(self) -> int:
+        """Store version of the newest row that is known."""
+        return self._changed_at_version
 
     @property
     def age_s(self) -> float:
@@ -65,12 +76,27 @@
         """Reads the whole table with the next call."""
         self._version = None
 
+    def expect(self, version: int) -> None:
+        """Notes that another node knows a newer row.
+
+        Args:
+            version: Store version of the newest row there.
+        """
+        if version <= self._changed_at_version:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = self._now()
+        elif self._now() - self._behind_since > _BEHIND_S:
+            # The connection of the watch has probably fallen silent.
+            self._behind_since = None
+            self._kick.set()
+
     async def run(self) -> None:
         """Follows the table until it is cancelled."""
         backoff_s = _MIN_BACKOFF_S
         while True:
             try:
-                await self._step()
+                await self._step_unless_kicked()
             except HistoryLostError:
                 self._log.warning("history_lost", table=self._table)
                 self._version = None
@@ -82,22 +108,42 @@
                 continue
             backoff_s = _MIN_BACKOFF_S
 
+    async def _step_unless_kicked(self) -> None:
+        self._kick.clear()
+        step = asyncio.ensure_future(self._step())
+        kick = asyncio.ensure_future(self._kick.wait())
+        try:
+            await asyncio.wait(
+                {step, kick}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if step.done():
+                step.result()
+                return
+            self._log.warning("watch_behind", table=self._table)
+            self._version = None
+        finally:
+            step.cancel()
+            kick.cancel()
+
     async def _step(self) -> None:
         if self._version is None:
             rows = await self._store.read(self._table)
-            self._note_answer()
+            self._note_answer(rows)
             self._on_read(rows)
         else:
             rows = await self._store.watch(
                 self._table, self._version, self._wait_s
             )
-            self._note_answer()
+            self._note_answer(rows)
             if rows.rows:
                 self._on_change(rows)
         self._version = rows.version
 
-    def _note_answer(self) -> None:
+    def _note_answer(self, rows: TableRows) -> None:
         self._answered_at = self._now()
+        self._changed_at_version = max(
+            self._changed_at_version, *(row.version for row in rows.rows), 0
+        )
         if self._is_lost:
             self._is_lost = False
             self._log.info("store_regained", table=self._table)
