Share samples of upstream speeds between nodes

Change: estimates move to upstream_speed; reports carry new samples that do not depend on the distance.

--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -102,7 +102,7 @@
         scheduler: Gives places at upstreams.
         registry: Upstreams that may be used.
         pool: Connections to upstreams.
-        health: Speeds and failures of upstreams.
+        health: Failures of upstreams.
         quotas: Quotas of customers.
         budget: Budget of repeated dispatches.
         counters: Figures of the process.
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -42,6 +42,7 @@
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_pool import UpstreamPool
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
+from tanagerport.gateway.upstream_speed import UpstreamSpeeds
 
 # The load balancer takes a node out after two failed checks, one a second;
 # until then new connections still come.
@@ -124,6 +125,7 @@
         self._knows_upstreams = False
         self._counters = counters
         self._health = UpstreamHealth()
+        self._speeds = UpstreamSpeeds()
         self._cache = PromptCacheMap()
         self._pool = UpstreamPool()
         self._registry = UpstreamRegistry()
@@ -158,10 +160,12 @@
                 settings.regions,
                 self._board,
                 self._health,
+                self._speeds,
                 self._cache,
             ),
             self._board,
             self._health,
+            self._speeds,
             self._cache,
             self._find_service,
             self._peers.send_soon,
@@ -424,6 +428,7 @@
     def _forget_upstream(self, record: UpstreamRecord) -> None:
         self._log.info("upstream_gone", upstream=record.upstream_id)
         self._health.forget(record.upstream_id)
+        self._speeds.forget(record.upstream_id)
         self._cache.forget(record.upstream_id)
         self._board.forget(record.upstream_id)
         self._pool.close_idle(record.upstream_id)
@@ -443,6 +448,7 @@
                 self._watches[1].changed_at_version,
             ),
             self._board.own_loads(),
+            self._speeds.take_samples(),
             [
                 (service, 0, count)
                 for service, count in self._scheduler.waiting.items()
@@ -458,6 +464,7 @@
         ):
             watch.expect(version)
         self._board.apply_report(report.node, report.loads)
+        self._speeds.apply_samples(report.speeds)
         self._quotas.apply_report(
             f"{report.node}/{report.start}", report.uptime_s, report.uses
         )
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -17,6 +17,7 @@
 
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.quotas import CustomerUse
+from tanagerport.gateway.upstream_speed import Sample
 
 # Reports of a node. Places at an upstream change hands within tens of
 # milliseconds under load, and a report is about 200 bytes.
@@ -48,6 +49,7 @@
             of the configuration and of the upstreams.
         loads: Upstream, requests in progress, unread prompt tokens and
             whether it is silent.
+        speeds: Samples of the speed of upstreams since the last report.
         waiting: Service, tier and waiting requests.
         uptime_s: Seconds since the start.
         uses: Use of quotas.
@@ -63,6 +65,7 @@
     configuration: int
     table_versions: tuple[int, int]
     loads: list[tuple[str, int, int, bool]]
+    speeds: list[Sample]
     waiting: list[tuple[str, int, int]]
     uptime_s: float
     uses: list[CustomerUse]
--- a/src/tanagerport/gateway/placement.py
+++ b/src/tanagerport/gateway/placement.py
@@ -7,6 +7,7 @@
 from tanagerport.gateway.load_board import LoadBoard, UpstreamLoad
 from tanagerport.gateway.prompt_cache import PromptCacheMap
 from tanagerport.gateway.upstream_health import UpstreamHealth
+from tanagerport.gateway.upstream_speed import UpstreamSpeeds
 from tanagerport.gateway.work import Placement, WorkItem
 
 # Cost of leaving the zone and the region, in seconds of waiting. Bytes between
@@ -67,7 +68,8 @@
         zone: Availability zone of the node.
         regions: Region of each availability zone.
         board: Loads of upstreams.
-        health: Speeds and failures of upstreams.
+        health: Failures of upstreams.
+        speeds: Speeds of upstreams.
         cache: Parts of prompts that upstreams hold.
     """
 
@@ -77,12 +79,14 @@
         regions: Mapping[str, str],
         board: LoadBoard,
         health: UpstreamHealth,
+        speeds: UpstreamSpeeds,
         cache: PromptCacheMap,
     ) -> None:
         self._zone = zone
         self._regions = regions
         self._board = board
         self._health = health
+        self._speeds = speeds
         self._cache = cache
 
     def places(self, upstream: UpstreamRecord, service: Service) -> int:
@@ -154,11 +158,11 @@
         if silent_s < _MIN_SILENCE_S:
             return False
         if service.is_engine:
-            expected_s = self._health.first_event_s(
+            expected_s = self._speeds.first_event_s(
                 upstream_id, service.name, load.unread_tokens
-            ) + self._health.event_s(upstream_id, service.name)
+            ) + self._speeds.event_s(upstream_id, service.name)
         else:
-            expected_s = self._health.call_s(upstream_id, service.name)
+            expected_s = self._speeds.call_s(upstream_id, service.name)
         if silent_s < _MIN_SILENCE_S + _SILENT_PREDICTIONS * expected_s:
             return False
         self._board.mark_silent(upstream_id)
@@ -182,9 +186,9 @@
             cached = self._cache.cached_tokens(upstream_id, work.parts)
             prompt_tokens = max(work.prompt_tokens - cached, 1)
             tokens_ahead = load.unread_tokens + prompt_tokens
-            token_s = self._health.token_s(upstream_id, service.name)
-            event_s = self._health.event_s(upstream_id, service.name)
-            first_s = self._health.first_event_s(
+            token_s = self._speeds.token_s(upstream_id, service.name)
+            event_s = self._speeds.event_s(upstream_id, service.name)
+            first_s = self._speeds.first_event_s(
                 upstream_id, service.name, tokens_ahead
             )
             alone_s = first_s - token_s * load.unread_tokens
@@ -197,7 +201,7 @@
             )
         else:
             tokens_ahead = 0
-            first_s = self._health.call_s(upstream_id, service.name)
+            first_s = self._speeds.call_s(upstream_id, service.name)
             alone_s = first_s
             first_s *= 1 + fill
             finish_s = first_s
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -10,6 +10,7 @@
 from tanagerport.gateway.prompt_cache import PromptCacheMap
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
+from tanagerport.gateway.upstream_speed import UpstreamSpeeds
 from tanagerport.gateway.work import Placement, WorkItem
 from tanagerport.refusals import Refusal
 
@@ -21,7 +22,8 @@
         registry: Upstreams that may be used.
         placer: Chooses among them.
         board: Loads of upstreams.
-        health: Speeds and failures of upstreams.
+        health: Failures of upstreams.
+        speeds: Speeds of upstreams.
         cache: Parts of prompts that upstreams hold.
         find_service: Returns a service of the configuration in force.
         on_occupied: Called after a place was taken.
@@ -34,6 +36,7 @@
         placer: Placer,
         board: LoadBoard,
         health: UpstreamHealth,
+        speeds: UpstreamSpeeds,
         cache: PromptCacheMap,
         find_service: Callable[[str], Service],
         on_occupied: Callable[[], None],
@@ -43,6 +46,7 @@
         self._placer = placer
         self._board = board
         self._health = health
+        self._speeds = speeds
         self._cache = cache
         self._find_service = find_service
         self._on_occupied = on_occupied
@@ -83,7 +87,8 @@
         self._board.record_first_event(
             upstream.upstream_id, placement.prompt_tokens
         )
-        self._health.record_success(
+        self._health.record_success(upstream.upstream_id)
+        self._speeds.record_answer(
             upstream.upstream_id,
             upstream.service,
             first_byte_s,
@@ -98,7 +103,7 @@
     def record_pace(self, placement: Placement, event_s: float) -> None:
         """Records the mean time between events of a stream, in seconds."""
         upstream = placement.upstream
-        self._health.record_pace(
+        self._speeds.record_pace(
             upstream.upstream_id, upstream.service, event_s
         )
 
