Test the gateway as a real process against stand-ins of the platform

Found by the tests and mended: a row that can't be decoded ended the watch of its table, as DocumentError is no PlatformError; header fields that arrive in one piece passed the limit; routes with a time limit of 0.1 s never got a place, as the margin before the client leaves was as long.

--- a/src/tanagerport/gateway/admission.py
+++ b/src/tanagerport/gateway/admission.py
@@ -19,9 +19,6 @@
 
 # Window over which the rate of freed places is measured, in seconds.
 _RATE_WINDOW_S = 2.0
-# A waiting request is refused this long before its client leaves, so that the
-# client learns when to come back.
-_LEAVE_MARGIN_S = 0.15
 # Clients wait up to this part of the time that they have left.
 _RETRY_SHARE = 1 / 3
 _MIN_RETRY_AFTER_S = 0.1
@@ -82,7 +79,9 @@
         self._check_wait(item)
         entry = _Waiting(item, asyncio.get_running_loop().create_future())
         self._waiting.append(entry)
-        give_up_at = item.patience_at - _LEAVE_MARGIN_S - _best_first_s(item)
+        give_up_at = (
+            item.patience_at - item.leave_margin_s - _best_first_s(item)
+        )
         try:
             async with asyncio.timeout(max(give_up_at - self._now(), 0)):
                 return await entry.future
@@ -142,7 +141,7 @@
     def _check_wait(self, item: WorkItem) -> None:
         if len(self._waiting) >= _MAX_WAITING:
             raise self._refusal(item, f"{_MAX_WAITING} requests wait already")
-        left_s = item.patience_at - self._now() - _LEAVE_MARGIN_S
+        left_s = item.patience_at - self._now() - item.leave_margin_s
         left_s -= _best_first_s(item)
         wait_s = self.expected_wait_s(item)
         if wait_s > left_s:
--- a/src/tanagerport/gateway/client_server.py
+++ b/src/tanagerport/gateway/client_server.py
@@ -29,6 +29,8 @@
         b"upgrade",
     }
 )
+# Colon, space and line end of a field.
+_FIELD_BYTES = 4
 # Time to send an answer to a client that broke the protocol, in seconds.
 _CLOSE_TIMEOUT_S = 1.0
 # A body must arrive at least within this long, in seconds.
@@ -326,6 +328,12 @@
             return None
         received_at = time.monotonic()
         values = {name: bytes(value) for name, value in head.headers}
+        size = len(head.target) + sum(
+            len(name) + len(value) + _FIELD_BYTES
+            for name, value in head.headers
+        )
+        if size > self._limits.header_bytes:
+            raise self._headers_too_large()
         if b"content-length" in values and b"transfer-encoding" in values:
             # Two framings are how a request is hidden in another one.
             raise _bad_request("both Content-Length and Transfer-Encoding")
@@ -414,6 +422,15 @@
                 raise ConnectionResetError("closed within the body")
             self._codec.receive_data(data)
 
+    def _headers_too_large(self) -> BadRequestError:
+        return BadRequestError(
+            Refusal(
+                RefusalReason.HEADERS_TOO_LARGE,
+                "the header fields are above"
+                f" {self._limits.header_bytes} bytes",
+            )
+        )
+
     def _next_event(
         self,
     ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
@@ -421,13 +438,7 @@
             return self._codec.next_event()
         except h11.RemoteProtocolError as error:
             if error.error_status_hint == 431:
-                raise BadRequestError(
-                    Refusal(
-                        RefusalReason.HEADERS_TOO_LARGE,
-                        "the header fields are above"
-                        f" {self._limits.header_bytes} bytes",
-                    )
-                ) from error
+                raise self._headers_too_large() from error
             raise _bad_request(str(error)) from error
 
 
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -9,7 +9,11 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
-from tanagerport.exceptions import PlatformError, SettingsError
+from tanagerport.exceptions import (
+    DocumentError,
+    PlatformError,
+    SettingsError,
+)
 from tanagerport.gateway.client_server import ClientServer
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
@@ -364,7 +368,7 @@
                 continue
             try:
                 configuration = self._codec.decode_configuration(row)
-            except PlatformError as error:
+            except DocumentError as error:
                 self._log.error(
                     "configuration_unreadable", key=row.key, error=str(error)
                 )
@@ -407,7 +411,7 @@
     def _decode_upstream(self, row: Row) -> UpstreamRecord | None:
         try:
             record = self._codec.decode_upstream(row)
-        except PlatformError as error:
+        except DocumentError as error:
             self._log.warning(
                 "upstream_unreadable", key=row.key, error=str(error)
             )
--- a/src/tanagerport/gateway/placement.py
+++ b/src/tanagerport/gateway/placement.py
@@ -22,8 +22,6 @@
 # Answers are up to twice as long as their estimate in 19 of 20 cases; a margin
 # for all of them would leave slow upstreams without work.
 _LENGTH_MARGIN = 1.3
-# Time for the first event to reach the client before it leaves.
-_PATIENCE_MARGIN_S = 0.1
 # Prompt tokens that an engine reads in one step beside running streams.
 _CHUNK_TOKENS = 1024
 # An upstream that sends nothing for this long, and for this many times what is
@@ -215,7 +213,7 @@
             alone_s,
             finish_s,
             now + finish_s <= item.deadline_at
-            and now + first_s <= item.patience_at - _PATIENCE_MARGIN_S,
+            and now + first_s <= item.patience_at - item.leave_margin_s,
             is_smooth and now + first_s <= item.target_at,
             first_s
             + self._distance_s(upstream)
--- a/src/tanagerport/gateway/work.py
+++ b/src/tanagerport/gateway/work.py
@@ -9,6 +9,11 @@
     WorkEstimate,
 )
 
+# Time for an answer to reach the client before it leaves; a smaller part of
+# short waits.
+_LEAVE_MARGIN_S = 0.15
+_LEAVE_MARGIN_SHARE = 0.07
+
 
 @dataclasses.dataclass(slots=True)
 class WorkItem:
@@ -47,6 +52,14 @@
             self.arrived_at + self.route.first_event_patience_s,
         )
 
+    @property
+    def leave_margin_s(self) -> float:
+        """Seconds before its client leaves in which an answer may be lost."""
+        return min(
+            _LEAVE_MARGIN_S,
+            _LEAVE_MARGIN_SHARE * self.route.first_event_patience_s,
+        )
+
     @property
     def target_at(self) -> float:
         """Monotonic seconds at which the answer or first event is late."""
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,667 @@
+"""Stand-in of the users' platform: its store, upstreams and one gateway.
+
+The store and the upstreams speak the published formats in plain asyncio, on
+purpose without the gateway's own HTTP code, so that a fault there can't hide.
+"""
+
+import asyncio
+import base64
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import time
+import urllib.parse
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+ROOT = pathlib.Path(__file__).parent.parent
+HOST = "127.0.0.1"
+STOP_TIMEOUT_S = 10.0
+
+
+@dataclasses.dataclass
+class HttpRequest:
+    """A request that a stand-in received."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    at: float = dataclasses.field(default_factory=time.monotonic)
+
+    @property
+    def path(self) -> str:
+        return self.target.partition("?")[0]
+
+    @property
+    def query(self) -> dict[str, str]:
+        return dict(urllib.parse.parse_qsl(self.target.partition("?")[2]))
+
+
+async def read_request(reader: asyncio.StreamReader) -> HttpRequest | None:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return HttpRequest(method, target, headers, body)
+
+
+def answer_bytes(
+    status: int, body: bytes, headers: dict[str, str] | None = None
+) -> bytes:
+    fields = {"Content-Length": str(len(body)), **(headers or {})}
+    lines = [f"HTTP/1.1 {status} X"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class StandinServer:
+    """TCP server whose connections are closed with it."""
+
+    def __init__(self) -> None:
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, port: int = 0) -> None:
+        self._server = await asyncio.start_server(self._accept, HOST, port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self._writers.clear()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            await self.serve(reader, writer)
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        raise NotImplementedError
+
+
+class StoreStandin(StandinServer):
+    """Table store: `rows-get`, `rows-feed` and `rows-tx`.
+
+    Attributes:
+        mode: `ok`, `busy` (answers 503) or `silent` (answers nothing).
+        history_from: Versions up to this one are forgotten.
+        calls: Paths of all calls.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.mode = "ok"
+        self.history_from = 0
+        self.calls: list[str] = []
+        self.lose_next_write = False
+        self._version = 0
+        self._rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
+        self._changed = asyncio.Condition()
+
+    async def put(self, table: str, key: str, value: Any) -> int:
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        return await self._write([(table, key, data)])
+
+    async def remove(self, table: str, key: str) -> int:
+        return await self._write([(table, key, None)])
+
+    def get(self, table: str, key: str) -> bytes | None:
+        return self._rows.get((table, key), (0, None))[1]
+
+    def get_json(self, table: str, key: str) -> Any:
+        value = self.get(table, key)
+        return None if value is None else json.loads(value)
+
+    async def _write(self, writes: list[tuple[str, str, bytes | None]]) -> int:
+        async with self._changed:
+            self._version += 1
+            for table, key, data in writes:
+                self._rows[table, key] = (self._version, data)
+            self._changed.notify_all()
+            return self._version
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while (request := await read_request(reader)) is not None:
+            self.calls.append(request.path)
+            if self.mode == "silent":
+                await asyncio.sleep(3600)
+            if self.mode == "busy":
+                writer.write(answer_bytes(503, b""))
+                continue
+            status, answer = await self._answer(request)
+            if self.mode == "silent":
+                await asyncio.sleep(3600)
+            if request.path == "/-/rows-tx" and self.lose_next_write:
+                self.lose_next_write = False
+                writer.transport.abort()
+                return
+            answer["server_time_ms"] = time.monotonic() * 1000
+            writer.write(answer_bytes(status, json.dumps(answer).encode()))
+
+    async def _answer(self, request: HttpRequest) -> tuple[int, dict[str, Any]]:
+        if request.path == "/-/rows-get":
+            return 200, {
+                "rows": self._list(request.query["table_name"], -1, False),
+                "has_more": False,
+                "schema_version": self._version,
+            }
+        if request.path == "/-/rows-feed":
+            return await self._feed(request.query)
+        if request.path == "/-/rows-tx":
+            return await self._transact(json.loads(request.body))
+        return 404, {}
+
+    async def _feed(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        after = int(query["after"])
+        if after < self.history_from:
+            return 410, {}
+        table = query["table_name"]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(int(query["wait_timeout_ms"]) / 1000):
+                async with self._changed:
+                    await self._changed.wait_for(
+                        lambda: self._list(table, after, True)
+                    )
+        return 200, {
+            "rows": self._list(table, after, True),
+            "schema_version": self._version,
+        }
+
+    async def _transact(
+        self, call: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        for entry in call["expected_revision"]:
+            name = (entry["table_name"], entry["key"])
+            version, data = self._rows.get(name, (0, None))
+            if entry["schema_version"] != (0 if data is None else version):
+                return 412, {"rows": []}
+        version = await self._write(
+            [
+                (
+                    entry["table_name"],
+                    entry["key"],
+                    base64.b64decode(entry["data"]),
+                )
+                for entry in call["write"]
+            ]
+            + [
+                (entry["table_name"], entry["key"], None)
+                for entry in call["remove"]
+            ]
+        )
+        return 200, {"schema_version": version}
+
+    def _list(
+        self, table: str, after: int, with_deleted: bool
+    ) -> list[dict[str, Any]]:
+        rows = []
+        for (name, key), (version, data) in sorted(self._rows.items()):
+            if name != table or version <= after:
+                continue
+            row: dict[str, Any] = {"key": key, "schema_version": version}
+            if data is None:
+                if not with_deleted:
+                    continue
+                row["deleted"] = True
+            else:
+                row["data"] = base64.b64encode(data).decode()
+            rows.append(row)
+        return rows
+
+
+Behaviour = Callable[
+    ["UpstreamStandin", HttpRequest, asyncio.StreamWriter], Awaitable[None]
+]
+
+
+class UpstreamStandin(StandinServer):
+    """An upstream that answers as its `behave` says.
+
+    Attributes:
+        upstream_id: Id under which it registers.
+        behave: Answers a request.
+        arrivals: All requests that arrived.
+        ran: Ids of attempts that it began to work on.
+        cut: Ids of attempts whose connection was closed by the gateway.
+    """
+
+    def __init__(self, upstream_id: str, behave: Behaviour) -> None:
+        super().__init__()
+        self.upstream_id = upstream_id
+        self.behave = behave
+        self.arrivals: list[HttpRequest] = []
+        self.ran: list[str] = []
+        self.cut: list[str] = []
+
+    def record(
+        self, service: str, state: str = "available", **fields: Any
+    ) -> dict[str, Any]:
+        return {
+            "service": service,
+            "address": f"{HOST}:{self.port}",
+            "zone": "zone-a",
+            "version": "v1",
+            "slot_count": 4,
+            "state": state,
+            "born": 1,
+            **fields,
+        }
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while (request := await read_request(reader)) is not None:
+            self.arrivals.append(request)
+            target = request.headers.get("target-instance")
+            if target not in (None, self.upstream_id):
+                writer.write(answer_bytes(421, b""))
+                continue
+            attempt = request.headers["attempt-id"]
+            work = asyncio.ensure_future(self.behave(self, request, writer))
+            watch = asyncio.ensure_future(_closed(reader))
+            await asyncio.wait(
+                {work, watch}, return_when=asyncio.FIRST_COMPLETED
+            )
+            watch.cancel()
+            if not work.done():
+                work.cancel()
+                self.cut.append(attempt)
+                return
+            work.result()
+            if writer.transport.is_closing():
+                return
+
+
+async def _closed(reader: asyncio.StreamReader) -> None:
+    while not reader.at_eof():
+        await asyncio.sleep(0.01)
+
+
+def sealed(request: HttpRequest, **fields: str) -> dict[str, str]:
+    return {
+        "Attempt-Id": request.headers["attempt-id"],
+        "Response-Seal": f"seal-{request.headers['attempt-id']}",
+        **fields,
+    }
+
+
+async def echo(
+    upstream: UpstreamStandin,
+    request: HttpRequest,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Runs the request and answers with its body."""
+    upstream.ran.append(request.headers["attempt-id"])
+    writer.write(answer_bytes(200, b"ran:" + request.body, sealed(request)))
+
+
+async def reject(
+    upstream: UpstreamStandin,
+    request: HttpRequest,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Says that it is full and did not run the request."""
+    writer.write(
+        answer_bytes(503, b"", sealed(request, **{"Not-Executed": "1"}))
+    )
+
+
+async def hang(
+    upstream: UpstreamStandin,
+    request: HttpRequest,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Runs the request and never answers."""
+    upstream.ran.append(request.headers["attempt-id"])
+    await asyncio.sleep(3600)
+
+
+async def break_off(
+    upstream: UpstreamStandin,
+    request: HttpRequest,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Runs the request and resets the connection."""
+    upstream.ran.append(request.headers["attempt-id"])
+    writer.transport.abort()
+
+
+def stream(
+    events: int,
+    pause_s: float = 0.0,
+    stop_after: int | None = None,
+    skip: int | None = None,
+) -> Behaviour:
+    """Returns a behaviour that streams events with ids from 1.
+
+    Args:
+        events: Events of the whole stream.
+        pause_s: Seconds before each event.
+        stop_after: Event after which the connection is reset.
+        skip: Event that is left out.
+    """
+
+    async def behave(
+        upstream: UpstreamStandin,
+        request: HttpRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        upstream.ran.append(request.headers["attempt-id"])
+        head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+        head += ["Transfer-Encoding: chunked"]
+        head += [f"{name}: {value}" for name, value in sealed(request).items()]
+        writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        for number in range(first, events + 1):
+            await asyncio.sleep(pause_s)
+            if number == skip:
+                continue
+            event = f"id: {number}\ndata: event {number}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            if number == stop_after:
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                writer.transport.abort()
+                return
+        writer.write(b"0\r\n\r\n")
+
+    return behave
+
+
+def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+class GatewayProcess:
+    """The real program as a process of its own."""
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        store_port: int,
+        node: str = "node-1",
+        **settings: Any,
+    ) -> None:
+        self.port = free_port()
+        self.ready_port = free_port()
+        self.metrics_port = free_port()
+        self.log_path = directory / f"{node}.log"
+        self.settings_path = directory / f"{node}.json"
+        self.settings = {
+            "node": node,
+            "zone": "zone-a",
+            "regions": {"zone-a": "region-1", "zone-b": "region-1"},
+            "listen": f"{HOST}:{self.port}",
+            "ready_listen": f"{HOST}:{self.ready_port}",
+            "peer_host": HOST,
+            "peer_port": free_port(socket.SOCK_DGRAM),
+            "metrics_port": self.metrics_port,
+            "store": f"{HOST}:{store_port}",
+            "drain_grace_s": 6,
+            **settings,
+        }
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        self.settings_path.write_text(json.dumps(self.settings))
+        environment = {
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": f"{ROOT / 'src'}",
+            "TANAGERPORT_SETTINGS": str(self.settings_path),
+        }
+        with self.log_path.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "platform" / "serve.py"),
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    async def wait_ready(self, timeout_s: float = 10.0) -> None:
+        async with asyncio.timeout(timeout_s):
+            while await self.ready_status() != 200:
+                await asyncio.sleep(0.02)
+
+    async def ready_status(self) -> int:
+        try:
+            answer = await fetch(self.ready_port, "GET", "/-/readyz")
+        except OSError:
+            return 0
+        return answer.status
+
+    def signal(self, number: signal.Signals) -> None:
+        assert self._process is not None
+        self._process.send_signal(number)
+
+    async def wait(self) -> int:
+        assert self._process is not None
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            return await self._process.wait()
+
+    async def stop(self) -> None:
+        if self._process is not None and self._process.returncode is None:
+            self._process.kill()
+            await self._process.wait()
+
+    def log_lines(self) -> list[dict[str, Any]]:
+        return [
+            json.loads(line)
+            for line in self.log_path.read_text().splitlines()
+            if line.startswith("{")
+        ]
+
+
+@dataclasses.dataclass
+class ClientAnswer:
+    """What a client received.
+
+    Attributes:
+        is_whole: Whether the answer ended as HTTP demands.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool = True
+    seconds: float = 0.0
+
+
+async def fetch(
+    port: int,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    raw: bytes | None = None,
+) -> ClientAnswer:
+    """Sends one request on a new connection and reads the answer."""
+    started_at = time.monotonic()
+    reader, writer = await asyncio.open_connection(HOST, port)
+    try:
+        writer.write(raw or request_bytes(method, target, body, headers))
+        answer = await read_answer(reader)
+    finally:
+        writer.close()
+    answer.seconds = time.monotonic() - started_at
+    return answer
+
+
+def request_bytes(
+    method: str,
+    target: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+) -> bytes:
+    fields = {"Host": "shop.example", **(headers or {})}
+    if body:
+        fields["Content-Length"] = str(len(body))
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def read_answer(reader: asyncio.StreamReader) -> ClientAnswer:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    lines = head.split("\r\n")
+    status = int(lines[0].split(" ")[1])
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+    if headers.get("transfer-encoding") == "chunked":
+        body, is_whole = await _read_chunks(reader)
+    else:
+        try:
+            body = await reader.readexactly(int(headers["content-length"]))
+            is_whole = True
+        except asyncio.IncompleteReadError as error:
+            body, is_whole = error.partial, False
+    return ClientAnswer(status, headers, body, is_whole)
+
+
+async def _read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
+    body = b""
+    try:
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            body += (await reader.readexactly(size + 2))[:-2]
+            if size == 0:
+                return body, True
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return body, False
+
+
+def route(name: str, kind: str = "idempotent", **fields: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "hostname": "shop.example",
+        "prefix": f"/{name}/",
+        "route_type": kind,
+        "timeout_ms": 3000,
+        "target_latency_ms": 300,
+        "priority_class": 1,
+        "service": "svc",
+        "max_attempts": 2,
+        "public": False,
+        **fields,
+    }
+
+
+def configuration(
+    version: int, routes: list[dict[str, Any]], **fields: Any
+) -> dict[str, Any]:
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "svc", "max_connections": 50}],
+        "limits": {
+            "max_header_bytes": 8192,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 1000,
+            "idle_timeout_ms": 5000,
+        },
+        "tenants": [],
+        **fields,
+    }
+
+
+@dataclasses.dataclass
+class World:
+    """A store, upstreams and gateways."""
+
+    directory: pathlib.Path
+    store: StoreStandin
+    upstreams: list[UpstreamStandin]
+    gateways: list[GatewayProcess]
+
+    @property
+    def gateway(self) -> GatewayProcess:
+        return self.gateways[0]
+
+    async def add_upstream(
+        self, upstream_id: str, behave: Behaviour, **fields: Any
+    ) -> UpstreamStandin:
+        upstream = UpstreamStandin(upstream_id, behave)
+        await upstream.start()
+        self.upstreams.append(upstream)
+        await self.store.put(
+            "servers", upstream_id, upstream.record("svc", **fields)
+        )
+        return upstream
+
+    async def add_gateway(
+        self, node: str = "node-1", **settings: Any
+    ) -> GatewayProcess:
+        gateway = GatewayProcess(
+            self.directory, self.store.port, node, **settings
+        )
+        self.gateways.append(gateway)
+        await gateway.start()
+        return gateway
+
+    async def call(
+        self, attempt: str, target: str, body: bytes = b"", **headers: str
+    ) -> ClientAnswer:
+        fields = {"Attempt-Id": attempt, "Deadline-Ms": "3000"}
+        fields.update(
+            {name.replace("_", "-"): value for name, value in headers.items()}
+        )
+        return await fetch(
+            self.gateway.port,
+            "POST" if body else "GET",
+            target,
+            body,
+            fields,
+        )
+
+
+@contextlib.asynccontextmanager
+async def world(
+    directory: pathlib.Path, config: dict[str, Any] | None = None
+) -> AsyncIterator[World]:
+    """Starts a store with a configuration; stops everything at the end."""
+    store = StoreStandin()
+    await store.start()
+    if config is not None:
+        await store.put("op", "config", config)
+    result = World(directory, store, [], [])
+    try:
+        yield result
+    finally:
+        for gateway in result.gateways:
+            await gateway.stop()
+        for upstream in result.upstreams:
+            await upstream.stop()
+        await store.stop()
--- /dev/null
+++ b/tests/test_gateway_process.py
@@ -0,0 +1,748 @@
+"""The gateway as a real process between clients, upstreams and the store."""
+
+import asyncio
+import json
+import pathlib
+import signal
+import urllib.parse
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+import platform_standin as standin
+from platform_standin import World, configuration, route
+
+Scenario = Callable[[World], Awaitable[None]]
+
+READ = route("read")
+PAY = route("pay", "non_idempotent", max_attempts=1)
+TALK = route(
+    "talk", "streaming", stream_resume=True, target_itl_ms=250, timeout_ms=4000
+)
+CALL = route("call", "streaming", max_attempts=1, target_itl_ms=250)
+ROUTES = [READ, PAY, TALK, CALL]
+
+
+def run(
+    directory: pathlib.Path,
+    scenario: Scenario,
+    config: dict[str, Any] | None = None,
+) -> None:
+    """Plays a scenario with one gateway that is told of `config`."""
+
+    async def play() -> None:
+        async with standin.world(
+            directory, config or configuration(1, ROUTES)
+        ) as world:
+            await world.add_gateway()
+            await scenario(world)
+
+    asyncio.run(play())
+
+
+async def eventually(check: Callable[[], bool], timeout_s: float = 3.0) -> None:
+    async with asyncio.timeout(timeout_s):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+class TestAnswers:
+    """Whole answers of the right request."""
+
+    def test_passes_method_path_body_and_seal_on(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            upstream = await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            answer = await world.call("a1", "/pay/x?y=%20z", b"hello")
+            assert (answer.status, answer.body) == (200, b"ran:hello")
+            assert answer.headers["response-seal"] == "seal-a1"
+            arrival = upstream.arrivals[0]
+            assert (arrival.method, arrival.target) == ("POST", "/pay/x?y=%20z")
+            assert arrival.headers["target-instance"] == "u-1"
+            assert 0 < int(arrival.headers["deadline-ms"]) <= 3000
+
+        run(tmp_path, scenario)
+
+    def test_headers_of_the_system_are_never_taken_from_a_client(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against clients that choose their customer or upstream."""
+
+        async def scenario(world: World) -> None:
+            upstream = await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            await world.call(
+                "a1",
+                "/read/x",
+                Tenant="other",
+                Target_Instance="u-9",
+                Kv_From="1.2.3.4:5/a",
+                Kv_Backup="1.2.3.4:5",
+                Pin_Ms="100",
+                Retention="r",
+                Expected_Version="3",
+            )
+            headers = upstream.arrivals[0].headers
+            assert headers["target-instance"] == "u-1"
+            assert not headers.keys() & {
+                "tenant", "kv-from", "kv-backup", "pin-ms", "retention",
+                "expected-version",
+            }  # fmt: skip
+
+        run(tmp_path, scenario)
+
+    def test_late_answer_of_an_earlier_request_is_not_given_out(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against answers that reach another request's client."""
+
+        async def late_extra(
+            upstream: standin.UpstreamStandin,
+            request: standin.HttpRequest,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            attempt = request.headers["attempt-id"]
+            upstream.ran.append(attempt)
+            if attempt == "a2":
+                stray = {"Attempt-Id": "a1", "Response-Seal": "seal-a1"}
+                writer.write(standin.answer_bytes(200, b"stray", stray))
+            writer.write(
+                standin.answer_bytes(200, b"own", standin.sealed(request))
+            )
+
+        async def scenario(world: World) -> None:
+            await world.add_upstream("u-1", late_extra)
+            await world.gateway.wait_ready()
+            first = await world.call("a1", "/read/x")
+            second = await world.call("a2", "/read/x")
+            assert first.body == b"own"
+            assert second.body == b"own"
+            assert second.headers["response-seal"] == "seal-a2"
+
+        run(tmp_path, scenario)
+
+    def test_truncated_answer_is_no_success(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def truncate(
+            upstream: standin.UpstreamStandin,
+            request: standin.HttpRequest,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            upstream.ran.append(request.headers["attempt-id"])
+            whole = standin.answer_bytes(
+                200, b"0123456789", standin.sealed(request)
+            )
+            writer.write(whole[:-4])
+            await writer.drain()
+            writer.transport.abort()
+
+        async def scenario(world: World) -> None:
+            upstream = await world.add_upstream("u-1", truncate)
+            await world.gateway.wait_ready()
+            answer = await world.call("a1", "/pay/x", b"money")
+            assert answer.status == 502
+            assert json.loads(answer.body)["error"]["ran"] == "unknown"
+            assert upstream.ran == ["a1"]
+
+        run(tmp_path, scenario)
+
+    def test_doubly_framed_request_is_refused(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a request that is smuggled in another one's body."""
+
+        async def scenario(world: World) -> None:
+            upstream = await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            hidden = b"GET /read/secret HTTP/1.1\r\nAttempt-Id: z\r\n\r\n"
+            raw = (
+                b"POST /pay/x HTTP/1.1\r\nHost: shop.example\r\n"
+                b"Attempt-Id: a1\r\nContent-Length: 5\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+            ) + hidden
+            answer = await standin.fetch(world.gateway.port, "", "", raw=raw)
+            assert answer.status == 400
+            await asyncio.sleep(0.1)
+            assert upstream.arrivals == []
+
+        run(tmp_path, scenario)
+
+
+class TestRepeats:
+    """What may be sent again, and what is said otherwise."""
+
+    def test_rejected_idempotent_request_goes_elsewhere(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            await world.add_upstream("u-1", standin.reject)
+            await world.add_upstream("u-2", standin.echo)
+            await world.gateway.wait_ready()
+            answers = [
+                await world.call(f"a{number}", "/read/x") for number in range(6)
+            ]
+            assert {answer.status for answer in answers} == {200}
+
+        run(tmp_path, scenario)
+
+    def test_non_idempotent_request_runs_once(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a charge that is made twice after a reset."""
+
+        async def scenario(world: World) -> None:
+            first = await world.add_upstream("u-1", standin.break_off)
+            second = await world.add_upstream("u-2", standin.break_off)
+            await world.gateway.wait_ready()
+            answer = await world.call("a1", "/pay/x", b"charge")
+            assert answer.status == 502
+            assert first.ran + second.ran == ["a1"]
+
+        run(tmp_path, scenario)
+
+    def test_refusal_without_a_run_says_when_to_return(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            upstream = await world.add_upstream("u-1", standin.reject)
+            await world.gateway.wait_ready()
+            answer = await world.call("a1", "/pay/x", b"charge")
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0
+            assert json.loads(answer.body)["error"]["ran"] == "no"
+            assert upstream.ran == []
+
+        run(tmp_path, scenario)
+
+    def test_request_that_ran_is_answered_504_at_its_time_limit(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against 503 for a request that runs."""
+        config = configuration(
+            1, [route("pay", "non_idempotent", timeout_ms=600)]
+        )
+
+        async def scenario(world: World) -> None:
+            upstream = await world.add_upstream("u-1", standin.hang)
+            await world.gateway.wait_ready()
+            answer = await world.call("a1", "/pay/x", b"charge")
+            assert answer.status == 504
+            assert 0.55 < answer.seconds < 1.1
+            await eventually(lambda: upstream.cut == ["a1"])
+
+        run(tmp_path, scenario, config)
+
+    def test_upstream_that_refuses_connections_is_passed_over(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            dead = await world.add_upstream("u-1", standin.echo)
+            alive = await world.add_upstream("u-2", standin.echo)
+            await world.gateway.wait_ready()
+            await dead.stop()
+            for number in range(5):
+                answer = await world.call(f"a{number}", "/pay/x", b"b")
+                assert answer.status == 200
+            assert len(alive.ran) == 5
+
+        run(tmp_path, scenario)
+
+
+class TestStreams:
+    """Streams of events."""
+
+    def test_events_are_passed_on_as_they_come(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            await world.add_upstream("u-1", standin.stream(4, pause_s=0.05))
+            await world.gateway.wait_ready()
+            answer = await world.call("a1", "/call/x", b"prompt")
+            assert answer.is_whole
+            assert answer.body.count(b"\n\n") == 4
+
+        run(tmp_path, scenario)
+
+    def test_resumable_stream_goes_on_at_another_upstream(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against missing and doubled events after a break."""
+
+        async def scenario(world: World) -> None:
+            first = await world.add_upstream(
+                "u-1", standin.stream(6, 0.01, stop_after=3)
+            )
+            second = await world.add_upstream(
+                "u-2", standin.stream(6, 0.01, stop_after=3)
+            )
+            await world.gateway.wait_ready()
+            for upstream in (first, second):
+                upstream.behave = standin.stream(
+                    6, 0.01, stop_after=3 if upstream is first else None
+                )
+            second.behave = standin.stream(6, 0.01)
+            answers = [
+                await world.call(f"a{number}", "/talk/x", b"prompt")
+                for number in range(4)
+            ]
+            for answer in answers:
+                assert answer.is_whole
+                events = [
+                    line
+                    for line in answer.body.decode().splitlines()
+                    if line.startswith("id:")
+                ]
+                assert events == [f"id: {number}" for number in range(1, 7)]
+            assert any(
+                arrival.headers.get("last-event-id") == "3"
+                for arrival in second.arrivals
+            )
+
+        run(tmp_path, scenario)
+
+    def test_broken_stream_does_not_look_complete(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            upstream = await world.add_upstream(
+                "u-1", standin.stream(6, 0.01, stop_after=3)
+            )
+            await world.gateway.wait_ready()
+            answer = await world.call("a1", "/call/x", b"prompt")
+            assert not answer.is_whole
+            assert answer.body.count(b"\n\n") == 3
+            assert upstream.ran == ["a1"]
+
+        run(tmp_path, scenario)
+
+    def test_missing_event_cuts_the_stream(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            await world.add_upstream("u-1", standin.stream(6, skip=3))
+            await world.gateway.wait_ready()
+            answer = await world.call("a1", "/call/x", b"prompt")
+            assert not answer.is_whole
+            assert b"event 4" not in answer.body
+
+        run(tmp_path, scenario)
+
+    def test_client_that_leaves_ends_the_work(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against upstreams that work on for nobody."""
+
+        async def scenario(world: World) -> None:
+            upstream = await world.add_upstream("u-1", standin.hang)
+            await world.gateway.wait_ready()
+            _, writer = await asyncio.open_connection(
+                standin.HOST, world.gateway.port
+            )
+            writer.write(
+                standin.request_bytes(
+                    "POST", "/call/x", b"p", {"Attempt-Id": "a1"}
+                )
+            )
+            await eventually(lambda: upstream.ran == ["a1"])
+            writer.close()
+            await eventually(lambda: upstream.cut == ["a1"], 0.5)
+
+        run(tmp_path, scenario)
+
+
+class TestConfiguration:
+    """Configurations, keys and quotas."""
+
+    def test_node_without_configuration_is_not_ready_and_answers_503(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against 404 and 401 by a node that knows nothing yet."""
+
+        async def play() -> None:
+            async with standin.world(tmp_path) as world:
+                gateway = await world.add_gateway()
+                async with asyncio.timeout(5):
+                    while await gateway.ready_status() == 0:
+                        await asyncio.sleep(0.02)
+                assert await gateway.ready_status() == 503
+                answer = await world.call("a1", "/read/x")
+                assert answer.status == 503
+                assert "retry-after" in answer.headers
+                await world.store.put("op", "config", configuration(1, ROUTES))
+                await gateway.wait_ready()
+                assert (await world.call("a2", "/nowhere/")).status == 404
+
+        asyncio.run(play())
+
+    def test_new_version_is_in_force_within_its_time(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            new = [*ROUTES, route("new")]
+            await world.store.put("op", "config", configuration(5, new))
+            async with asyncio.timeout(2.5):
+                while (await world.call("a1", "/new/x")).status != 200:
+                    await asyncio.sleep(0.02)
+
+        run(tmp_path, scenario)
+
+    def test_older_version_never_comes_back(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            new = [*ROUTES, route("new")]
+            await world.store.put("op", "config", configuration(5, new))
+            await asyncio.sleep(0.5)
+            await world.store.put("op", "config", configuration(4, ROUTES))
+            await asyncio.sleep(0.5)
+            assert (await world.call("a1", "/new/x")).status == 200
+
+        run(tmp_path, scenario)
+
+    def test_key_decides_the_customer_and_is_not_passed_on(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        tenants = [{"name": "acme", "api_keys": ["k1"]}]
+        config = configuration(1, ROUTES, tenants=tenants)
+
+        async def scenario(world: World) -> None:
+            upstream = await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            refused = await world.call("a1", "/read/x")
+            served = await world.call(
+                "a2", "/read/x", Authorization="Token k1", Tenant="other"
+            )
+            assert (refused.status, served.status) == (401, 200)
+            headers = upstream.arrivals[0].headers
+            assert headers["tenant"] == "acme"
+            assert "authorization" not in headers
+
+        run(tmp_path, scenario, config)
+
+    def test_quota_of_tokens_is_kept_over_two_nodes(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a customer that uses its quota at each node."""
+        tenants = [
+            {
+                "name": "acme",
+                "api_keys": ["k1"],
+                "billing_unit": "tokens",
+                "rate_per_s": 10,
+                "burst_size": 920,
+            }
+        ]
+        config = configuration(1, ROUTES, tenants=tenants)
+
+        async def play() -> None:
+            async with standin.world(tmp_path, config) as world:
+                upstream = await world.add_upstream(
+                    "u-1", standin.echo, slot_count=50
+                )
+                first = await world.add_gateway(seeds=["127.0.0.2:1"])
+                second = await world.add_gateway(
+                    "node-2",
+                    peer_host="127.0.0.2",
+                    peer_port=first.settings["peer_port"],
+                )
+                await first.wait_ready()
+                await second.wait_ready()
+                await asyncio.sleep(0.5)
+                statuses = []
+                for number in range(30):
+                    gateway = world.gateways[number % 2]
+                    answer = await standin.fetch(
+                        gateway.port,
+                        "GET",
+                        "/read/x",
+                        headers={
+                            "Attempt-Id": f"a{number}",
+                            "Authorization": "Token k1",
+                            "Token-Usage": "60,40",
+                        },
+                    )
+                    statuses.append(answer.status)
+                    await asyncio.sleep(0.15)
+                # 10 a second for 8 s and 920 at once are 1,000 tokens.
+                assert statuses.count(200) == len(upstream.ran) <= 11
+                assert statuses.count(200) >= 10
+                assert statuses.count(429) == 30 - len(upstream.ran)
+
+        asyncio.run(play())
+
+
+class TestUpstreams:
+    """Rows of upstreams and what they lead to."""
+
+    def test_draining_upstream_gets_no_new_work(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            leaving = await world.add_upstream("u-1", standin.echo)
+            await world.add_upstream("u-2", standin.echo)
+            await world.gateway.wait_ready()
+            await world.store.put(
+                "servers", "u-1", leaving.record("svc", "draining")
+            )
+            await asyncio.sleep(0.5)
+            arrived = len(leaving.arrivals)
+            for number in range(10):
+                await world.call(f"a{number}", "/read/x")
+            assert len(leaving.arrivals) == arrived
+
+        run(tmp_path, scenario)
+
+    @pytest.mark.parametrize(
+        "row",
+        [
+            b"\xff\xfe not json",
+            b"[]",
+            b'{"service": "svc", "address": 7, "zone": "z", "state": "s"}',
+            b'{"service": "svc", "address": "1.2.3.4:99999", "zone": "z",'
+            b' "state": "available"}',
+            b'{"service": "svc", "address": "evil.example:80", "zone": "z",'
+            b' "state": "available"}',
+            b'{"service": "svc", "address": "127.0.0.1:9", "zone": "z",'
+            b' "state": "cheerful"}',
+        ],
+    )
+    def test_row_of_another_writer_names_no_upstream(
+        self, tmp_path: pathlib.Path, row: bytes
+    ) -> None:
+        async def scenario(world: World) -> None:
+            await world.store.put("servers", "forged", row)
+            await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            for number in range(5):
+                assert (await world.call(f"a{number}", "/read/x")).status == 200
+            await eventually(
+                lambda: (
+                    "upstream_unreadable"
+                    in [line["event"] for line in world.gateway.log_lines()]
+                )
+            )
+
+        run(tmp_path, scenario)
+
+    def test_reused_address_does_not_run_the_request(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against work for a service that took over an address."""
+
+        async def scenario(world: World) -> None:
+            upstream = await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            upstream.upstream_id = "u-other"
+            answer = await world.call("a1", "/pay/x", b"b")
+            assert answer.status == 503
+            assert upstream.ran == []
+
+        run(tmp_path, scenario)
+
+
+class TestStoreTrouble:
+    """Outages of the store."""
+
+    @pytest.mark.parametrize("mode", ["busy", "silent"])
+    def test_serving_goes_on_and_changes_come_after_an_outage(
+        self, tmp_path: pathlib.Path, mode: str
+    ) -> None:
+        async def scenario(world: World) -> None:
+            await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            world.store.mode = mode
+            await asyncio.sleep(1.0)
+            assert (await world.call("a1", "/read/x")).status == 200
+            new = [*ROUTES, route("new")]
+            await world.store.put("op", "config", configuration(5, new))
+            world.store.mode = "ok"
+            async with asyncio.timeout(6.5):
+                while (await world.call("a2", "/new/x")).status != 200:
+                    await asyncio.sleep(0.05)
+
+        run(tmp_path, scenario)
+
+    def test_lost_history_is_made_up_by_a_whole_read(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            leaving = await world.add_upstream("u-1", standin.echo)
+            await world.add_upstream("u-2", standin.echo)
+            await world.gateway.wait_ready()
+            world.store.mode = "busy"
+            await asyncio.sleep(3.5)
+            await world.store.remove("servers", "u-1")
+            world.store.history_from = 10**9
+            world.store.mode = "ok"
+            # A row may have lapsed in the outage: it is kept for 2 s at most.
+            await asyncio.sleep(3.5)
+            world.store.history_from = 0
+            arrived = len(leaving.arrivals)
+            for number in range(6):
+                assert (await world.call(f"a{number}", "/read/x")).status == 200
+            assert len(leaving.arrivals) == arrived
+
+        run(tmp_path, scenario)
+
+    def test_rows_that_lapse_in_an_outage_are_no_deaths(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against an empty upstream list right after an outage."""
+
+        async def scenario(world: World) -> None:
+            upstream = await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            world.store.mode = "busy"
+            await asyncio.sleep(3.5)
+            await world.store.remove("servers", "u-1")
+            world.store.mode = "ok"
+            for number in range(10):
+                answer = await world.call(f"a{number}", "/read/x")
+                assert answer.status == 200
+                await asyncio.sleep(0.1)
+            await world.store.put("servers", "u-1", upstream.record("svc"))
+            await asyncio.sleep(2.5)
+            assert (await world.call("z", "/read/x")).status == 200
+
+        run(tmp_path, scenario)
+
+
+class TestLifecycle:
+    """Stop, reload and metrics."""
+
+    def test_stop_finishes_what_is_in_progress(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            await world.add_upstream("u-1", standin.stream(20, pause_s=0.1))
+            await world.gateway.wait_ready()
+            call = asyncio.ensure_future(world.call("a1", "/call/x", b"p"))
+            await asyncio.sleep(0.3)
+            world.gateway.signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            assert await world.gateway.ready_status() == 503
+            late = await world.call("a2", "/call/x", b"p")
+            assert late.is_whole
+            assert late.headers["connection"] == "close"
+            assert (await call).is_whole
+            assert await world.gateway.wait() == 0
+
+        run(tmp_path, scenario)
+
+    def test_bad_settings_are_refused_with_all_findings(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            bad = {
+                **world.gateway.settings,
+                "listen": "nowhere",
+                "drain_grace_s": 0,
+            }
+            world.gateway.settings_path.write_text(json.dumps(bad))
+            world.gateway.signal(signal.SIGHUP)
+
+            def refused() -> list[dict[str, Any]]:
+                return [
+                    line
+                    for line in world.gateway.log_lines()
+                    if line["event"] == "settings_refused"
+                ]
+
+            await eventually(lambda: bool(refused()))
+            assert "listen" in refused()[0]["error"]
+            assert "drain_grace_s" in refused()[0]["error"]
+            assert (await world.call("a1", "/read/x")).status == 200
+
+        run(tmp_path, scenario)
+
+    def test_metrics_count_answers_and_refusals(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            await world.call("a1", "/read/x")
+            await world.call("a2", "/nowhere/x")
+            answer = await standin.fetch(
+                world.gateway.metrics_port, "GET", "/metrics"
+            )
+            text = answer.body.decode()
+            assert (
+                'tanagerport_gateway_answers_total{outcome="2xx"} 1.0' in text
+            )
+            assert (
+                'tanagerport_gateway_refusals_total{reason="unknown_route"} 1.0'
+                in text
+            )
+
+        run(tmp_path, scenario)
+
+
+class TestHostileInput:
+    """Requests that break the protocol."""
+
+    @pytest.mark.parametrize(
+        ("raw", "status"),
+        [
+            (b"NONSENSE\r\n\r\n", 400),
+            (b"GET /read/x HTTP/1.1\r\n\r\n", 400),
+            (
+                b"GET /read/x HTTP/1.1\r\nHost: shop.example\r\n"
+                b"X: " + b"a" * 9000 + b"\r\n\r\n",
+                431,
+            ),
+            (
+                b"POST /pay/x HTTP/1.1\r\nHost: shop.example\r\n"
+                b"Attempt-Id: a\r\nContent-Length: 100001\r\n\r\n"
+                + b"x"
+                * 100001,
+                413,
+            ),
+            (b"GET /read/x HTTP/1.1\r\nHost: shop.example\r\n\r\n", 400),
+        ],
+    )
+    def test_bad_request_gets_one_clear_answer(
+        self, tmp_path: pathlib.Path, raw: bytes, status: int
+    ) -> None:
+        async def scenario(world: World) -> None:
+            upstream = await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            answer = await standin.fetch(world.gateway.port, "", "", raw=raw)
+            assert answer.status == status
+            error = json.loads(answer.body)["error"]
+            assert error["message"] and error["ran"] == "no"
+            assert upstream.arrivals == []
+            assert (await world.call("ok", "/read/x")).status == 200
+
+        run(tmp_path, scenario)
+
+    def test_path_is_matched_by_its_longest_prefix(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        routes = [
+            route("a", service="svc"),
+            {**route("deep"), "prefix": "/a/b/", "timeout_ms": 200},
+        ]
+
+        async def scenario(world: World) -> None:
+            upstream = await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            await world.call("a1", "/a/b/c")
+            await world.call("a2", f"/a/{urllib.parse.quote('b c')}/x")
+            limits = [
+                int(arrival.headers["deadline-ms"])
+                for arrival in upstream.arrivals
+            ]
+            assert limits[0] <= 200 < limits[1]
+
+        run(tmp_path, scenario, configuration(1, routes))
