Move a service to a new version by the operator's deadline

Each node deals its requests between versions within the canary share, pools evidence by route with the others and stops at once when it is against the new version; the holder of a lease row writes the state the operator reads in the same transaction.

--- a/src/tanagerport/gateway/domain.py
+++ b/src/tanagerport/gateway/domain.py
@@ -152,6 +152,23 @@
     limits: ClientLimits = ClientLimits()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutOrder:
+    """An operator's order to move a service to a version.
+
+    Attributes:
+        service: Service that moves.
+        version: Version of the software to move to.
+        duration_s: Time for the move, in seconds.
+        order: Store version of the order; a later order has a higher one.
+    """
+
+    service: str
+    version: str
+    duration_s: float
+    order: int
+
+
 class UpstreamState(enum.StrEnum):
     """What an upstream says of itself."""
 
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -320,8 +320,9 @@
             self._pool.close_idle(upstream_id)
         elif error.reason is RetryReason.REJECTED:
             self._health.record_rejection(upstream_id)
-        else:
+        elif error.reason is not RetryReason.FAILED:
             self._health.record_failure(upstream_id)
+            self._scheduler.record_outcome(placement, has_failed=True)
         self._log.warning(
             "dispatch_failed",
             request=job.item.request_id,
@@ -341,6 +342,7 @@
         ):
             return
         self._health.record_failure(placement.upstream.upstream_id)
+        self._scheduler.record_outcome(placement, has_failed=True)
         self._log.warning(
             "dispatch_abandoned",
             request=placement.item.request_id,
@@ -583,10 +585,12 @@
             ) from error
         first_byte_s = self._now() - exchange.started_at
         if head.status >= 500:
-            self._check_failed_answer(job, head)
+            self._scheduler.record_outcome(placement, has_failed=True)
             self._health.record_failed_answer(placement.upstream.upstream_id)
+            self._check_failed_answer(job, head)
         else:
             self._scheduler.record_first_event(placement, first_byte_s)
+            self._scheduler.record_outcome(placement, has_failed=False)
         self._counters.first_byte.observe(self._now() - job.request.received_at)
         job.answer.start(
             head.status,
@@ -657,6 +661,7 @@
         if not job.answer.is_started:
             self._start_stream(job, head)
         job.answer.finish()
+        self._scheduler.record_outcome(placement, has_failed=False)
         self._note_answer(
             job,
             placement,
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -21,6 +21,7 @@
 from tanagerport.gateway.domain import (
     ClientLimits,
     Configuration,
+    RolloutOrder,
     Service,
     UpstreamRecord,
 )
@@ -33,6 +34,11 @@
 from tanagerport.gateway.quotas import QuotaLedger, QuotaRules
 from tanagerport.gateway.ready_server import ReadyServer
 from tanagerport.gateway.repeat_budget import RepeatBudget
+from tanagerport.gateway.rollout import (
+    CanaryLimits,
+    RolloutController,
+    RolloutState,
+)
 from tanagerport.gateway.route_table import RouteTable
 from tanagerport.gateway.scheduler import Scheduler
 from tanagerport.gateway.settings import GatewaySettings, parse_address
@@ -86,6 +92,18 @@
             DocumentError: The configuration has findings.
         """
 
+    def decode_rollout(self, row: Row) -> RolloutOrder | None:
+        """Returns the order of a rollout; None if the row is something else.
+
+        Raises:
+            DocumentError: The order has findings.
+        """
+
+    def rollout_status(
+        self, order: RolloutOrder, state: RolloutState
+    ) -> RowWrite:
+        """Returns the write that tells the operator a rollout's state."""
+
     def decode_upstream(self, row: Row) -> UpstreamRecord:
         """Returns an upstream.
 
@@ -157,6 +175,16 @@
             settings.retry_slack,
             self._peers.count_nodes,
         )
+        self._rollouts = RolloutController(
+            settings.node,
+            store,
+            codec,
+            CanaryLimits(settings.canary_share, settings.canary_slack),
+            self._peers.count_nodes,
+            lambda upstream_id: not self._board.load(upstream_id).requests,
+            self._registry.usable,
+            log,
+        )
         self._scheduler = Scheduler(
             self._registry,
             Placer(
@@ -171,6 +199,7 @@
             self._health,
             self._speeds,
             self._cache,
+            self._rollouts,
             self._find_service,
             self._peers.send_soon,
         )
@@ -249,6 +278,7 @@
                 ("reports", self._peers.run),
                 ("membership", self._run_membership),
                 ("checkpoint", self._checkpoint.run),
+                ("rollouts", self._rollouts.run),
                 ("housekeeping", self._run_housekeeping),
             )
         ]
@@ -367,6 +397,10 @@
             if row.value is None:
                 continue
             try:
+                order = self._codec.decode_rollout(row)
+                if order is not None:
+                    self._rollouts.apply_order(order)
+                    continue
                 configuration = self._codec.decode_configuration(row)
             except DocumentError as error:
                 self._log.error(
@@ -459,6 +493,7 @@
             ],
             round(self._quotas.uptime_s, 1),
             self._quotas.report(),
+            self._rollouts.report(),
             known,
         )
 
@@ -469,6 +504,9 @@
             watch.expect(version)
         self._board.apply_report(report.node, report.loads)
         self._speeds.apply_samples(report.speeds)
+        self._rollouts.apply_report(
+            f"{report.node}/{report.start}", report.rollouts
+        )
         self._quotas.apply_report(
             f"{report.node}/{report.start}", report.uptime_s, report.uses
         )
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -17,6 +17,7 @@
 
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.quotas import CustomerUse
+from tanagerport.gateway.rollout import RolloutReport
 from tanagerport.gateway.upstream_speed import Sample
 
 # Reports of a node. Places at an upstream change hands within tens of
@@ -53,6 +54,7 @@
         waiting: Service, tier and waiting requests.
         uptime_s: Seconds since the start.
         uses: Use of quotas.
+        rollouts: Evidence about new versions.
         known: Hosts of other nodes that it hears.
     """
 
@@ -69,6 +71,7 @@
     waiting: list[tuple[str, int, int]]
     uptime_s: float
     uses: list[CustomerUse]
+    rollouts: list[RolloutReport]
     known: list[str]
 
 
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -8,6 +8,7 @@
 from tanagerport.gateway.load_board import LoadBoard
 from tanagerport.gateway.placement import Placer
 from tanagerport.gateway.prompt_cache import PromptCacheMap
+from tanagerport.gateway.rollout import RolloutController
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
 from tanagerport.gateway.upstream_speed import UpstreamSpeeds
@@ -25,6 +26,7 @@
         health: Failures of upstreams.
         speeds: Speeds of upstreams.
         cache: Parts of prompts that upstreams hold.
+        rollouts: Versions that requests may go to.
         find_service: Returns a service of the configuration in force.
         on_occupied: Called after a place was taken.
         now: Monotonic clock, in seconds.
@@ -38,6 +40,7 @@
         health: UpstreamHealth,
         speeds: UpstreamSpeeds,
         cache: PromptCacheMap,
+        rollouts: RolloutController,
         find_service: Callable[[str], Service],
         on_occupied: Callable[[], None],
         now: Callable[[], float] = time.monotonic,
@@ -48,6 +51,7 @@
         self._health = health
         self._speeds = speeds
         self._cache = cache
+        self._rollouts = rollouts
         self._find_service = find_service
         self._on_occupied = on_occupied
         self._now = now
@@ -83,6 +87,7 @@
         if placement.has_first_event:
             return
         placement.has_first_event = True
+        placement.first_byte_s = first_byte_s
         upstream = placement.upstream
         self._board.record_first_event(
             upstream.upstream_id, placement.prompt_tokens
@@ -107,6 +112,17 @@
             upstream.upstream_id, upstream.service, event_s
         )
 
+    def record_outcome(self, placement: Placement, has_failed: bool) -> None:
+        """Records the end of a dispatch as evidence about its version."""
+        item = placement.item
+        is_slow = (
+            placement.first_byte_s is not None
+            and placement.first_byte_s > item.route.target_s
+        )
+        self._rollouts.record(
+            placement.upstream, item.route.name, has_failed, is_slow
+        )
+
     def release(self, placement: Placement) -> None:
         """Gives a place back; a second call has no effect."""
         if placement.is_released:
@@ -134,7 +150,11 @@
         return self._placer.choose(
             item,
             self._find_service(item.service),
-            self._registry.usable(item.service),
+            self._rollouts.filter(
+                item.service,
+                item.request_id,
+                self._registry.usable(item.service),
+            ),
             self._now(),
         )
 
@@ -142,4 +162,5 @@
         self._board.start(
             placement.upstream.upstream_id, placement.prompt_tokens
         )
+        self._rollouts.record_sent(placement.upstream)
         self._on_occupied()
--- a/src/tanagerport/gateway/work.py
+++ b/src/tanagerport/gateway/work.py
@@ -78,6 +78,7 @@
         predicted_s: Predicted seconds to the first byte.
         placed_at: Monotonic seconds at which the place was given.
         has_first_event: Whether the prompt was read.
+        first_byte_s: Seconds from dispatch to the first byte; None before it.
         is_released: Whether the place was given back.
     """
 
@@ -88,4 +89,5 @@
     predicted_s: float
     placed_at: float
     has_first_event: bool = False
+    first_byte_s: float | None = None
     is_released: bool = False
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -746,3 +746,83 @@
             assert limits[0] <= 200 < limits[1]
 
         run(tmp_path, scenario, configuration(1, routes))
+
+
+class TestRollouts:
+    """Moves of a service to another version."""
+
+    def test_good_version_is_completed_before_the_deadline(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(world: World) -> None:
+            old = await world.add_upstream("u-1", standin.echo)
+            new = await world.add_upstream("u-2", standin.echo, version="v2")
+            await world.gateway.wait_ready()
+            await _order(world, 6)
+            early = await _call_until(world, lambda: False, 2.5)
+            assert len(new.ran) < 0.25 * early
+            await _call_until(world, lambda: _state(world) == "completed", 3.5)
+            assert _state(world) == "completed"
+            arrived = len(old.arrivals)
+            await _call_until(world, lambda: False, 0.5)
+            assert len(old.arrivals) == arrived
+
+        run(tmp_path, scenario)
+
+    def test_bad_version_is_taken_back_and_stays_out_after_a_restart(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a bad version that gets traffic again."""
+
+        async def fail(
+            upstream: standin.UpstreamStandin,
+            request: standin.HttpRequest,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            upstream.ran.append(request.headers["attempt-id"])
+            writer.write(
+                standin.answer_bytes(500, b"", standin.sealed(request))
+            )
+
+        async def scenario(world: World) -> None:
+            await world.add_upstream("u-1", standin.echo)
+            new = await world.add_upstream("u-2", fail, version="v2")
+            await world.gateway.wait_ready()
+            await _order(world, 8)
+            sent = await _call_until(
+                world, lambda: _state(world) == "reverted", 5
+            )
+            assert _state(world) == "reverted"
+            assert len(new.ran) <= 0.1 * sent + 50
+            await world.gateway.stop()
+            await world.gateway.start()
+            await world.gateway.wait_ready()
+            arrived = len(new.arrivals)
+            await _call_until(world, lambda: False, 2.0)
+            assert len(new.arrivals) == arrived
+
+        run(tmp_path, scenario)
+
+
+async def _order(world: World, duration_s: float) -> None:
+    order = {"service": "svc", "to": "v2", "duration_s": duration_s}
+    await world.store.put("op", "rollout/svc", order)
+
+
+def _state(world: World) -> str:
+    status = world.store.get_json("status", "rollout/svc")
+    return "" if status is None else str(status["state"])
+
+
+async def _call_until(
+    world: World, check: Callable[[], bool], seconds: float
+) -> int:
+    """Sends calls one after another; returns how many."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    calls = 0
+    while loop.time() < end and not check():
+        calls += 1
+        await world.call(f"c{loop.time()}", "/pay/x", b"b")
+        await asyncio.sleep(0.005)
+    return calls
