--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -456,6 +456,8 @@
                 route=job.item.route.name,
                 upstream=upstream.upstream_id,
                 tier=job.item.tier,
+                customer="" if job.customer is None else job.customer.name,
+                units=job.units,
                 waited_s=round(self._now() - job.request.received_at, 3),
                 predicted_s=round(placement.predicted_s, 3),
                 dispatch=job.dispatches,
