--- a/src/tanagerport/cli.py
+++ b/src/tanagerport/cli.py
@@ -127,7 +127,7 @@
         "REQUEST_ID",
         "Show why a request went where it went, waited or was refused.",
         "explain 019ae8-3f2c --settings=node-1.json",
-        commands.define_operator_flags,
+        commands.define_explain_flags,
         commands.explain_request,
         argument_count=1,
     ),
--- a/src/tanagerport/commands.py
+++ b/src/tanagerport/commands.py
@@ -10,7 +10,7 @@
 import threading
 import time
 import uuid
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 from absl import flags
@@ -20,6 +20,7 @@
 from tanagerport.config_records import ConfigChange
 from tanagerport.exceptions import DocumentError
 from tanagerport.findings import Finding
+from tanagerport.log_explanation import explain
 from tanagerport.logs import configure_logs
 from tanagerport.node import create_node
 from tanagerport.operator_client import OperatorClient
@@ -107,6 +108,18 @@
     )
 
 
+def define_explain_flags(values: flags.FlagValues) -> None:
+    """Defines the flags of `explain`."""
+    define_operator_flags(values)
+    flags.DEFINE_list(
+        "logs",
+        [],
+        "Log files of any number of processes, `-` for standard input; no"
+        " node is asked then.",
+        flag_values=values,
+    )
+
+
 def define_demo_flags(values: flags.FlagValues) -> None:
     """Defines the flags of `demo`."""
     flags.DEFINE_bool(
@@ -210,10 +223,26 @@
 
 def explain_request(values: flags.FlagValues, arguments: Sequence[str]) -> int:
     """Prints the decisions taken for a request."""
+    if values["logs"].value:
+        print(explain(arguments[0], _read_logs(values["logs"].value)))
+        return 0
     print(format_explanation(_client(values).get(f"/explain/{arguments[0]}")))
     return 0
 
 
+def _read_logs(names: Sequence[str]) -> Iterator[str]:
+    """Yields the lines of log files; `-` is standard input."""
+    for name in names:
+        if name == "-":
+            yield from sys.stdin
+            continue
+        try:
+            with open(name, encoding="utf-8", errors="replace") as file:
+                yield from file
+        except OSError as error:
+            raise DocumentError(name, [Finding("", str(error))]) from error
+
+
 def run_demo(values: flags.FlagValues, arguments: Sequence[str]) -> int:
     """Runs the demonstration."""
     del arguments
--- a/src/tanagerport/gateway/decision_log.py
+++ b/src/tanagerport/gateway/decision_log.py
@@ -3,10 +3,11 @@
 import collections
 import os
 import time
-from collections.abc import Callable
+from collections.abc import Callable, MutableMapping
 from typing import Any
 
 import msgspec
+import structlog
 
 from tanagerport.refusals import Refusal
 
@@ -41,6 +42,19 @@
         return self._count <= self._per_s
 
 
+class _LineQueue:
+    """Logger of `structlog` that queues rendered lines."""
+
+    def __init__(self) -> None:
+        self.lines: collections.deque[bytes] = collections.deque()
+
+    def msg(self, line: bytes) -> None:
+        """Queues a line."""
+        self.lines.append(line)
+
+    debug = info = warning = error = msg
+
+
 class DecisionLog:
     """Writes JSON lines to a file descriptor.
 
@@ -51,7 +65,6 @@
         node: Name of the node, in each line.
         descriptor: File descriptor; set to non-blocking by the caller.
         now: Monotonic clock, in seconds.
-        is_verbose: Whether lines about successes are written.
     """
 
     def __init__(
@@ -59,17 +72,24 @@
         node: str,
         descriptor: int = 1,
         now: Callable[[], float] = time.monotonic,
-        is_verbose: bool = True,
     ) -> None:
         self._node = node
         self._descriptor = descriptor
         self._now = now
-        self._is_verbose = is_verbose
-        self._lines: collections.deque[bytes] = collections.deque()
+        self._queue = _LineQueue()
         self._unwritten = b""
         self._limits: dict[str, _RateLimit] = {}
         self._dropped: collections.Counter[str] = collections.Counter()
         self._reported_at = 0.0
+        self._logger = structlog.wrap_logger(
+            self._queue,
+            processors=[
+                structlog.processors.add_log_level,
+                self._limit,
+                self._render,
+            ],
+            wrapper_class=structlog.BoundLogger,
+        )
 
     @property
     def dropped(self) -> dict[str, int]:
@@ -78,20 +98,19 @@
 
     def info(self, event: str, **fields: Any) -> None:
         """Logs a decision or a change of what the process believes."""
-        self._log(event, "info", _SUCCESS_LINES_PER_S, fields)
+        self._logger.info(event, **fields)
 
     def debug(self, event: str, **fields: Any) -> None:
         """Logs a line that explains no failure of a request."""
-        if self._is_verbose:
-            self._log(event, "debug", _SUCCESS_LINES_PER_S, fields)
+        self._logger.debug(event, **fields)
 
     def warning(self, event: str, **fields: Any) -> None:
         """Logs what explains a failure of a request."""
-        self._log(event, "warning", _FAILURE_LINES_PER_S, fields)
+        self._logger.warning(event, **fields)
 
     def error(self, event: str, **fields: Any) -> None:
         """Logs a fault of this process."""
-        self._log(event, "error", _FAILURE_LINES_PER_S, fields)
+        self._logger.error(event, **fields)
 
     def refused(self, request_id: str, refusal: Refusal, **fields: Any) -> None:
         """Logs a refusal."""
@@ -108,7 +127,7 @@
     def flush(self) -> None:
         """Writes queued lines as far as the reader takes them."""
         self._report_dropped()
-        while self._lines or self._unwritten:
+        while self._queue.lines or self._unwritten:
             if not self._unwritten:
                 self._unwritten = self._take_block()
             try:
@@ -117,43 +136,50 @@
                 return
             except OSError:
                 # The reader is gone for good, and there is nowhere to say so.
-                self._lines.clear()
+                self._queue.lines.clear()
                 self._unwritten = b""
                 return
             self._unwritten = self._unwritten[written:]
 
     def _take_block(self) -> bytes:
+        lines = self._queue.lines
         block = []
         size = 0
-        while self._lines and size < _WRITE_BYTES:
-            line = self._lines.popleft()
+        while lines and size < _WRITE_BYTES:
+            line = lines.popleft()
             size += len(line)
             block.append(line)
         return b"".join(block)
 
-    def _log(
-        self, event: str, level: str, per_s: int, fields: dict[str, Any]
-    ) -> None:
+    def _limit(
+        self, logger: Any, method: str, fields: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        """Drops a line above the bound of its kind."""
+        del logger
+        event = fields["event"]
         limit = self._limits.get(event)
         if limit is None:
-            limit = self._limits[event] = _RateLimit(per_s)
-        now = self._now()
-        if not limit.take(now) or len(self._lines) >= _MAX_QUEUED:
+            is_failure = method in {"warning", "error"}
+            limit = self._limits[event] = _RateLimit(
+                _FAILURE_LINES_PER_S if is_failure else _SUCCESS_LINES_PER_S
+            )
+        if not limit.take(self._now()) or len(self._queue.lines) >= _MAX_QUEUED:
             self._dropped[event] += 1
-            return
-        self._write(event, level, now, fields)
-
-    def _write(
-        self, event: str, level: str, now: float, fields: dict[str, Any]
-    ) -> None:
+            raise structlog.DropEvent
+        return fields
+
+    def _render(
+        self, logger: Any, method: str, fields: MutableMapping[str, Any]
+    ) -> bytes:
+        """Renders a line; `at` orders the lines of a node, `time` may jump."""
+        del logger, method
         line = {
-            "at": round(now, 4),
+            "at": round(self._now(), 4),
+            "time": round(time.time(), 3),
             "node": self._node,
-            "level": level,
-            "event": event,
             **fields,
         }
-        self._lines.append(_encode(line) + b"\n")
+        return _encode(line) + b"\n"
 
     def _report_dropped(self) -> None:
         now = self._now()
@@ -163,4 +189,4 @@
             return
         self._reported_at = now
         dropped, self._dropped = self._dropped, collections.Counter()
-        self._write("lines_dropped", "warning", now, {"by_event": dropped})
+        self.warning("lines_dropped", by_event=dict(dropped))
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -741,6 +741,8 @@
             last_event=job.last_event_id,
             dispatches=job.dispatches,
             after_s=round(self._now() - job.request.received_at, 3),
+            target_s=job.item.route.target_s,
+            pause_target_s=job.item.route.event_interval_target_s,
             **fields,
         )
 
