Report to other regions every 0.3 s only

Change: reports at once and every 0.1 s go to the own region; the pace of a stream is reported after its first events.

--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -652,7 +652,8 @@
                     pace.longest_s = max(pace.longest_s, now - last_event_at)
                 pace.events += len(events)
                 pace.unreported += len(events)
-                if pace.unreported > _PACE_EVENTS:
+                # The first report comes soon: it shows a slow upstream.
+                if pace.unreported >= min(pace.events // 2, _PACE_EVENTS) > 0:
                     self._scheduler.record_pace(placement, pace.mean_s(now))
                     pace.unreported = 0
                 last_event_at = now
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -166,6 +166,7 @@
             self._make_report,
             self._apply_report,
             self._forget_peer,
+            lambda zone: settings.regions.get(zone) == settings.region,
             log,
         )
         self._board = LoadBoard(self._peers.count_heard_nodes)
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import time
 from collections.abc import Callable, Iterable
 from typing import Any, cast
@@ -23,6 +24,9 @@
 # Reports of a node. Places at an upstream change hands within tens of
 # milliseconds under load, and a report is about 200 bytes.
 _REPORT_INTERVAL_S = 0.1
+# Every how many of these reports go to other regions, whose link is narrow and
+# paid by volume; few requests go there.
+_FAR_INTERVALS = 3
 # The least time between two reports where a change calls for one at once.
 _MIN_REPORT_INTERVAL_S = 0.03
 # A node that was not heard for this long does not share budgets any more.
@@ -84,6 +88,7 @@
         node: Name; empty until it was heard.
         start: Random number of its start.
         sequence: Newest report.
+        zone: Availability zone; empty until it was heard.
         heard_at: Monotonic seconds of its newest report.
         added_at: Monotonic seconds at which its address was learned.
         leaving: Whether it is stopping.
@@ -95,6 +100,7 @@
     node: str = ""
     start: int = 0
     sequence: int = -1
+    zone: str = ""
     heard_at: float = float("-inf")
     leaving: bool = False
     configuration: int = 0
@@ -109,6 +115,7 @@
         make_report: Makes the report of a sequence number and known hosts.
         on_report: Called with each new report.
         on_lost: Called with the name of a node that stopped reporting.
+        is_near: Whether an availability zone is in the own region.
         log: Log of decisions.
         now: Monotonic clock, in seconds.
     """
@@ -120,6 +127,7 @@
         make_report: Callable[[int, list[str]], NodeReport],
         on_report: Callable[[NodeReport], None],
         on_lost: Callable[[str], None],
+        is_near: Callable[[str], bool],
         log: DecisionLog,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -128,6 +136,7 @@
         self._make_report = make_report
         self._on_report = on_report
         self._on_lost = on_lost
+        self._is_near = is_near
         self._log = log
         self._now = now
         self._peers: dict[str, Peer] = {}
@@ -177,18 +186,18 @@
 
     async def run(self) -> None:
         """Sends reports until it is cancelled."""
-        while True:
-            self.send_report()
+        for tick in itertools.count():
+            self.send_report(is_near_only=tick % _FAR_INTERVALS != 0)
             self._drop_silent()
             await asyncio.sleep(_REPORT_INTERVAL_S)
 
     def send_soon(self) -> None:
-        """Sends a report at once, unless the last one is too recent."""
+        """Reports to the region at once, unless the last one is recent."""
         if self._now() - self._sent_at >= _MIN_REPORT_INTERVAL_S:
-            self.send_report()
+            self.send_report(is_near_only=True)
 
-    def send_report(self) -> None:
-        """Sends a report to all known nodes."""
+    def send_report(self, is_near_only: bool = False) -> None:
+        """Sends a report to all known nodes, or to those of the region."""
         if self._transport is None or not self._peers:
             return
         self._sequence += 1
@@ -200,6 +209,8 @@
             self._log.error("report_too_large", size=len(data))
             return
         for peer in list(self._peers.values())[:_MAX_PEERS]:
+            if is_near_only and peer.zone and not self._is_near(peer.zone):
+                continue
             self._transport.sendto(data, (peer.host, self._port))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -231,6 +242,7 @@
         if not peer.node:
             self._log.info("peer_found", peer=report.node, host=report.host)
         peer.node = report.node
+        peer.zone = report.zone
         peer.start = report.start
         peer.sequence = report.sequence
         peer.heard_at = self._now()
