--- /dev/null
+++ b/src/tanagerport/gateway/intake.py
@@ -0,0 +1,130 @@
+"""Checks of a request against the configuration in force."""
+
+import random
+
+from tanagerport.gateway import request_headers
+from tanagerport.gateway.attempt_age import AttemptAges
+from tanagerport.gateway.client_server import ClientAnswer, ClientRequest
+from tanagerport.gateway.dialect import Dialect
+from tanagerport.gateway.domain import Customer, Route
+from tanagerport.gateway.job import Job, refused
+from tanagerport.gateway.quotas import QuotaLedger
+from tanagerport.gateway.route_table import RouteTable
+from tanagerport.gateway.work import WorkItem
+from tanagerport.refusals import RefusalReason
+
+# Time after units of quota are back, so that a client does not come too early.
+_QUOTA_MARGIN_S = 0.1
+
+
+class RequestIntake:
+    """Finds the route and the customer of requests and takes their quota.
+
+    Args:
+        dialect: Spelling of the header fields.
+        quotas: Quotas of customers.
+    """
+
+    def __init__(self, dialect: Dialect, quotas: QuotaLedger) -> None:
+        self._dialect = dialect
+        self._quotas = quotas
+        self._ages = AttemptAges()
+
+    def create_job(
+        self,
+        routes: RouteTable,
+        request: ClientRequest,
+        answer: ClientAnswer,
+    ) -> Job:
+        """Checks a request and takes its units of quota.
+
+        Raises:
+            RefusedError: The configuration does not allow the request.
+        """
+        values = request.values
+        host = values.get(b"host", b"").decode("latin-1")
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        route = routes.find_route(host, path)
+        if route is None:
+            raise refused(
+                RefusalReason.UNKNOWN_ROUTE,
+                f"no route of configuration"
+                f" {routes.configuration.version} has {host}{path}",
+            )
+        customer = self._find_customer(routes, route, values)
+        request_id = values.get(self._dialect.request_id, b"")
+        if not request_id:
+            raise refused(
+                RefusalReason.BAD_REQUEST,
+                f"the field {self._dialect.request_id.decode()} is missing",
+            )
+        work = request_headers.read_work(self._dialect, values)
+        deadline_ms = request_headers.parse_number(
+            values.get(self._dialect.deadline_ms)
+        )
+        limit_s = route.timeout_s
+        age_s = 0.0
+        if deadline_ms is not None:
+            limit_s = min(limit_s, deadline_ms / 1000)
+            age_s = self._ages.age_s(route.name, deadline_ms)
+        tier = route.tier
+        if customer is not None and customer.tier is not None:
+            tier = customer.tier
+        item = WorkItem(
+            request_id.decode("latin-1"),
+            route,
+            _choose_service(route, request_id),
+            tier,
+            request.received_at,
+            request.received_at + limit_s,
+            age_s,
+            work,
+        )
+        units = 0.0
+        if customer is not None:
+            units = self._quotas.units(customer, work)
+            missing_s = self._quotas.take(customer, units)
+            if missing_s is not None:
+                raise refused(
+                    RefusalReason.QUOTA_EXCEEDED,
+                    f"{units:g} units are missing in the quota of"
+                    f" {customer.name}, {customer.rate_per_s:g} a second"
+                    f" and {customer.burst:g} at once",
+                    retry_after_s=missing_s + _QUOTA_MARGIN_S,
+                )
+        return Job(request, answer, item, customer, units)
+
+    def settle(self, job: Job) -> None:
+        """Returns the units of a request that did not run."""
+        if job.customer is not None and not (
+            job.may_have_run or job.answer.is_started
+        ):
+            self._quotas.give_back(job.customer, job.units)
+
+    def _find_customer(
+        self, routes: RouteTable, route: Route, values: dict[bytes, bytes]
+    ) -> Customer | None:
+        if route.is_public or not routes.configuration.customers:
+            return None
+        key = request_headers.read_key(self._dialect, values)
+        customer = routes.find_customer(key)
+        if customer is None:
+            raise refused(
+                RefusalReason.UNKNOWN_KEY,
+                "no customer of configuration"
+                f" {routes.configuration.version} holds the key",
+            )
+        return customer
+
+
+def _choose_service(route: Route, request_id: bytes) -> str:
+    """Returns the service of a request by the weights of its route."""
+    if len(route.services) == 1:
+        return route.services[0][0]
+    total = sum(weight for _, weight in route.services)
+    point = random.Random(request_id).random() * total
+    for service, weight in route.services:
+        point -= weight
+        if point < 0:
+            return service
+    return route.services[-1][0]
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -18,6 +18,7 @@
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.dialect import Dialect
+from tanagerport.gateway.dispatch import Dispatcher
 from tanagerport.gateway.domain import (
     ClientLimits,
     Configuration,
@@ -26,6 +27,7 @@
     UpstreamRecord,
 )
 from tanagerport.gateway.forwarding import RequestForwarder
+from tanagerport.gateway.intake import RequestIntake
 from tanagerport.gateway.load_board import LoadBoard
 from tanagerport.gateway.peer_exchange import NodeReport, PeerExchange
 from tanagerport.gateway.placement import Placer
@@ -204,14 +206,24 @@
             self._find_service,
             self._peers.send_soon,
         )
+        dispatcher = Dispatcher(
+            dialect,
+            self._scheduler,
+            self._pool,
+            self._health,
+            self._budget,
+            self._counters,
+            log,
+        )
         self._forwarder = RequestForwarder(
             dialect,
             lambda: self._routes,
+            RequestIntake(dialect, self._quotas),
+            dispatcher,
             self._scheduler,
             self._registry,
             self._pool,
             self._health,
-            self._quotas,
             self._budget,
             self._counters,
             log,
