--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from tanagerport.exceptions import RefusedError
 from tanagerport.gateway.client_server import ClientAnswer, ClientRequest
@@ -39,7 +39,8 @@
 
     Args:
         dialect: Spelling of the header fields.
-        get_routes: Returns the routes in force, None before the first.
+        get_routes: Returns the routes in force; None if the node does not
+            learn them in time after its start.
         intake: Checks requests against the configuration.
         dispatcher: Sends requests to upstreams.
         scheduler: Gives places at upstreams.
@@ -55,7 +56,7 @@
     def __init__(
         self,
         dialect: Dialect,
-        get_routes: Callable[[], RouteTable | None],
+        get_routes: Callable[[], Awaitable[RouteTable | None]],
         intake: RequestIntake,
         dispatcher: Dispatcher,
         scheduler: Scheduler,
@@ -133,7 +134,7 @@
     async def _answer(
         self, request: ClientRequest, answer: ClientAnswer
     ) -> None:
-        routes = self._get_routes()
+        routes = await self._get_routes()
         if routes is None:
             raise refused(
                 RefusalReason.NO_CONFIGURATION,
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -65,6 +65,9 @@
 # The process ends this long before the kill, so that it ends by itself.
 _STOP_MARGIN_S = 0.4
 _HOUSEKEEPING_INTERVAL_S = 0.1
+# Requests wait this long for a node that starts.
+_START_WAIT_S = 1.0
+_START_POLL_S = 0.01
 # A pause of the process longer than this makes its beliefs stale.
 _PAUSE_S = 1.0
 # A call that waits for changes ends this long before the time in which a node
@@ -217,7 +220,7 @@
         )
         self._forwarder = RequestForwarder(
             dialect,
-            lambda: self._routes,
+            self._await_routes,
             RequestIntake(dialect, self._quotas),
             dispatcher,
             self._scheduler,
@@ -255,15 +258,40 @@
                 log,
             ),
         )
+        self._register_gauges()
+
+    def _register_gauges(self) -> None:
+        gauges = self._counters.gauges
+        configuration, upstreams = self._watches
+        gauges["configuration_answer_age_seconds"] = lambda: configuration.age_s
+        gauges["upstreams_answer_age_seconds"] = lambda: upstreams.age_s
+        gauges["configuration_version"] = lambda: (
+            0 if self._routes is None else self._routes.configuration.version
+        )
+        gauges["upstreams_known"] = lambda: len(self._registry.all_records())
+        gauges["nodes_heard"] = self._peers.count_heard_nodes
+        gauges["requests_waiting"] = lambda: sum(
+            self._scheduler.waiting.values()
+        )
+        gauges["requests_outstanding"] = lambda: sum(
+            requests for _, requests, _, _ in self._board.own_loads()
+        )
+        gauges["client_connections"] = lambda: self._server.open_connections
+        gauges["upstream_connections_opened"] = lambda: self._pool.opened
+        gauges["log_lines_dropped"] = lambda: sum(self._log.dropped.values())
 
     @property
     def is_ready(self) -> bool:
         """Whether the node may get new connections."""
+        return self._has_started and not self._is_leaving
+
+    @property
+    def _has_started(self) -> bool:
+        """Whether the node knows what it needs to serve."""
         return (
             self._routes is not None
             and self._knows_upstreams
             and self._checkpoint.is_loaded
-            and not self._is_leaving
         )
 
     async def run(self) -> None:
@@ -305,6 +333,19 @@
         self._log.info("stopped")
         self._log.flush()
 
+    async def _await_routes(self) -> RouteTable | None:
+        """Returns the routes; waits for them right after the start.
+
+        After a kill of all nodes clients come before the first answer of the
+        store; a refusal would use up their retry within some 50 ms of it.
+        """
+        give_up_at = time.monotonic() + _START_WAIT_S
+        while not self._has_started:
+            if time.monotonic() > give_up_at:
+                return None
+            await asyncio.sleep(_START_POLL_S)
+        return self._routes
+
     async def _drain(self) -> None:
         """Ends all requests in progress before the process is killed."""
         self._is_leaving = True
--- a/src/tanagerport/gateway/quotas.py
+++ b/src/tanagerport/gateway/quotas.py
@@ -26,6 +26,8 @@
 # Use is counted in slices of this length, in seconds.
 _SLICE_S = 0.1
 _QUARTERS = 4
+# Weight of a request in the typical number of units.
+_TYPICAL_WEIGHT = 0.05
 # Shortest time after which a refused customer is told to come back.
 _MIN_WAIT_S = 0.1
 
@@ -97,12 +99,23 @@
         for quarter, units in enumerate(recent[:_QUARTERS]):
             missing = units - known[quarter]
             if missing > 0:
-                # The end of the quarter, so that it counts long enough.
-                added_at = now - quarter * self._window_s / _QUARTERS
-                self._total += missing
-                self._slices.append([added_at, missing])
+                self._spread(now, quarter, missing)
         self._slices = collections.deque(sorted(self._slices))
 
+    def _spread(self, now: float, quarter: int, units: float) -> None:
+        """Adds units evenly over a quarter.
+
+        Units that leave the window all at once would be taken by all nodes at
+        once, before any hears of the others.
+        """
+        length_s = self._window_s / _QUARTERS
+        count = max(round(length_s / _SLICE_S), 1)
+        latest = now - quarter * length_s
+        for index in range(count):
+            added_at = latest - index * length_s / count
+            self._slices.append([added_at, units / count])
+        self._total += units
+
     def wait_s(self, now: float, units: float) -> float:
         """Returns the seconds until that many units leave the window."""
         missing = units
@@ -137,6 +150,7 @@
         self._windows: dict[str, _Window] = {}
         self._own_use: dict[str, float] = {}
         self._peers: dict[str, _PeerUse] = {}
+        self._typical_units = 0.0
         self._started_at = now()
         self._knows_past = False
         self._customers: dict[str, Customer] = {}
@@ -200,6 +214,7 @@
         # A request above the whole quota passes once nothing else is used.
         if excess > 0 and used > 0:
             return self._window(customer.name).wait_s(now, excess)
+        self._typical_units += _TYPICAL_WEIGHT * (units - self._typical_units)
         self._count(customer.name, units)
         return None
 
@@ -245,6 +260,10 @@
             self._window(use.customer).raise_to(now, use.recent)
         self._knows_past = True
 
+    def _reserve(self) -> float:
+        """Returns what the other nodes may take before they report it."""
+        return self._typical_units * len(self._peers)
+
     def _count(self, name: str, units: float) -> None:
         self._window(name).add(self._now(), units)
         self._own_use[name] = self._own_use.get(name, 0.0) + units
@@ -258,10 +277,12 @@
     def _allowed(self, customer: Customer) -> float:
         """Returns the units that this node may see used in a window."""
         rules = self._rules
-        allowed = customer.rate_per_s * rules.window_s + customer.burst
-        allowed += _TOLERANCE_SHARE * rules.tolerance
         if not self._knows_past:
             return 0.0
+        # What others take unheard comes out of the tolerance, not the quota.
+        extra = _TOLERANCE_SHARE * rules.tolerance - self._reserve()
+        allowed = customer.rate_per_s * rules.window_s + customer.burst
+        allowed += max(extra, 0.0)
         return allowed * (1 - self._count_silent() / (len(self._peers) + 1))
 
     def _count_silent(self) -> int:
--- a/src/tanagerport/gateway/settings.py
+++ b/src/tanagerport/gateway/settings.py
@@ -37,8 +37,6 @@
         drain_grace_s: Time between the request to stop and the kill.
         contact_ms: Time after a disruption in which a node has to be back in
             touch with the store.
-        config_apply_ms: Time in which a configuration must be in force.
-        upstream_leave_ms: Time in which a leaving upstream must be left alone.
         retry_ratio: Repeated dispatches for each request, over all nodes.
         retry_window_s: Window of that ratio, in seconds.
         retry_slack: Repeated dispatches beyond the ratio in each window.
@@ -47,7 +45,6 @@
             a window, over all nodes.
         canary_share: Most traffic for a version that is not proved.
         canary_slack: Requests to it beyond that share.
-        rollback_ms: Time in which a bad version must lose all traffic.
     """
 
     node: str
@@ -62,8 +59,6 @@
     store: str
     drain_grace_s: float = 8.0
     contact_ms: float = 4000
-    config_apply_ms: float = 2500
-    upstream_leave_ms: float = 2500
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 20.0
@@ -71,7 +66,6 @@
     quota_tolerance: float = 0.0
     canary_share: float = 0.1
     canary_slack: float = 50.0
-    rollback_ms: float = 5000
 
     @property
     def region(self) -> str:
@@ -98,8 +92,7 @@
         Finding(name, f"{getattr(settings, name)} is not above 0")
         for name in (
             "drain_grace_s",
-            "config_apply_ms",
-            "upstream_leave_ms",
+            "contact_ms",
             "retry_window_s",
         )
         if not getattr(settings, name) > 0
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -378,6 +378,25 @@
 
         asyncio.run(play())
 
+    def test_request_waits_for_a_node_that_starts(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against refusals just before the configuration is known."""
+
+        async def play() -> None:
+            async with standin.world(tmp_path) as world:
+                await world.add_upstream("u-1", standin.echo)
+                gateway = await world.add_gateway()
+                async with asyncio.timeout(5):
+                    while await gateway.ready_status() == 0:
+                        await asyncio.sleep(0.02)
+                call = asyncio.ensure_future(world.call("a1", "/read/x"))
+                await asyncio.sleep(0.3)
+                await world.store.put("op", "config", configuration(1, ROUTES))
+                assert (await call).status == 200
+
+        asyncio.run(play())
+
     def test_new_version_is_in_force_within_its_time(
         self, tmp_path: pathlib.Path
     ) -> None:
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -129,6 +129,39 @@
         clock.advance(8.0)
         assert new.take(CUSTOMER, 100) is None
 
+    def test_adopted_use_leaves_the_window_evenly(self) -> None:
+        """Guards against a step of free quota that all nodes take at once.
+
+        A quarter of a window that left at once let a customer use 1.17 times
+        the bound 2.5 s after a kill of all nodes.
+        """
+        clock = FakeClock(100.0)
+        old = _ledger(clock)
+        for _ in range(80):
+            clock.advance(0.1)
+            old.take(CUSTOMER, ALLOWED / 81)
+        new = QuotaLedger(RULES, clock.monotonic)
+        new.adopt(old.report())
+        free = 0.0
+        for _ in range(80):
+            clock.advance(0.1)
+            use = new.report()[0]
+            now_free = ALLOWED - sum(use.recent)
+            assert now_free - free <= ALLOWED / 40
+            free = now_free
+
+    def test_reserve_for_other_nodes_leaves_the_quota_itself(self) -> None:
+        """Guards against refusals within the quota."""
+        clock = FakeClock(100.0)
+        ledger = _ledger(clock)
+        for number in range(7):
+            ledger.apply_report(f"n{number}", 100.0, [])
+        taken = 0
+        while ledger.take(CUSTOMER, 50) is None:
+            taken += 50
+        # 100 a second for 8 s and 200 at once, without the tolerance.
+        assert 1000 <= taken <= ALLOWED
+
     def test_customers_below_their_quota_are_not_written(self) -> None:
         clock = FakeClock(100.0)
         ledger = _ledger(clock)
