Bound idle connections to upstreams; drop what no code reads

All nodes together keep at most half of the connections that an upstream accepts. Fields of reports and settings that nothing read are gone.

--- a/src/tanagerport/gateway/domain.py
+++ b/src/tanagerport/gateway/domain.py
@@ -81,7 +81,6 @@
         max_connections: Connections that one upstream accepts from all nodes.
         is_engine: Whether its upstreams are language model engines.
         batch_size: Requests that an engine runs at once; 0 if unknown.
-        memory_tokens: Tokens that an engine holds; 0 if unknown.
         tokens_per_event: Output tokens in one event of a stream.
     """
 
@@ -89,7 +88,6 @@
     max_connections: int = 100
     is_engine: bool = False
     batch_size: int = 0
-    memory_tokens: int = 0
     tokens_per_event: int = 1
 
 
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -154,7 +154,7 @@
         self._health = UpstreamHealth()
         self._speeds = UpstreamSpeeds()
         self._cache = PromptCacheMap()
-        self._pool = UpstreamPool()
+        self._pool = UpstreamPool(self._idle_limit)
         self._registry = UpstreamRegistry()
         self._quotas = QuotaLedger(
             QuotaRules(
@@ -438,6 +438,15 @@
             return _UNKNOWN_SERVICE
         return self._routes.configuration.services.get(name, _UNKNOWN_SERVICE)
 
+    def _idle_limit(self, service: str) -> int:
+        """Returns the idle connections that a node may keep to an upstream.
+
+        All nodes together keep half of what an upstream accepts, so that the
+        other half is left for requests.
+        """
+        accepted = self._find_service(service).max_connections
+        return max(accepted // (2 * self._peers.count_nodes()), 1)
+
     def _get_limits(self) -> ClientLimits:
         if self._routes is None:
             return ClientLimits()
@@ -526,25 +535,18 @@
         self._pool.close_idle(record.upstream_id)
 
     def _make_report(self, sequence: int, known: list[str]) -> NodeReport:
-        routes = self._routes
         return NodeReport(
             self._settings.node,
             self._start,
             sequence,
             self._settings.peer_host,
             self._settings.zone,
-            self._is_leaving,
-            0 if routes is None else routes.configuration.version,
             (
                 self._watches[0].changed_at_version,
                 self._watches[1].changed_at_version,
             ),
             self._board.own_loads(),
             self._speeds.take_samples(),
-            [
-                (service, 0, count)
-                for service, count in self._scheduler.waiting.items()
-            ],
             round(self._quotas.uptime_s, 1),
             self._quotas.report(),
             self._rollouts.report(),
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -48,14 +48,11 @@
         sequence: Grows with every report of this start.
         host: IP address of the node.
         zone: Availability zone of the node.
-        leaving: Whether the node is stopping.
-        configuration: Version of the configuration in force there.
         table_versions: Store version of the newest known row, for the tables
             of the configuration and of the upstreams.
         loads: Upstream, requests in progress, unread prompt tokens and
             whether it is silent.
         speeds: Samples of the speed of upstreams since the last report.
-        waiting: Service, tier and waiting requests.
         uptime_s: Seconds since the start.
         uses: Use of quotas.
         rollouts: Evidence about new versions.
@@ -67,12 +64,9 @@
     sequence: int
     host: str
     zone: str
-    leaving: bool
-    configuration: int
     table_versions: tuple[int, int]
     loads: list[tuple[str, int, int, bool]]
     speeds: list[Sample]
-    waiting: list[tuple[str, int, int]]
     uptime_s: float
     uses: list[CustomerUse]
     rollouts: list[RolloutReport]
@@ -91,8 +85,6 @@
         zone: Availability zone; empty until it was heard.
         heard_at: Monotonic seconds of its newest report.
         added_at: Monotonic seconds at which its address was learned.
-        leaving: Whether it is stopping.
-        configuration: Version of its configuration.
     """
 
     host: str
@@ -102,8 +94,6 @@
     sequence: int = -1
     zone: str = ""
     heard_at: float = float("-inf")
-    leaving: bool = False
-    configuration: int = 0
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -246,8 +236,6 @@
         peer.start = report.start
         peer.sequence = report.sequence
         peer.heard_at = self._now()
-        peer.leaving = report.leaving
-        peer.configuration = report.configuration
         self.add_hosts(report.known)
         self._on_report(report)
 
--- a/src/tanagerport/gateway/upstream_pool.py
+++ b/src/tanagerport/gateway/upstream_pool.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import time
+from collections.abc import Callable
 
 from tanagerport.gateway.channel import Channel, open_channel
 from tanagerport.gateway.domain import UpstreamRecord
@@ -22,9 +23,15 @@
 
 
 class UpstreamPool:
-    """Idle connections by upstream."""
+    """Idle connections by upstream.
 
-    def __init__(self) -> None:
+    Args:
+        idle_limit: Returns the idle connections that may be kept to an
+            upstream of a service.
+    """
+
+    def __init__(self, idle_limit: Callable[[str], int]) -> None:
+        self._idle_limit = idle_limit
         self._idle: dict[str, collections.deque[_IdleChannel]] = {}
         self._opened = 0
 
@@ -76,13 +83,11 @@
             keep_s = _DEFAULT_IDLE_S
         else:
             keep_s = min(idle_timeout_s - _IDLE_MARGIN_S, _MAX_IDLE_S)
-        if keep_s <= 0:
+        idle = self._idle.setdefault(upstream.upstream_id, collections.deque())
+        if keep_s <= 0 or len(idle) >= self._idle_limit(upstream.service):
             channel.close()
             return
-        entry = _IdleChannel(channel, time.monotonic() + keep_s)
-        self._idle.setdefault(upstream.upstream_id, collections.deque()).append(
-            entry
-        )
+        idle.append(_IdleChannel(channel, time.monotonic() + keep_s))
 
     def close_idle(self, upstream_id: str) -> None:
         """Closes the kept connections of an upstream."""
--- a/tests/gateway_doubles.py
+++ b/tests/gateway_doubles.py
@@ -18,7 +18,7 @@
 from tanagerport.gateway.upstream_speed import UpstreamSpeeds
 from tanagerport.gateway.work import Placement, WorkItem
 
-ENGINE = Service("models", 100, True, 4, 100_000, 6)
+ENGINE = Service("models", 100, True, 4, 6)
 PLAIN = Service("bookings", 100)
 
 
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -3,6 +3,7 @@
 import json
 import os
 import random
+from typing import cast
 
 import hypothesis
 import pytest
@@ -11,6 +12,7 @@
 from gateway_doubles import make_route, make_upstream
 from tanagerport.clock import FakeClock
 from tanagerport.exceptions import SettingsError
+from tanagerport.gateway.channel import Channel
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import (
     Configuration,
@@ -22,6 +24,7 @@
 from tanagerport.gateway.repeat_budget import RepeatBudget
 from tanagerport.gateway.route_table import RouteTable
 from tanagerport.gateway.settings import load_gateway_settings
+from tanagerport.gateway.upstream_pool import UpstreamPool
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
 from tanagerport.gateway.version_evidence import Evidence, Verdict
 
@@ -180,6 +183,44 @@
         )
 
 
+class _OpenChannel:
+    """Channel that stays open."""
+
+    is_open = True
+    has_unread = False
+
+    def __init__(self) -> None:
+        self.is_closed = False
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
+class TestUpstreamPool:
+    """Idle connections to upstreams."""
+
+    def test_keeps_no_more_than_its_share_of_what_an_upstream_accepts(
+        self,
+    ) -> None:
+        """Guards against resets because idle connections use up the limit."""
+        pool = UpstreamPool(lambda service: 2)
+        channels = [_OpenChannel() for _ in range(3)]
+        for channel in channels:
+            pool.put_back(make_upstream("u"), cast(Channel, channel), 30.0)
+        assert [channel.is_closed for channel in channels] == [
+            False,
+            False,
+            True,
+        ]
+
+    def test_keeps_nothing_that_the_upstream_closes_soon(self) -> None:
+        pool = UpstreamPool(lambda service: 2)
+        channel = _OpenChannel()
+        pool.put_back(make_upstream("u"), cast(Channel, channel), 1.0)
+        assert channel.is_closed
+        assert pool.take_idle(make_upstream("u")) is None
+
+
 class TestEvidence:
     """Judgement of a new version."""
 
