Send only changed quota use between gateways, at a pace that bounds cost

Reports now name the customers whose use changed in the last 0.5 s; a whole report a second, and one for a node that was just met, names all customers and hosts. The interval grows with the number of nodes, so that a node sends about 100 reports a second to its region (0.1 to 0.5 s) and 20 to others (0.3 to 0.7 s). Nodes beyond the first 32 are no longer left out.

--- a/src/tanagerport/gateway/load_board.py
+++ b/src/tanagerport/gateway/load_board.py
@@ -13,8 +13,8 @@
 # A node that has not reported for this long no longer counts: its requests
 # have ended with it, or it is cut off and its places can't be known.
 _REPORT_LIFETIME_S = 1.5
-# Time until the other nodes know of a request, with some spare.
-_REPORT_DELAY_S = 0.15
+# Time until the other nodes know of a request, in intervals between reports.
+_REPORT_DELAY_INTERVALS = 1.5
 # An upstream that was heard this lately is not silent for this node.
 _HEARD_S = 0.5
 
@@ -66,15 +66,18 @@
 
     Args:
         count_nodes: Returns the nodes that share the upstreams.
+        report_interval_s: Returns the seconds between reports of a node.
         now: Monotonic clock, in seconds.
     """
 
     def __init__(
         self,
         count_nodes: Callable[[], int],
+        report_interval_s: Callable[[], float],
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self._count_nodes = count_nodes
+        self._report_interval_s = report_interval_s
         self._now = now
         self._uses: dict[str, _OwnUse] = {}
         self._own: dict[str, UpstreamLoad] = {}
@@ -131,7 +134,8 @@
         use = self._uses.get(upstream_id)
         if use is None:
             return True
-        oldest = self._now() - _REPORT_DELAY_S
+        delay_s = _REPORT_DELAY_INTERVALS * self._report_interval_s()
+        oldest = self._now() - delay_s
         for times in (use.starts, use.ends):
             while times and times[0] < oldest:
                 times.popleft()
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -174,7 +174,9 @@
             lambda zone: settings.regions.get(zone) == settings.region,
             log,
         )
-        self._board = LoadBoard(self._peers.count_heard_nodes)
+        self._board = LoadBoard(
+            self._peers.count_heard_nodes, lambda: self._peers.interval_s
+        )
         self._budget = RepeatBudget(
             settings.retry_ratio,
             settings.retry_window_s,
@@ -534,7 +536,10 @@
         self._board.forget(record.upstream_id)
         self._pool.close_idle(record.upstream_id)
 
-    def _make_report(self, sequence: int, known: list[str]) -> NodeReport:
+    def _make_report(
+        self, sequence: int, known: list[str] | None
+    ) -> NodeReport:
+        is_whole = known is not None
         return NodeReport(
             self._settings.node,
             self._start,
@@ -548,9 +553,10 @@
             self._board.own_loads(),
             self._speeds.take_samples(),
             round(self._quotas.uptime_s, 1),
-            self._quotas.report(),
+            is_whole,
+            self._quotas.report() if is_whole else self._quotas.changes(),
             self._rollouts.report(),
-            known,
+            known or [],
         )
 
     def _apply_report(self, report: NodeReport) -> None:
@@ -563,7 +569,12 @@
         self._rollouts.apply_report(
             f"{report.node}/{report.start}", report.rollouts
         )
-        self._quotas.apply_report(
+        apply_uses = (
+            self._quotas.apply_report
+            if report.is_whole
+            else self._quotas.apply_changes
+        )
+        apply_uses(
             f"{report.node}/{report.start}", report.uptime_s, report.uses
         )
 
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import dataclasses
-import itertools
 import time
 from collections.abc import Callable, Iterable
 from typing import Any, cast
@@ -21,21 +20,27 @@
 from tanagerport.gateway.rollout import RolloutReport
 from tanagerport.gateway.upstream_speed import Sample
 
-# Reports of a node. Places at an upstream change hands within tens of
-# milliseconds under load, and a report is about 200 bytes.
-_REPORT_INTERVAL_S = 0.1
-# Every how many of these reports go to other regions, whose link is narrow and
-# paid by volume; few requests go there.
-_FAR_INTERVALS = 3
-# The least time between two reports where a change calls for one at once.
-_MIN_REPORT_INTERVAL_S = 0.03
+# Shortest and longest time between reports to the own region, in seconds.
+# Places at an upstream change hands within tens of milliseconds under load.
+_NEAR_INTERVALS_S = (0.1, 0.5)
+# The same for other regions, whose link is narrow and paid by volume; few
+# requests go there. A node is silent after 1.5 s, so one lost report of the
+# longest interval does not make it so.
+_FAR_INTERVALS_S = (0.3, 0.7)
+# Reports a second that a node sends to all nodes of its region, and of the
+# others. Between the bounds above the interval grows with the nodes, so that
+# the cost of a node does not; each report of 200 bytes costs some 30 us.
+_NEAR_REPORTS_PER_S = 100
+_FAR_REPORTS_PER_S = 20
+# Every whole report replaces what was lost of the others.
+_WHOLE_INTERVAL_S = 1.0
+# The least part of an interval between two reports where a change calls for
+# one at once.
+_MIN_INTERVAL_SHARE = 0.3
 # A node that was not heard for this long does not share budgets any more.
 _PEER_LIFETIME_S = 30.0
 # A node that was not heard for this long is probably gone.
 _PEER_SILENT_S = 1.5
-# Nodes that get this node's reports; at the planned size reports go to the
-# nodes of the own zone first.
-_MAX_PEERS = 32
 _MAX_DATAGRAM_BYTES = 60_000
 
 
@@ -54,9 +59,10 @@
             whether it is silent.
         speeds: Samples of the speed of upstreams since the last report.
         uptime_s: Seconds since the start.
-        uses: Use of quotas.
+        is_whole: Whether the report names all customers and hosts.
+        uses: Use of quotas; of all customers or of those that changed.
         rollouts: Evidence about new versions.
-        known: Hosts of other nodes that it hears.
+        known: Hosts of other nodes that it hears; empty unless it is whole.
     """
 
     node: str
@@ -68,6 +74,7 @@
     loads: list[tuple[str, int, int, bool]]
     speeds: list[Sample]
     uptime_s: float
+    is_whole: bool
     uses: list[CustomerUse]
     rollouts: list[RolloutReport]
     known: list[str]
@@ -96,13 +103,27 @@
     heard_at: float = float("-inf")
 
 
+def report_interval_s(
+    peers: int, reports_per_s: float, bounds_s: tuple[float, float]
+) -> float:
+    """Returns the seconds between reports to a number of nodes.
+
+    Args:
+        peers: Nodes that get each report.
+        reports_per_s: Reports to all of them together.
+        bounds_s: Shortest and longest time.
+    """
+    return min(max(peers / reports_per_s, bounds_s[0]), bounds_s[1])
+
+
 class PeerExchange(asyncio.DatagramProtocol):
     """Sends this node's reports and receives those of others.
 
     Args:
         host: IP address of this node.
         port: UDP port, the same on all nodes.
-        make_report: Makes the report of a sequence number and known hosts.
+        make_report: Makes the report of a sequence number, whole with these
+            hosts or without them.
         on_report: Called with each new report.
         on_lost: Called with the name of a node that stopped reporting.
         is_near: Whether an availability zone is in the own region.
@@ -114,7 +135,7 @@
         self,
         host: str,
         port: int,
-        make_report: Callable[[int, list[str]], NodeReport],
+        make_report: Callable[[int, list[str] | None], NodeReport],
         on_report: Callable[[NodeReport], None],
         on_lost: Callable[[str], None],
         is_near: Callable[[str], bool],
@@ -135,11 +156,15 @@
         self._decoder = msgspec.msgpack.Decoder(NodeReport)
         self._sequence = 0
         self._sent_at = float("-inf")
+        self._interval_s = _NEAR_INTERVALS_S[0]
+        self._far_interval_s = _FAR_INTERVALS_S[0]
+        self._far_due_at = float("-inf")
+        self._whole_due_at = float("-inf")
 
     @property
-    def peers(self) -> tuple[Peer, ...]:
-        """Nodes whose addresses are known."""
-        return tuple(self._peers.values())
+    def interval_s(self) -> float:
+        """Seconds between reports to the own region."""
+        return self._interval_s
 
     def count_nodes(self) -> int:
         """Returns the nodes that share budgets, this one included."""
@@ -176,32 +201,52 @@
 
     async def run(self) -> None:
         """Sends reports until it is cancelled."""
-        for tick in itertools.count():
-            self.send_report(is_near_only=tick % _FAR_INTERVALS != 0)
-            self._drop_silent()
-            await asyncio.sleep(_REPORT_INTERVAL_S)
+        while True:
+            self.send_due()
+            await asyncio.sleep(self._interval_s)
+
+    def send_due(self) -> None:
+        """Sends the report that is due and adapts the intervals."""
+        self._drop_silent()
+        close = sum(1 for peer in self._peers.values() if self._is_close(peer))
+        self._interval_s = report_interval_s(
+            close, _NEAR_REPORTS_PER_S, _NEAR_INTERVALS_S
+        )
+        self._far_interval_s = report_interval_s(
+            len(self._peers) - close, _FAR_REPORTS_PER_S, _FAR_INTERVALS_S
+        )
+        self.send_report(is_near_only=self._now() < self._far_due_at)
 
     def send_soon(self) -> None:
         """Reports to the region at once, unless the last one is recent."""
-        if self._now() - self._sent_at >= _MIN_REPORT_INTERVAL_S:
+        least_s = _MIN_INTERVAL_SHARE * self._interval_s
+        if self._now() - self._sent_at >= least_s:
             self.send_report(is_near_only=True)
 
     def send_report(self, is_near_only: bool = False) -> None:
         """Sends a report to all known nodes, or to those of the region."""
         if self._transport is None or not self._peers:
             return
+        now = self._now()
+        is_whole = not is_near_only and now >= self._whole_due_at
+        if is_whole:
+            self._whole_due_at = now + _WHOLE_INTERVAL_S
+        if not is_near_only:
+            self._far_due_at = now + self._far_interval_s
         self._sequence += 1
-        self._sent_at = self._now()
-        known = [peer.host for peer in self.heard()]
-        report = self._make_report(self._sequence, known)
-        data = self._encoder.encode(report)
+        self._sent_at = now
+        known = [peer.host for peer in self.heard()] if is_whole else None
+        data = self._encoder.encode(self._make_report(self._sequence, known))
         if len(data) > _MAX_DATAGRAM_BYTES:
             self._log.error("report_too_large", size=len(data))
             return
-        for peer in list(self._peers.values())[:_MAX_PEERS]:
-            if is_near_only and peer.zone and not self._is_near(peer.zone):
-                continue
-            self._transport.sendto(data, (peer.host, self._port))
+        for peer in self._peers.values():
+            if not is_near_only or self._is_close(peer):
+                self._transport.sendto(data, (peer.host, self._port))
+
+    def _is_close(self, peer: Peer) -> bool:
+        """Returns whether a peer is in the own region, or not known yet."""
+        return not peer.zone or self._is_near(peer.zone)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Implements `asyncio.DatagramProtocol`."""
@@ -231,6 +276,9 @@
             self._on_lost(peer.node)
         if not peer.node:
             self._log.info("peer_found", peer=report.node, host=report.host)
+        if peer.start != report.start:
+            # It knows nothing of this node yet.
+            self._far_due_at = self._whole_due_at = self._now()
         peer.node = report.node
         peer.zone = report.zone
         peer.start = report.start
--- a/src/tanagerport/gateway/quotas.py
+++ b/src/tanagerport/gateway/quotas.py
@@ -23,6 +23,9 @@
 _SILENT_LIFETIME_S = 8.0
 # A node that reported less than this ago is not silent.
 _REPORT_INTERVAL_S = 1.0
+# A change of use is reported for this long, so that a few lost reports do not
+# matter; the next whole report mends what is missed beyond that.
+_CHANGE_LIFETIME_S = 0.5
 # Use is counted in slices of this length, in seconds.
 _SLICE_S = 0.1
 _QUARTERS = 4
@@ -54,12 +57,13 @@
         customer: Name of the customer.
         total: Units that the node has used since its start.
         recent: Units that all nodes used in each quarter of the last window,
-            as it knows, the latest quarter first.
+            as it knows, the latest quarter first; empty if none were used,
+            and in reports of changes.
     """
 
     customer: str
     total: int
-    recent: tuple[int, ...]
+    recent: tuple[int, ...] = ()
 
 
 class _Window:
@@ -91,11 +95,12 @@
         for added_at, units in self._slices:
             age = (now - added_at) / self._window_s
             quarters[min(int(age * _QUARTERS), _QUARTERS - 1)] += units
-        return tuple(round(units) for units in quarters)
+        recent = tuple(round(units) for units in quarters)
+        return recent if any(recent) else ()
 
     def raise_to(self, now: float, recent: Sequence[int]) -> None:
         """Adds what is missing to the units of each quarter."""
-        known = self.by_age(now)
+        known = self.by_age(now) or (0,) * _QUARTERS
         for quarter, units in enumerate(recent[:_QUARTERS]):
             missing = units - known[quarter]
             if missing > 0:
@@ -149,6 +154,7 @@
         self._now = now
         self._windows: dict[str, _Window] = {}
         self._own_use: dict[str, float] = {}
+        self._changed_at: dict[str, float] = {}
         self._peers: dict[str, _PeerUse] = {}
         self._typical_units = 0.0
         self._started_at = now()
@@ -181,7 +187,7 @@
         ]
 
     def report(self) -> list[CustomerUse]:
-        """Returns what the other nodes need to know."""
+        """Returns the use of all customers, for nodes that know none of it."""
         now = self._now()
         return [
             CustomerUse(
@@ -192,6 +198,17 @@
             for name, window in self._windows.items()
         ]
 
+    def changes(self) -> list[CustomerUse]:
+        """Returns the customers that used units here lately."""
+        oldest = self._now() - _CHANGE_LIFETIME_S
+        for name, changed_at in list(self._changed_at.items()):
+            if changed_at < oldest:
+                del self._changed_at[name]
+        return [
+            CustomerUse(name, round(self._own_use[name]))
+            for name in self._changed_at
+        ]
+
     def units(self, customer: Customer, work: WorkEstimate) -> float:
         """Returns the units that a request costs."""
         if not customer.counts_tokens:
@@ -233,16 +250,35 @@
             uptime_s: Seconds since the start of that node.
             uses: Its report about each customer.
         """
-        previous = self._peers.get(node)
-        if previous is not None:
-            self._count_changes(previous.totals, uses)
-        elif uptime_s < self._rules.window_s:
-            self._count_changes({}, uses)
-        else:
+        if node not in self._peers and uptime_s >= self._rules.window_s:
             self.adopt(uses)
-        self._peers[node] = _PeerUse(
-            self._now(), {use.customer: use.total for use in uses}
-        )
+            self._peers[node] = _PeerUse(
+                self._now(), {use.customer: use.total for use in uses}
+            )
+        else:
+            self.apply_changes(node, uptime_s, uses)
+
+    def apply_changes(
+        self, node: str, uptime_s: float, uses: Sequence[CustomerUse]
+    ) -> None:
+        """Counts what another node has used, by the customers it names.
+
+        A node that was just met and has run for longer than a window is left
+        out until its whole report: its totals tell nothing of the window.
+
+        Args:
+            node: Name and start of the node.
+            uptime_s: Seconds since the start of that node.
+            uses: Its totals for some customers.
+        """
+        peer = self._peers.get(node)
+        if peer is None:
+            if uptime_s >= self._rules.window_s:
+                return
+            peer = self._peers[node] = _PeerUse(self._now(), {})
+        self._count_changes(peer.totals, uses)
+        peer.reported_at = self._now()
+        peer.totals.update((use.customer, use.total) for use in uses)
 
     def _count_changes(
         self, known: dict[str, int], uses: Sequence[CustomerUse]
@@ -265,7 +301,9 @@
         return self._typical_units * len(self._peers)
 
     def _count(self, name: str, units: float) -> None:
-        self._window(name).add(self._now(), units)
+        now = self._now()
+        self._window(name).add(now, units)
+        self._changed_at[name] = now
         self._own_use[name] = self._own_use.get(name, 0.0) + units
 
     def _window(self, name: str) -> _Window:
--- a/tests/gateway_doubles.py
+++ b/tests/gateway_doubles.py
@@ -68,7 +68,7 @@
     def __init__(self, clock: FakeClock | None = None, nodes: int = 1) -> None:
         self.clock = clock or FakeClock(100.0)
         now = self.clock.monotonic
-        self.board = LoadBoard(lambda: nodes, now)
+        self.board = LoadBoard(lambda: nodes, lambda: 0.1, now)
         self.health = UpstreamHealth(now)
         self.speeds = UpstreamSpeeds()
         self.cache = PromptCacheMap(now)
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -225,7 +225,7 @@
 
     def test_reports_of_a_lost_node_stop_counting(self) -> None:
         clock = FakeClock(100.0)
-        board = LoadBoard(lambda: 2, clock.monotonic)
+        board = LoadBoard(lambda: 2, lambda: 0.1, clock.monotonic)
         board.apply_report("node-2", [("u", 4, 0, False)])
         assert board.load("u").requests == 4
         clock.advance(2.0)
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -169,6 +169,61 @@
         assert ledger.near_quota() == []
 
 
+class TestChanges:
+    """Reports that name only the customers whose use changed."""
+
+    def test_idle_customers_are_not_named(self) -> None:
+        """Guards against reports that grow with all customers ever seen."""
+        clock = FakeClock(100.0)
+        ledger = _ledger(clock)
+        for number in range(50):
+            ledger.take(Customer(f"c{number}", (), None, 9.0, 9.0), 1)
+        clock.advance(2.0)
+        assert ledger.changes() == []
+        ledger.take(CUSTOMER, 10)
+        assert [use.customer for use in ledger.changes()] == ["acme"]
+        assert len(ledger.report()) == 51
+
+    def test_change_is_repeated_for_lost_reports(self) -> None:
+        clock = FakeClock(100.0)
+        ledger = _ledger(clock)
+        ledger.take(CUSTOMER, 10)
+        clock.advance(0.3)
+        assert [use.total for use in ledger.changes()] == [10]
+
+    def test_use_is_counted_once_over_changes_and_whole_reports(self) -> None:
+        clock = FakeClock(100.0)
+        old, receiver = _ledger(clock), _ledger(clock)
+        receiver.apply_report("old", 1.0, old.report())
+        other = Customer("other", (), None, 100.0, 200.0)
+        old.take(other, 10)
+        receiver.apply_changes("old", 1.0, old.changes())
+        clock.advance(2.0)
+        old.take(CUSTOMER, 500)
+        receiver.apply_changes("old", 1.0, old.changes())
+        # A report that names one customer forgets no total of the others.
+        receiver.apply_report("old", 1.0, old.report())
+        totals = {use.customer: sum(use.recent) for use in receiver.report()}
+        assert totals == {"acme": 500, "other": 10}
+
+    def test_changes_of_an_unknown_node_wait_for_its_whole_report(self) -> None:
+        """Guards against use of a whole life that counts as of now.
+
+        Totals grow from the start of a node, so without its whole report a
+        node that was just met would seem to have used all of it now.
+        """
+        clock = FakeClock(100.0)
+        old = _ledger(clock)
+        old.take(CUSTOMER, ALLOWED)
+        clock.advance(60.0)
+        old.take(CUSTOMER, 100)
+        new = _ledger(clock)
+        new.apply_changes("old", old.uptime_s, old.changes())
+        assert new.report() == []
+        new.apply_report("old", old.uptime_s, old.report())
+        assert [sum(use.recent) for use in new.report()] == [100]
+
+
 class TestSilentNodes:
     """Nodes that are cut off."""
 
