Refuse truthfully when a repeat finds no place; refuse waiting ones at a stop

A request whose first dispatch may have run and whose repeat found no place was refused with 503, "not run", since admission does not know of earlier dispatches. It now gets 502 with an unknown outcome.

A stopping node refuses what still waits 4.5 s before its kill, as it already did with new requests, in place of having it cut. An empty retry budget is the reason of one refusal and no longer counted beside another one.

A node whose watch is behind the others asks for the changes again in place of reading whole tables.

--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -81,11 +81,12 @@
         self._log = log
         self._now = now
         self._random = random.Random()
-        self._refuses_new = False
+        self._is_stopping = False
 
-    def refuse_new(self) -> None:
-        """Refuses all further requests, as the process is about to stop."""
-        self._refuses_new = True
+    def refuse_unstarted(self) -> None:
+        """Refuses what waits and what comes, as the process is to stop."""
+        self._is_stopping = True
+        self._scheduler.refuse_waiting(self._stop_refusal())
 
     async def handle(
         self, request: ClientRequest, answer: ClientAnswer
@@ -141,12 +142,8 @@
                 "no configuration is known yet",
                 retry_after_s=self._short_retry(),
             )
-        if self._refuses_new:
-            raise refused(
-                RefusalReason.DRAINING,
-                "the node is stopping",
-                retry_after_s=self._short_retry(),
-            )
+        if self._is_stopping:
+            raise RefusedError(self._stop_refusal())
         job = self._intake.create_job(routes, request, answer)
         try:
             left_s = max(job.item.deadline_at - self._now(), 0)
@@ -160,7 +157,7 @@
     async def _run(self, job: Job) -> None:
         """Dispatches the request until it is answered."""
         while True:
-            placement = await self._scheduler.acquire(job.item)
+            placement = await self._acquire(job)
             self._counters.wait.observe(self._now() - job.request.received_at)
             try:
                 await self._dispatcher.dispatch(job, placement)
@@ -176,6 +173,20 @@
             job.item.excluded.add(placement.upstream.upstream_id)
             self._reset_excluded(job.item)
 
+    async def _acquire(self, job: Job) -> Placement:
+        """Waits for a place, also for a repeat of what may have run."""
+        try:
+            return await self._scheduler.acquire(job.item)
+        except RefusedError as error:
+            if not job.may_have_run:
+                raise
+            raise refused(
+                RefusalReason.UPSTREAM_ERROR,
+                "the request failed at an upstream and can't be repeated:"
+                f" {error.refusal.message}",
+                Ran.UNKNOWN,
+            ) from error
+
     def _note_failure(
         self, job: Job, placement: Placement, error: DispatchError
     ) -> None:
@@ -231,8 +242,9 @@
         if not may_repeat or job.dispatches >= route.max_dispatches:
             raise self._failure_refusal(job, error)
         if not self._budget.take(job.item.service):
-            self._counters.refusals["retry_budget_exhausted"] += 1
-            raise self._failure_refusal(job, error)
+            raise self._failure_refusal(
+                job, error, RefusalReason.RETRY_BUDGET_EXHAUSTED
+            )
         self._counters.retries[error.reason.value] += 1
 
     def _reset_excluded(self, item: WorkItem) -> None:
@@ -240,13 +252,25 @@
         if all(upstream.upstream_id in item.excluded for upstream in usable):
             item.excluded.clear()
 
-    def _failure_refusal(self, job: Job, error: DispatchError) -> RefusedError:
+    def _failure_refusal(
+        self,
+        job: Job,
+        error: DispatchError,
+        reason: RefusalReason = RefusalReason.UPSTREAM_REJECTED,
+    ) -> RefusedError:
+        """Returns the refusal after the last dispatch.
+
+        Args:
+            job: The request.
+            error: How its last dispatch failed.
+            reason: Why it is not sent again, if it certainly did not run.
+        """
         if job.may_have_run:
             return refused(
                 RefusalReason.UPSTREAM_ERROR, str(error), Ran.UNKNOWN
             )
         return refused(
-            RefusalReason.UPSTREAM_REJECTED,
+            reason,
             str(error),
             retry_after_s=self._short_retry(),
         )
@@ -264,5 +288,12 @@
             retry_after_s=self._short_retry(),
         )
 
+    def _stop_refusal(self) -> Refusal:
+        return Refusal(
+            RefusalReason.DRAINING,
+            "the node is stopping",
+            retry_after_s=self._short_retry(),
+        )
+
     def _short_retry(self) -> float:
         return _SHORT_RETRY_AFTER_S + self._random.uniform(0, _RETRY_SPREAD_S)
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -59,7 +59,7 @@
 # The load balancer takes a node out after two failed checks, one a second;
 # until then new connections still come.
 _OUT_OF_ROTATION_S = 2.5
-# New requests on open connections are refused this long before the kill, as
+# Requests that have not been sent are refused this long before the kill, as
 # they would probably be cut.
 _LAST_REQUESTS_S = 4.5
 # The process ends this long before the kill, so that it ends by itself.
@@ -362,7 +362,7 @@
             if not self._server.requests_in_progress:
                 return
             if time.monotonic() - started_at > grace_s - _LAST_REQUESTS_S:
-                self._forwarder.refuse_new()
+                self._forwarder.refuse_unstarted()
             await asyncio.sleep(0.05)
             self._server.close_idle()
 
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -32,8 +32,10 @@
 # the cost of a node does not; each report of 200 bytes costs some 30 us.
 _NEAR_REPORTS_PER_S = 100
 _FAR_REPORTS_PER_S = 20
-# Every whole report replaces what was lost of the others.
-_WHOLE_INTERVAL_S = 1.0
+# Every whole report replaces what was lost of the others. It names all nodes,
+# so the time between two grows with them as well.
+_WHOLE_INTERVALS_S = (1.0, 10.0)
+_WHOLE_REPORTS_PER_S = 20
 # The least part of an interval between two reports where a change calls for
 # one at once.
 _MIN_INTERVAL_SHARE = 0.3
@@ -230,7 +232,9 @@
         now = self._now()
         is_whole = not is_near_only and now >= self._whole_due_at
         if is_whole:
-            self._whole_due_at = now + _WHOLE_INTERVAL_S
+            self._whole_due_at = now + report_interval_s(
+                len(self._peers), _WHOLE_REPORTS_PER_S, _WHOLE_INTERVALS_S
+            )
         if not is_near_only:
             self._far_due_at = now + self._far_interval_s
         self._sequence += 1
--- a/src/tanagerport/gateway/quotas.py
+++ b/src/tanagerport/gateway/quotas.py
@@ -23,9 +23,9 @@
 _SILENT_LIFETIME_S = 8.0
 # A node that reported less than this ago is not silent.
 _REPORT_INTERVAL_S = 1.0
-# A change of use is reported for this long, so that a few lost reports do not
-# matter; the next whole report mends what is missed beyond that.
-_CHANGE_LIFETIME_S = 0.5
+# A change of use is reported for this long: in two reports to the farthest
+# nodes, so that a lost one does not matter.
+_CHANGE_LIFETIME_S = 1.5
 # Use is counted in slices of this length, in seconds.
 _SLICE_S = 0.1
 _QUARTERS = 4
--- a/src/tanagerport/gateway/store_watch.py
+++ b/src/tanagerport/gateway/store_watch.py
@@ -16,8 +16,9 @@
 _MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 0.8
 # Another node that knows a newer row for this long proves that this node's
-# connection to the store fell silent.
-_BEHIND_S = 0.3
+# connection to the store fell silent. Chosen anew each time, so that nodes
+# that are behind together do not ask together.
+_BEHIND_S = (0.3, 0.6)
 
 
 class TableWatch:
@@ -86,7 +87,9 @@
             self._behind_since = None
         elif self._behind_since is None:
             self._behind_since = self._now()
-        elif self._now() - self._behind_since > _BEHIND_S:
+        elif self._now() - self._behind_since > self._random.uniform(
+            *_BEHIND_S
+        ):
             # The connection of the watch has probably fallen silent.
             self._behind_since = None
             self._kick.set()
@@ -120,7 +123,6 @@
                 step.result()
                 return
             self._log.warning("watch_behind", table=self._table)
-            self._version = None
         finally:
             step.cancel()
             kick.cancel()
