Send reports across regions through two relays

A node now sends its reports to two nodes of each other region, chosen by a hash, and these pass them on in their own reports. The traffic between regions grows with the nodes and no longer with their square, so it keeps to 0.3 s at any size. A relay that falls silent is replaced after 1.5 s.

--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -167,11 +167,12 @@
         )
         self._peers = PeerExchange(
             settings.peer_host,
+            settings.zone,
+            settings.regions,
             settings.peer_port,
             self._make_report,
             self._apply_report,
             self._forget_peer,
-            lambda zone: settings.regions.get(zone) == settings.region,
             log,
         )
         self._board = LoadBoard(
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -1,5 +1,9 @@
 """Reports between nodes, as datagrams.
 
+Links between regions are narrow and paid by volume, so a node sends its
+reports to two nodes of each other region only. These pass them on in their
+own reports.
+
 A report holds the whole state that other nodes need, so a lost or late one
 is replaced by the next and nothing is sent again. A stream between two nodes
 would hold fresh reports up behind a lost packet, and one exchange of the
@@ -9,8 +13,10 @@
 
 import asyncio
 import dataclasses
+import heapq
 import time
-from collections.abc import Callable, Iterable
+import zlib
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any, cast
 
 import msgspec
@@ -23,15 +29,15 @@
 # Shortest and longest time between reports to the own region, in seconds.
 # Places at an upstream change hands within tens of milliseconds under load.
 _NEAR_INTERVALS_S = (0.1, 0.5)
-# The same for other regions, whose link is narrow and paid by volume; few
-# requests go there. A node is silent after 1.5 s, so one lost report of the
-# longest interval does not make it so.
-_FAR_INTERVALS_S = (0.3, 0.7)
-# Reports a second that a node sends to all nodes of its region, and of the
-# others. Between the bounds above the interval grows with the nodes, so that
-# the cost of a node does not; each report of 200 bytes costs some 30 us.
+# Seconds between reports to other regions; few requests go there.
+_FAR_INTERVAL_S = 0.3
+# Nodes of each other region that get a report, so that the loss of one of
+# them does not cut its region off.
+_RELAYS = 2
+# Reports a second that a node sends to all nodes of its region. Between the
+# bounds above the interval grows with the nodes, so that the cost of a node
+# does not; each report of 200 bytes costs some 30 us.
 _NEAR_REPORTS_PER_S = 100
-_FAR_REPORTS_PER_S = 20
 # Every whole report replaces what was lost of the others. It names all nodes,
 # so the time between two grows with them as well.
 _WHOLE_INTERVALS_S = (1.0, 10.0)
@@ -65,6 +71,7 @@
         uses: Use of quotas; of all customers or of those that changed.
         rollouts: Evidence about new versions.
         known: Hosts of other nodes that it hears; empty unless it is whole.
+        relayed: Encoded reports of other regions that are passed on.
     """
 
     node: str
@@ -80,6 +87,7 @@
     uses: list[CustomerUse]
     rollouts: list[RolloutReport]
     known: list[str]
+    relayed: list[bytes] = []
 
 
 @dataclasses.dataclass(slots=True)
@@ -123,12 +131,13 @@
 
     Args:
         host: IP address of this node.
+        zone: Availability zone of this node.
+        regions: Region of each availability zone.
         port: UDP port, the same on all nodes.
         make_report: Makes the report of a sequence number, whole with these
             hosts or without them.
         on_report: Called with each new report.
         on_lost: Called with the name of a node that stopped reporting.
-        is_near: Whether an availability zone is in the own region.
         log: Log of decisions.
         now: Monotonic clock, in seconds.
     """
@@ -136,20 +145,22 @@
     def __init__(
         self,
         host: str,
+        zone: str,
+        regions: Mapping[str, str],
         port: int,
         make_report: Callable[[int, list[str] | None], NodeReport],
         on_report: Callable[[NodeReport], None],
         on_lost: Callable[[str], None],
-        is_near: Callable[[str], bool],
         log: DecisionLog,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self._host = host
+        self._regions = regions
+        self._region = regions.get(zone, "")
         self._port = port
         self._make_report = make_report
         self._on_report = on_report
         self._on_lost = on_lost
-        self._is_near = is_near
         self._log = log
         self._now = now
         self._peers: dict[str, Peer] = {}
@@ -159,9 +170,12 @@
         self._sequence = 0
         self._sent_at = float("-inf")
         self._interval_s = _NEAR_INTERVALS_S[0]
-        self._far_interval_s = _FAR_INTERVALS_S[0]
         self._far_due_at = float("-inf")
         self._whole_due_at = float("-inf")
+        # Reports of other regions that the own region has not got yet, and
+        # nodes that were just met, by host.
+        self._unrelayed: dict[str, bytes] = {}
+        self._just_met: set[str] = set()
 
     @property
     def interval_s(self) -> float:
@@ -214,9 +228,6 @@
         self._interval_s = report_interval_s(
             close, _NEAR_REPORTS_PER_S, _NEAR_INTERVALS_S
         )
-        self._far_interval_s = report_interval_s(
-            len(self._peers) - close, _FAR_REPORTS_PER_S, _FAR_INTERVALS_S
-        )
         self.send_report(is_near_only=self._now() < self._far_due_at)
 
     def send_soon(self) -> None:
@@ -226,7 +237,7 @@
             self.send_report(is_near_only=True)
 
     def send_report(self, is_near_only: bool = False) -> None:
-        """Sends a report to all known nodes, or to those of the region."""
+        """Sends a report to the region, and to relays of the others."""
         if self._transport is None or not self._peers:
             return
         now = self._now()
@@ -235,23 +246,63 @@
             self._whole_due_at = now + report_interval_s(
                 len(self._peers), _WHOLE_REPORTS_PER_S, _WHOLE_INTERVALS_S
             )
-        if not is_near_only:
-            self._far_due_at = now + self._far_interval_s
         self._sequence += 1
         self._sent_at = now
         known = [peer.host for peer in self.heard()] if is_whole else None
-        data = self._encoder.encode(self._make_report(self._sequence, known))
+        report = self._make_report(self._sequence, known)
+        if not is_near_only:
+            self._far_due_at = now + _FAR_INTERVAL_S
+            self._send(report, sorted({*self._relays(), *self._just_met}))
+            self._just_met.clear()
+        if self._unrelayed:
+            report = msgspec.structs.replace(
+                report, relayed=list(self._unrelayed.values())
+            )
+            self._unrelayed.clear()
+        self._send(
+            report,
+            [
+                peer.host
+                for peer in self._peers.values()
+                if self._is_close(peer)
+            ],
+        )
+
+    def _send(self, report: NodeReport, hosts: Sequence[str]) -> None:
+        assert self._transport is not None
+        data = self._encoder.encode(report)
         if len(data) > _MAX_DATAGRAM_BYTES:
             self._log.error("report_too_large", size=len(data))
             return
-        for peer in self._peers.values():
-            if not is_near_only or self._is_close(peer):
-                self._transport.sendto(data, (peer.host, self._port))
+        for host in hosts:
+            self._transport.sendto(data, (host, self._port))
+
+    def _relays(self) -> list[str]:
+        """Returns the nodes that pass reports on in the other regions.
+
+        Each node has others, by a hash, so that the work is spread.
+        """
+        by_region: dict[str, list[str]] = {}
+        for peer in self.heard():
+            if not self._is_close(peer):
+                region = self._regions.get(peer.zone, "")
+                by_region.setdefault(region, []).append(peer.host)
+        return [
+            host
+            for hosts in by_region.values()
+            for host in heapq.nlargest(_RELAYS, hosts, self._relay_rank)
+        ]
+
+    def _relay_rank(self, host: str) -> int:
+        return zlib.crc32(f"{self._host}>{host}".encode())
 
     def _is_close(self, peer: Peer) -> bool:
         """Returns whether a peer is in the own region, or not known yet."""
         return not peer.zone or self._is_near(peer.zone)
 
+    def _is_near(self, zone: str) -> bool:
+        return self._regions.get(zone) == self._region
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Implements `asyncio.DatagramProtocol`."""
         self._transport = cast(asyncio.DatagramTransport, transport)
@@ -262,20 +313,34 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Implements `asyncio.DatagramProtocol`."""
+        report = self._decode(data, addr[0])
+        if report is None or not self._take(report):
+            return
+        if not self._is_near(report.zone):
+            self._unrelayed[report.host] = data
+        for relayed in report.relayed:
+            other = self._decode(relayed, addr[0])
+            if other is not None:
+                self._take(other)
+
+    def _decode(self, data: bytes, sender: str) -> NodeReport | None:
         try:
-            report = self._decoder.decode(data)
+            return self._decoder.decode(data)
         except msgspec.DecodeError as error:
             self._log.warning(
-                "report_unreadable", sender=addr[0], error=str(error)
+                "report_unreadable", sender=sender, error=str(error)
             )
-            return
+            return None
+
+    def _take(self, report: NodeReport) -> bool:
+        """Applies a report; returns whether it is a new one."""
         if report.host == self._host:
-            return
+            return False
         peer = self._peers.get(report.host)
         if peer is None:
             peer = self._peers[report.host] = Peer(report.host, self._now())
         if peer.start == report.start and peer.sequence >= report.sequence:
-            return
+            return False
         if peer.node and peer.start != report.start:
             self._on_lost(peer.node)
         if not peer.node:
@@ -283,6 +348,8 @@
         if peer.start != report.start:
             # It knows nothing of this node yet.
             self._far_due_at = self._whole_due_at = self._now()
+            if not self._is_near(report.zone):
+                self._just_met.add(report.host)
         peer.node = report.node
         peer.zone = report.zone
         peer.start = report.start
@@ -290,6 +357,7 @@
         peer.heard_at = self._now()
         self.add_hosts(report.known)
         self._on_report(report)
+        return True
 
     def _drop_silent(self) -> None:
         now = self._now()
