Keep sums of the reported loads; drop unused code

A look for a place added up the reports of all nodes for every upstream, so its cost grew with nodes times upstreams. The sums now change with each report and expire with it; a state machine compares them with adding up.

Dropped: `HttpCall.is_complete` and a field that nothing reads. The order of waiting requests has a public name, as a test compares with it.

--- a/src/tanagerport/gateway/admission.py
+++ b/src/tanagerport/gateway/admission.py
@@ -98,7 +98,7 @@
         if not self._waiting:
             return
         now = self._now()
-        self._waiting.sort(key=lambda entry: _rank(entry.item, now))
+        self._waiting.sort(key=lambda entry: rank(entry.item, now))
         kept = []
         for entry in self._waiting:
             if entry.future.done():
@@ -121,9 +121,9 @@
     def expected_wait_s(self, item: WorkItem) -> float:
         """Returns the expected wait for a place, in seconds."""
         now = self._now()
-        rank = _rank(item, now)
+        own_rank = rank(item, now)
         ahead = sum(
-            1 for entry in self._waiting if _rank(entry.item, now) <= rank
+            1 for entry in self._waiting if rank(entry.item, now) <= own_rank
         )
         if ahead == 0:
             return 0.0
@@ -133,9 +133,9 @@
         return ahead / rate
 
     def _is_anyone_ahead(self, item: WorkItem) -> bool:
-        rank = _rank(item, self._now())
+        own_rank = rank(item, self._now())
         return any(
-            _rank(entry.item, self._now()) <= rank for entry in self._waiting
+            rank(entry.item, self._now()) <= own_rank for entry in self._waiting
         )
 
     def _check_wait(self, item: WorkItem) -> None:
@@ -182,7 +182,7 @@
     return 0.0 if math.isinf(item.best_first_s) else item.best_first_s
 
 
-def _rank(item: WorkItem, now: float) -> tuple[bool, int, int, float]:
+def rank(item: WorkItem, now: float) -> tuple[bool, int, int, float]:
     """Returns the order of a request.
 
     Requests that can still meet their target go first: under overload an
--- a/src/tanagerport/gateway/http_call.py
+++ b/src/tanagerport/gateway/http_call.py
@@ -58,12 +58,6 @@
         if unread:
             self._codec.receive_data(unread)
         self._complete = False
-        self._head: AnswerHead | None = None
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether the whole answer arrived."""
-        return self._complete
 
     @property
     def surplus(self) -> bytes:
--- a/src/tanagerport/gateway/load_board.py
+++ b/src/tanagerport/gateway/load_board.py
@@ -58,7 +58,24 @@
 @dataclasses.dataclass(slots=True)
 class _Report:
     received_at: float
-    loads: dict[str, UpstreamLoad]
+    loads: list[tuple[str, int, int, bool]]
+
+
+@dataclasses.dataclass(slots=True)
+class _RemoteLoad:
+    """Sum of the reports about an upstream.
+
+    Attributes:
+        reports: Reports that name it.
+        requests: Requests in progress.
+        unread_tokens: Prompt tokens of those without a first event.
+        silent: Nodes that wait there without hearing anything.
+    """
+
+    reports: int = 0
+    requests: int = 0
+    unread_tokens: int = 0
+    silent: int = 0
 
 
 class LoadBoard:
@@ -82,6 +99,10 @@
         self._uses: dict[str, _OwnUse] = {}
         self._own: dict[str, UpstreamLoad] = {}
         self._reports: dict[str, _Report] = {}
+        # A look for a place asks for the load of every upstream, so the sums
+        # are kept; adding up the reports each time grew with the nodes.
+        self._remote: dict[str, _RemoteLoad] = {}
+        self._expires_at = float("inf")
 
     def own_loads(self) -> list[tuple[str, int, int, bool]]:
         """Returns the loads of this node, for its report."""
@@ -171,37 +192,60 @@
             loads: Upstream id, requests, unread prompt tokens and whether the
                 upstream is silent.
         """
-        self._reports[node] = _Report(
-            self._now(),
-            {
-                upstream_id: UpstreamLoad(requests, unread_tokens, is_silent)
-                for upstream_id, requests, unread_tokens, is_silent in loads
-            },
+        self.forget_node(node)
+        report = _Report(self._now(), list(loads))
+        self._reports[node] = report
+        self._count(report, 1)
+        self._expires_at = min(
+            self._expires_at, report.received_at + _REPORT_LIFETIME_S
         )
 
     def forget_node(self, node: str) -> None:
         """Drops the report of a node."""
-        self._reports.pop(node, None)
+        report = self._reports.pop(node, None)
+        if report is not None:
+            self._count(report, -1)
 
     def load(self, upstream_id: str) -> UpstreamLoad:
         """Returns the load of an upstream by all nodes."""
-        own = self._own.get(upstream_id)
+        if self._now() > self._expires_at:
+            self._drop_expired()
         total = UpstreamLoad()
+        own = self._own.get(upstream_id)
         if own is not None:
             total.requests = own.requests
             total.unread_tokens = own.unread_tokens
             total.is_silent = own.is_silent
-        oldest = self._now() - _REPORT_LIFETIME_S
-        for report in self._reports.values():
-            remote = report.loads.get(upstream_id)
-            if remote is not None and report.received_at >= oldest:
-                total.requests += remote.requests
-                total.unread_tokens += remote.unread_tokens
-                total.is_silent |= remote.is_silent and not self._hears(
-                    upstream_id
-                )
+        remote = self._remote.get(upstream_id)
+        if remote is not None:
+            total.requests += remote.requests
+            total.unread_tokens += remote.unread_tokens
+            total.is_silent |= remote.silent > 0 and not self._hears(
+                upstream_id
+            )
         return total
 
+    def _count(self, report: _Report, sign: int) -> None:
+        """Adds a report to the sums, or takes it out with a sign of -1."""
+        for upstream_id, requests, unread_tokens, is_silent in report.loads:
+            remote = self._remote.setdefault(upstream_id, _RemoteLoad())
+            remote.reports += sign
+            remote.requests += sign * requests
+            remote.unread_tokens += sign * unread_tokens
+            remote.silent += sign * is_silent
+            if remote.reports == 0:
+                del self._remote[upstream_id]
+
+    def _drop_expired(self) -> None:
+        oldest = self._now() - _REPORT_LIFETIME_S
+        for node, report in list(self._reports.items()):
+            if report.received_at < oldest:
+                self.forget_node(node)
+        self._expires_at = _REPORT_LIFETIME_S + min(
+            (report.received_at for report in self._reports.values()),
+            default=float("inf"),
+        )
+
     def _hears(self, upstream_id: str) -> bool:
         use = self._uses.get(upstream_id)
         return use is not None and self._now() - use.heard_at < _HEARD_S
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -181,7 +181,7 @@
                 key=lambda item: (
                     (item.target_at,)
                     if by_target
-                    else admission._rank(item, now)
+                    else admission.rank(item, now)
                 )
             )
             while free and waiting:
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -232,6 +232,66 @@
         assert board.load("u").requests == 0
 
 
+class LoadSums(stateful.RuleBasedStateMachine):
+    """Sums of reports, against adding up all reports that are fresh."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = FakeClock(100.0)
+        self.board = LoadBoard(lambda: 3, lambda: 0.1, self.clock.monotonic)
+        self.reports: dict[str, tuple[float, dict[str, int]]] = {}
+
+    @stateful.rule(
+        node=st.sampled_from(["n1", "n2", "n3"]),
+        loads=st.dictionaries(
+            st.sampled_from(["u1", "u2"]), st.integers(1, 5), max_size=2
+        ),
+    )
+    def report(self, node: str, loads: dict[str, int]) -> None:
+        self.reports[node] = (self.clock.monotonic(), loads)
+        self.board.apply_report(
+            node,
+            [(name, count, count * 10, False) for name, count in loads.items()],
+        )
+
+    @stateful.rule(node=st.sampled_from(["n1", "n2", "n3"]))
+    def forget(self, node: str) -> None:
+        self.reports.pop(node, None)
+        self.board.forget_node(node)
+
+    @stateful.rule(seconds=st.sampled_from([0.25, 0.5, 1.0, 2.0]))
+    def advance(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+
+    @stateful.invariant()
+    def sums_are_those_of_fresh_reports(self) -> None:
+        oldest = self.clock.monotonic() - 1.5
+        for upstream in ("u1", "u2"):
+            expected = sum(
+                loads.get(upstream, 0)
+                for received_at, loads in self.reports.values()
+                if received_at >= oldest
+            )
+            load = self.board.load(upstream)
+            assert load.requests == expected
+            assert load.unread_tokens == 10 * expected
+
+
+class TestLoadSums:
+    """Guards against sums that drift from the reports."""
+
+    def test_sums_follow_the_reports(self) -> None:
+        stateful.run_state_machine_as_test(LoadSums)
+
+    def test_silence_of_one_node_counts_until_it_is_taken_back(self) -> None:
+        board = LoadBoard(lambda: 3, lambda: 0.1, FakeClock(100.0).monotonic)
+        board.apply_report("n1", [("u", 1, 0, True)])
+        board.apply_report("n2", [("u", 1, 0, False)])
+        assert board.load("u").is_silent
+        board.apply_report("n1", [("u", 1, 0, False)])
+        assert not board.load("u").is_silent
+
+
 class SharedUpstream(stateful.RuleBasedStateMachine):
     """Nodes that share one upstream and hear of each other with delay.
 
