Try plain upstreams that have no samples; test pauses and slow upstreams

A test with a slow and a sound upstream of a plain service sent all 30 calls to the slow one: an upstream without samples took the mean of its service, which was then that of the slow one, and the tie went to the first. It now counts as a fifth faster, so it is tried.

Another test stops the process for 1.5 s and checks that it knows of a changed configuration and a lost upstream within its time.

--- a/src/tanagerport/gateway/upstream_speed.py
+++ b/src/tanagerport/gateway/upstream_speed.py
@@ -34,6 +34,11 @@
     Metric.BASE: 0.01,
     Metric.CALL: 0.05,
 }
+# A plain service's upstream without samples counts as this much faster than
+# its service, so that it is tried. Taken as equal, it got nothing while all
+# calls went to a slow one. Samples of engines come from all nodes, and trying
+# an unknown engine early cost 0.008 of the worth of twelve days.
+_UNKNOWN_CALL_SHARE = 0.8
 _SHARED = frozenset({Metric.TOKEN, Metric.EVENT})
 
 Sample = tuple[str, str, int, float]
@@ -117,9 +122,14 @@
 
     def _get(self, upstream_id: str, service: str, metric: Metric) -> float:
         estimate = self._by_upstream.get((upstream_id, metric))
+        if estimate is not None:
+            return estimate
+        estimate = self._by_service.get((service, metric))
         if estimate is None:
-            estimate = self._by_service.get((service, metric))
-        return _DEFAULTS_S[metric] if estimate is None else estimate
+            return _DEFAULTS_S[metric]
+        if metric is Metric.CALL:
+            return _UNKNOWN_CALL_SHARE * estimate
+        return estimate
 
     def _add(
         self, upstream_id: str, service: str, metric: Metric, seconds: float
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -634,6 +634,73 @@
         run(tmp_path, scenario)
 
 
+class TestPause:
+    """A process that stood still, as on a VM that froze."""
+
+    def test_node_learns_what_changed_while_it_stood_still(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a node that goes on with what it knew before.
+
+        Its connections may be dead without a sign, so it opens new ones and
+        reads both tables again.
+        """
+
+        async def scenario(world: World) -> None:
+            gone = await world.add_upstream("u-1", standin.echo)
+            await world.gateway.wait_ready()
+            assert (await world.call("a1", "/read/x")).status == 200
+            await world.add_upstream("u-2", standin.echo)
+            world.gateway.signal(signal.SIGSTOP)
+            await asyncio.sleep(1.5)
+            await world.store.remove("servers", "u-1")
+            new = [*ROUTES, route("new")]
+            await world.store.put("op", "config", configuration(5, new))
+            world.gateway.signal(signal.SIGCONT)
+            async with asyncio.timeout(2.5):
+                while (await world.call("a2", "/new/x")).status != 200:
+                    await asyncio.sleep(0.05)
+            # A row may have lapsed in the pause: it is kept for 2 s at most.
+            await asyncio.sleep(2.2)
+            arrived = len(gone.arrivals)
+            for number in range(6):
+                assert (await world.call(f"b{number}", "/new/x")).status == 200
+            assert len(gone.arrivals) == arrived
+            events = [line["event"] for line in world.gateway.log_lines()]
+            assert "resumed_after_pause" in events
+
+        run(tmp_path, scenario)
+
+
+class TestSlowUpstream:
+    """An upstream that turns slow."""
+
+    def test_gets_less_work_than_a_sound_one(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against work that is spread evenly over unlike upstreams."""
+
+        async def slowly(
+            upstream: standin.UpstreamStandin,
+            request: standin.HttpRequest,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await asyncio.sleep(0.4)
+            await standin.echo(upstream, request, writer)
+
+        async def scenario(world: World) -> None:
+            slow = await world.add_upstream("u-1", slowly)
+            sound = await world.add_upstream("u-2", standin.echo)
+            await world.gateway.wait_ready()
+            for number in range(30):
+                answer = await world.call(f"a{number}", "/read/x")
+                assert answer.status == 200
+            assert len(slow.ran) <= 6
+            assert len(sound.ran) >= 24
+
+        run(tmp_path, scenario)
+
+
 class TestLifecycle:
     """Stop, reload and metrics."""
 
