Report to silent regions, so that they meet again after a cut

Relays were chosen among the heard nodes of a region only. After a cut of the link for longer than 1.5 s neither side hears the other, so neither would have reported again until addresses were read anew from the store. Of a region that is silent all nodes get reports.

--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -280,17 +280,28 @@
     def _relays(self) -> list[str]:
         """Returns the nodes that pass reports on in the other regions.
 
-        Each node has others, by a hash, so that the work is spread.
+        Each node has others, by a hash, so that the work is spread. Of a
+        region that is silent all nodes get reports: it may have been cut off,
+        and neither side would hear of the other again.
         """
-        by_region: dict[str, list[str]] = {}
-        for peer in self.heard():
-            if not self._is_close(peer):
-                region = self._regions.get(peer.zone, "")
-                by_region.setdefault(region, []).append(peer.host)
+        far: dict[str, list[str]] = {}
+        heard: dict[str, list[str]] = {}
+        oldest = self._now() - _PEER_SILENT_S
+        for peer in self._peers.values():
+            if self._is_close(peer):
+                continue
+            region = self._regions.get(peer.zone, "")
+            far.setdefault(region, []).append(peer.host)
+            if peer.heard_at >= oldest:
+                heard.setdefault(region, []).append(peer.host)
         return [
             host
-            for hosts in by_region.values()
-            for host in heapq.nlargest(_RELAYS, hosts, self._relay_rank)
+            for region, hosts in far.items()
+            for host in (
+                heapq.nlargest(_RELAYS, heard[region], self._relay_rank)
+                if region in heard
+                else hosts
+            )
         ]
 
     def _relay_rank(self, host: str) -> int:
--- a/tests/test_gateway_reports.py
+++ b/tests/test_gateway_reports.py
@@ -215,3 +215,16 @@
         targets = {host for _, host in node.transport.sent}
         assert len(targets) == 2
         assert lost not in targets
+
+    def test_region_that_was_cut_off_is_asked_again(self) -> None:
+        """Guards against regions that stay apart after their link is back.
+
+        With relays among the heard nodes only, neither side of a link that
+        was cut for longer than 1.5 s would report to the other again.
+        """
+        node = _Node(near=1, far=3)
+        node.run(1.0)
+        node.clock.advance(5.0)
+        node.transport.sent.clear()
+        node.exchange.send_due()
+        assert len(node.sent_to("10.2.")) == 3
