Send a whole report when a silent node is heard again

A node that was cut off has missed what others used of the quotas, and the next whole report may be 10 s away where there are many nodes. Found by reading; its test fails first.

--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -356,11 +356,12 @@
             self._on_lost(peer.node)
         if not peer.node:
             self._log.info("peer_found", peer=report.node, host=report.host)
-        if peer.start != report.start:
-            # It knows nothing of this node yet.
+        is_new = peer.start != report.start
+        if is_new or self._now() - peer.heard_at > _PEER_SILENT_S:
+            # It knows nothing of this node, or missed some of it.
             self._far_due_at = self._whole_due_at = self._now()
-            if not self._is_near(report.zone):
-                self._just_met.add(report.host)
+        if is_new and not self._is_near(report.zone):
+            self._just_met.add(report.host)
         peer.node = report.node
         peer.zone = report.zone
         peer.start = report.start
--- a/tests/test_gateway_reports.py
+++ b/tests/test_gateway_reports.py
@@ -149,6 +149,21 @@
         ]
         assert node.lost == ["node-10.2.0.0"]
 
+    def test_node_that_was_silent_gets_a_whole_report(self) -> None:
+        """Guards against use of quotas that a node missed while cut off.
+
+        With many nodes the next whole report may be 10 s away.
+        """
+        node = _Node(near=200)
+        node.run(5.0)
+        node.transport.sent.clear()
+        node.clock.advance(2.0)
+        node.receive(_report("10.1.0.199", _NEAR, sequence=9000))
+        node.exchange.send_due()
+        assert [report.is_whole for report in node.sent_to("10.1.0.199")] == [
+            True
+        ]
+
 
 class TestSequence:
     """Guards against late reports that replace newer ones."""
