Log and count the bytes and delays of reports between nodes

Two symptoms at 69 nodes, late configurations and work for callers that left, could not be told apart from logs: a full link, a busy process and missing places all show as late requests.

A line `load` every 2 s and gauges now give bytes and number of reports, their delay beyond the least one, the longest delay of a timer, bytes read from the store and waiting requests. No decision changes.

--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -65,6 +65,8 @@
 # The process ends this long before the kill, so that it ends by itself.
 _STOP_MARGIN_S = 0.4
 _HOUSEKEEPING_INTERVAL_S = 0.1
+# Time between two log lines about the load of the node and of its link.
+_LOAD_LINE_INTERVAL_S = 2.0
 # Requests wait this long for a node that starts.
 _START_WAIT_S = 1.0
 _START_POLL_S = 0.01
@@ -273,6 +275,10 @@
         )
         gauges["upstreams_known"] = lambda: len(self._registry.all_records())
         gauges["nodes_heard"] = self._peers.count_heard_nodes
+        traffic = self._peers.traffic
+        gauges["report_bytes_sent"] = lambda: traffic.sent_bytes
+        gauges["report_bytes_received"] = lambda: traffic.received_bytes
+        gauges["store_bytes_read"] = lambda: self._counters.store_bytes_read
         gauges["requests_waiting"] = lambda: sum(
             self._scheduler.waiting.values()
         )
@@ -395,10 +401,20 @@
     async def _run_housekeeping(self) -> None:
         last = time.clock_gettime(time.CLOCK_BOOTTIME)
         last_monotonic = time.monotonic()
+        loop_delay_s = 0.0
+        next_line_at = last_monotonic + _LOAD_LINE_INTERVAL_S
         while True:
             await asyncio.sleep(_HOUSEKEEPING_INTERVAL_S)
             boot_time = time.clock_gettime(time.CLOCK_BOOTTIME)
             monotonic = time.monotonic()
+            loop_delay_s = max(
+                loop_delay_s,
+                monotonic - last_monotonic - _HOUSEKEEPING_INTERVAL_S,
+            )
+            if monotonic >= next_line_at:
+                self._log_load(loop_delay_s)
+                loop_delay_s = 0.0
+                next_line_at = monotonic + _LOAD_LINE_INTERVAL_S
             # A pause shows on the clock that counts it, or as a long sleep.
             if max(boot_time - last, monotonic - last_monotonic) > _PAUSE_S:
                 self._log.warning(
@@ -413,6 +429,31 @@
             self._scheduler.offer_places()
             self._log.flush()
 
+    def _log_load(self, loop_delay_s: float) -> None:
+        """Logs what tells a full link from a busy process.
+
+        Args:
+            loop_delay_s: Longest delay of a timer since the last line.
+        """
+        traffic = self._peers.traffic
+        median_s, longest_s = traffic.take_delays_s()
+        self._log.info(
+            "load",
+            loop_delay_s=round(loop_delay_s, 3),
+            report_delay_s=round(median_s, 3),
+            longest_report_delay_s=round(longest_s, 3),
+            report_bytes_sent=traffic.sent_bytes,
+            report_bytes_received=traffic.received_bytes,
+            reports_sent=traffic.sent,
+            whole_reports_sent=traffic.sent_whole,
+            reports_received=traffic.received,
+            nodes_heard=self._peers.count_heard_nodes(),
+            store_bytes_read=self._counters.store_bytes_read,
+            configuration_answer_age_s=round(self._watches[0].age_s, 3),
+            requests=self._server.requests_in_progress,
+            waiting=sum(self._scheduler.waiting.values()),
+        )
+
     async def _run_membership(self) -> None:
         """Writes this node's row and learns the addresses of others."""
         row = RowWrite(
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -23,6 +23,7 @@
 
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.quotas import CustomerUse
+from tanagerport.gateway.report_traffic import ReportTraffic
 from tanagerport.gateway.rollout import RolloutReport
 from tanagerport.gateway.upstream_speed import Sample
 
@@ -72,6 +73,7 @@
         rollouts: Evidence about new versions.
         known: Hosts of other nodes that it hears; empty unless it is whole.
         relayed: Encoded reports of other regions that are passed on.
+        sent_at: Seconds of the sender's monotonic clock.
     """
 
     node: str
@@ -88,6 +90,7 @@
     rollouts: list[RolloutReport]
     known: list[str]
     relayed: list[bytes] = []
+    sent_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -167,6 +170,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(NodeReport)
+        self._traffic = ReportTraffic()
         self._sequence = 0
         self._sent_at = float("-inf")
         self._interval_s = _NEAR_INTERVALS_S[0]
@@ -182,6 +186,11 @@
         """Seconds between reports to the own region."""
         return self._interval_s
 
+    @property
+    def traffic(self) -> ReportTraffic:
+        """Bytes and delays of reports."""
+        return self._traffic
+
     def count_nodes(self) -> int:
         """Returns the nodes that share budgets, this one included."""
         return 1 + sum(1 for peer in self._peers.values() if peer.node)
@@ -249,7 +258,9 @@
         self._sequence += 1
         self._sent_at = now
         known = [peer.host for peer in self.heard()] if is_whole else None
-        report = self._make_report(self._sequence, known)
+        report = msgspec.structs.replace(
+            self._make_report(self._sequence, known), sent_at=now
+        )
         if not is_near_only:
             self._far_due_at = now + _FAR_INTERVAL_S
             self._send(report, sorted({*self._relays(), *self._just_met}))
@@ -274,6 +285,7 @@
         if len(data) > _MAX_DATAGRAM_BYTES:
             self._log.error("report_too_large", size=len(data))
             return
+        self._traffic.record_sent(len(data), len(hosts), report.is_whole)
         for host in hosts:
             self._transport.sendto(data, (host, self._port))
 
@@ -325,7 +337,15 @@
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Implements `asyncio.DatagramProtocol`."""
         report = self._decode(data, addr[0])
-        if report is None or not self._take(report):
+        if report is None:
+            return
+        self._traffic.record_received(
+            f"{report.node}/{report.start}",
+            len(data),
+            report.sent_at,
+            self._now(),
+        )
+        if not self._take(report):
             return
         if not self._is_near(report.zone):
             self._unrelayed[report.host] = data
@@ -353,6 +373,7 @@
         if peer.start == report.start and peer.sequence >= report.sequence:
             return False
         if peer.node and peer.start != report.start:
+            self._traffic.forget(f"{peer.node}/{peer.start}")
             self._on_lost(peer.node)
         if not peer.node:
             self._log.info("peer_found", peer=report.node, host=report.host)
@@ -378,5 +399,6 @@
             if now - last > _PEER_LIFETIME_S:
                 del self._peers[host]
                 if peer.node:
+                    self._traffic.forget(f"{peer.node}/{peer.start}")
                     self._log.info("peer_lost", peer=peer.node, host=host)
                     self._on_lost(peer.node)
--- a/tests/test_gateway_reports.py
+++ b/tests/test_gateway_reports.py
@@ -8,6 +8,7 @@
 from tanagerport.clock import FakeClock
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.peer_exchange import NodeReport, PeerExchange
+from tanagerport.gateway.report_traffic import ReportTraffic
 
 _NEAR, _FAR = "near-1", "far-1"
 
@@ -165,6 +166,29 @@
         ]
 
 
+class TestTraffic:
+    """Guards against full links that neither logs nor metrics show."""
+
+    def test_bytes_of_all_copies_are_counted(self) -> None:
+        node = _Node(near=4)
+        node.run(1.0)
+        traffic = node.exchange.traffic
+        assert traffic.sent == len(node.transport.sent)
+        assert traffic.sent_bytes == sum(
+            len(data) for data, _ in node.transport.sent
+        )
+        assert 0 < traffic.sent_whole < traffic.sent
+
+    def test_delay_is_the_time_beyond_the_least_one(self) -> None:
+        traffic = ReportTraffic()
+        for sent_at, received_at in ((5.0, 105.01), (6.0, 106.0), (7.0, 107.4)):
+            traffic.record_received("node/1", 200, sent_at, received_at)
+        median_s, longest_s = traffic.take_delays_s()
+        assert median_s == 0.0
+        assert longest_s == pytest.approx(0.4)
+        assert traffic.take_delays_s() == (0.0, 0.0)
+
+
 class TestSequence:
     """Guards against late reports that replace newer ones."""
 
