End calls whose answer never ends

Callers saw a 504 at the time limit, or a stream that stalled until then, when an upstream sent bytes without end: interim answers (1xx), the body of an answer to another request, or one event of a stream. All that time the connection, the link and, for the event, memory were used.

The heads, fields, chunk sizes, trailers and bodies of other answers were bounded already. Interim answers (8), bodies that are passed over (1 MiB) and events (256 KiB) have bounds now, so the call fails at once with 502 and the connection is closed.

--- a/src/tanagerport/gateway/dispatch.py
+++ b/src/tanagerport/gateway/dispatch.py
@@ -30,6 +30,8 @@
 # Answers up to this size are held until they are whole, so that a broken one
 # can be repeated or shown as an error.
 _MAX_HELD_BYTES = 1024 * 1024
+# Longest event of a stream; one holds a few tokens.
+_MAX_EVENT_BYTES = 256 * 1024
 # Answers of earlier requests that may arrive first on a kept connection.
 _MAX_STRAY_ANSWERS = 3
 # A repeatable request goes elsewhere when its upstream says nothing for this
@@ -184,8 +186,7 @@
                         request=job.item.request_id,
                         upstream=placement.upstream.upstream_id,
                     )
-                    while await exchange.call.read_body():
-                        pass
+                    await exchange.call.read_whole_body(_MAX_HELD_BYTES)
                     exchange.call = exchange.call.reopen()
         except TimeoutError:
             raise DispatchError(
@@ -256,7 +257,7 @@
                 has_run=True,
             )
         try:
-            body = await _read_whole(exchange.call)
+            body = await exchange.call.read_whole_body(_MAX_HELD_BYTES)
         except CallError as error:
             raise DispatchError(
                 RetryReason.BROKEN, str(error), has_run=True
@@ -310,6 +311,12 @@
             data = await self._read_events(job, placement, exchange)
             self._scheduler.record_heard(placement)
             events = splitter.feed(data)
+            if len(splitter.partial) > _MAX_EVENT_BYTES:
+                raise DispatchError(
+                    RetryReason.STREAM_BROKEN,
+                    f"an event is above {_MAX_EVENT_BYTES} bytes",
+                    has_run=True,
+                )
             if not data and splitter.partial:
                 raise DispatchError(
                     RetryReason.STREAM_BROKEN,
@@ -447,19 +454,3 @@
     started_at: float
     keep: bool = False
     idle_timeout_s: float | None = None
-
-
-async def _read_whole(call: HttpCall) -> bytes:
-    """Returns the whole body of an answer.
-
-    Raises:
-        CallError: The body is incomplete or too large to be held.
-    """
-    chunks = []
-    size = 0
-    while data := await call.read_body():
-        size += len(data)
-        if size > _MAX_HELD_BYTES:
-            raise CallError(f"the answer is above {_MAX_HELD_BYTES} bytes")
-        chunks.append(data)
-    return b"".join(chunks)
--- a/src/tanagerport/gateway/http_call.py
+++ b/src/tanagerport/gateway/http_call.py
@@ -7,6 +7,10 @@
 from tanagerport.exceptions import TanagerportError
 from tanagerport.gateway.channel import Channel
 
+# Interim answers (100 to 199) before the final one; an upstream in trouble may
+# send them without end.
+_MAX_INTERIM_ANSWERS = 8
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -91,7 +95,7 @@
         Raises:
             CallError: There is no valid answer.
         """
-        while True:
+        for _ in range(_MAX_INTERIM_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return AnswerHead(
@@ -102,6 +106,7 @@
                 )
             if not isinstance(event, h11.InformationalResponse):
                 raise CallError("the connection ended before the answer")
+        raise CallError(f"above {_MAX_INTERIM_ANSWERS} interim answers")
 
     async def read_body(self) -> bytes:
         """Returns the next bytes of the body; empty at its end.
@@ -117,6 +122,24 @@
             return b""
         raise CallError("the connection ended within the answer")
 
+    async def read_whole_body(self, max_bytes: int) -> bytes:
+        """Returns the whole body.
+
+        Args:
+            max_bytes: Most bytes that may be held.
+
+        Raises:
+            CallError: The body is incomplete or longer.
+        """
+        chunks = []
+        size = 0
+        while data := await self.read_body():
+            size += len(data)
+            if size > max_bytes:
+                raise CallError(f"the answer is above {max_bytes} bytes")
+            chunks.append(data)
+        return b"".join(chunks)
+
     async def _next_event(
         self,
     ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
--- a/src/tanagerport/gateway/upstream_pool.py
+++ b/src/tanagerport/gateway/upstream_pool.py
@@ -101,7 +101,10 @@
             kept = collections.deque(
                 entry
                 for entry in idle
-                if entry.expires_at > now and entry.channel.is_open
+                if entry.expires_at > now
+                and entry.channel.is_open
+                # Bytes without a request answer nothing and may never end.
+                and not entry.channel.has_unread
             )
             for entry in idle:
                 if entry not in kept:
