Give a new connection to the store time to answer

At 69 nodes a node had no answer about the configuration for 34 s and answered 404 and 401 for routes and keys that had long been acknowledged.

A node ends its call to the store when reports of others name a newer row for 0.3 s to 0.6 s, as its connection may have fallen silent. Two faults made this a livelock: over a full link no answer came within that time, so each new call was ended as well; and a node that had read a whole table did not know the versions of deleted rows, so it counted as behind for ever.

Now an answer's own store version says up to where the table is known, and each new call in a row gets twice the time, up to 3 s.

--- a/src/tanagerport/gateway/store_watch.py
+++ b/src/tanagerport/gateway/store_watch.py
@@ -17,8 +17,11 @@
 _MAX_BACKOFF_S = 0.8
 # Another node that knows a newer row for this long proves that this node's
 # connection to the store fell silent. Chosen anew each time, so that nodes
-# that are behind together do not ask together.
+# that are behind together do not ask together. Each new connection in a row
+# gets twice the time: over a full link one needs more, and ended too early it
+# never brings an answer.
 _BEHIND_S = (0.3, 0.6)
+_MAX_BEHIND_S = 3.0
 
 
 class TableWatch:
@@ -60,7 +63,10 @@
         self._answered_at = now()
         self._is_lost = False
         self._changed_at_version = 0
+        self._known_version = 0
         self._behind_since: float | None = None
+        self._patience_s = 0.0
+        self._kicks = 0
         self._kick = asyncio.Event()
 
     @property
@@ -83,15 +89,19 @@
         Args:
             version: Store version of the newest row there.
         """
-        if version <= self._changed_at_version:
+        # The newest row may be a deleted one, which no whole read shows.
+        if version <= self._known_version:
             self._behind_since = None
         elif self._behind_since is None:
             self._behind_since = self._now()
-        elif self._now() - self._behind_since > self._random.uniform(
-            *_BEHIND_S
-        ):
+            self._patience_s = min(
+                self._random.uniform(*_BEHIND_S) * 2**self._kicks,
+                _MAX_BEHIND_S,
+            )
+        elif self._now() - self._behind_since > self._patience_s:
             # The connection of the watch has probably fallen silent.
             self._behind_since = None
+            self._kicks += 1
             self._kick.set()
 
     async def run(self) -> None:
@@ -146,6 +156,8 @@
         self._changed_at_version = max(
             self._changed_at_version, *(row.version for row in rows.rows), 0
         )
+        self._known_version = max(self._known_version, rows.version)
+        self._kicks = 0
         if self._is_lost:
             self._is_lost = False
             self._log.info("store_regained", table=self._table)
