Bound the bytes of reports between nodes

Cause: reports were bounded in number, not in bytes. Under load every placement called for one at up to 3.3 times the regular rate, samples of speed made them 1.3 KB and longer, each was sent to 34 nodes at once, and those of another region were passed on twice. A node sent 380 KB/s, at most 1.4 MB/s, over a link of 625 KB/s. The link dropped what it could not take, so nodes counted as silent (27 of 69 were heard); each that was heard again called for whole reports of all others, and this went on after the load had ended.

Nodes of another region count as silent after 3 s, as their reports come less often.

--- a/src/tanagerport/gateway/load_board.py
+++ b/src/tanagerport/gateway/load_board.py
@@ -10,9 +10,6 @@
 import time
 from collections.abc import Callable, Iterable
 
-# A node that has not reported for this long no longer counts: its requests
-# have ended with it, or it is cut off and its places can't be known.
-_REPORT_LIFETIME_S = 1.5
 # Time until the other nodes know of a request, in intervals between reports.
 _REPORT_DELAY_INTERVALS = 1.5
 # An upstream that was heard this lately is not silent for this node.
@@ -57,7 +54,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Report:
-    received_at: float
+    expires_at: float
     loads: list[tuple[str, int, int, bool]]
 
 
@@ -183,7 +180,10 @@
             del self._own[upstream_id]
 
     def apply_report(
-        self, node: str, loads: Iterable[tuple[str, int, int, bool]]
+        self,
+        node: str,
+        loads: Iterable[tuple[str, int, int, bool]],
+        lifetime_s: float = 1.5,
     ) -> None:
         """Replaces the report of another node.
 
@@ -191,14 +191,15 @@
             node: Name of the node.
             loads: Upstream id, requests, unread prompt tokens and whether the
                 upstream is silent.
+            lifetime_s: Seconds after which the node no longer counts without
+                another report: its requests have ended with it, or it is cut
+                off and its places can't be known.
         """
         self.forget_node(node)
-        report = _Report(self._now(), list(loads))
+        report = _Report(self._now() + lifetime_s, list(loads))
         self._reports[node] = report
         self._count(report, 1)
-        self._expires_at = min(
-            self._expires_at, report.received_at + _REPORT_LIFETIME_S
-        )
+        self._expires_at = min(self._expires_at, report.expires_at)
 
     def forget_node(self, node: str) -> None:
         """Drops the report of a node."""
@@ -237,12 +238,12 @@
                 del self._remote[upstream_id]
 
     def _drop_expired(self) -> None:
-        oldest = self._now() - _REPORT_LIFETIME_S
+        now = self._now()
         for node, report in list(self._reports.items()):
-            if report.received_at < oldest:
+            if report.expires_at < now:
                 self.forget_node(node)
-        self._expires_at = _REPORT_LIFETIME_S + min(
-            (report.received_at for report in self._reports.values()),
+        self._expires_at = min(
+            (report.expires_at for report in self._reports.values()),
             default=float("inf"),
         )
 
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -606,7 +606,11 @@
             self._watches, report.table_versions, strict=True
         ):
             watch.expect(version)
-        self._board.apply_report(report.node, report.loads)
+        self._board.apply_report(
+            report.node,
+            report.loads,
+            self._peers.silence_bound_s(report.zone),
+        )
         self._speeds.apply_samples(report.speeds)
         self._rollouts.apply_report(
             f"{report.node}/{report.start}", report.rollouts
--- a/src/tanagerport/gateway/quotas.py
+++ b/src/tanagerport/gateway/quotas.py
@@ -21,8 +21,10 @@
 _NEAR_SHARE = 0.6
 # A silent node is taken for gone after this long: its clients have moved.
 _SILENT_LIFETIME_S = 8.0
-# A node that reported less than this ago is not silent.
-_REPORT_INTERVAL_S = 1.0
+# A node that reported less than this ago is not silent. Reports of another
+# region come up to 1.2 s apart and wait up to 0.6 s at the node that passes
+# them on.
+_REPORT_INTERVAL_S = 1.9
 # A change of use is reported for this long: in two reports to the farthest
 # nodes, so that a lost one does not matter.
 _CHANGE_LIFETIME_S = 1.5
--- a/src/tanagerport/gateway/upstream_speed.py
+++ b/src/tanagerport/gateway/upstream_speed.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import itertools
 from collections.abc import Iterable
 
 # Weight of a new sample. Samples are few and speeds change within seconds, so
@@ -39,6 +40,9 @@
 # calls went to a slow one. Samples of engines come from all nodes, and trying
 # an unknown engine early cost 0.008 of the worth of twelve days.
 _UNKNOWN_CALL_SHARE = 0.8
+# Samples in one report. Under load each upstream has a new one for each report,
+# and they made up most of its bytes; a later sample replaces one that waits.
+_REPORTED_SAMPLES = 5
 _SHARED = frozenset({Metric.TOKEN, Metric.EVENT})
 
 Sample = tuple[str, str, int, float]
@@ -104,10 +108,9 @@
             self._add(upstream_id, service, Metric.TOKEN, token_s)
 
     def take_samples(self) -> list[Sample]:
-        """Returns the newest samples that other nodes do not have."""
-        samples = list(self._unsent.values())
-        self._unsent.clear()
-        return samples
+        """Returns some samples that other nodes do not have, oldest first."""
+        names = list(itertools.islice(self._unsent, _REPORTED_SAMPLES))
+        return [self._unsent.pop(name) for name in names]
 
     def apply_samples(self, samples: Iterable[Sample]) -> None:
         """Adds samples of another node."""
