Bound interim answers of engines on the chat-completions edge

A caller waited, and its thread was held, for as long as an engine sent interim answers (1xx): http.client skips them all, and each one is within the time limit of a read.

TestEndlessHead plays endless interim answers, fields and bytes without a line. The first ended after 8.7 s, when the test's engine stopped; now after eight interim answers. The other two were bounded already.

--- a/src/tanagerport/connection_pool.py
+++ b/src/tanagerport/connection_pool.py
@@ -14,9 +14,30 @@
 _MAX_IDLE = 64
 
 
+# Interim answers (100 to 199) before the final one; an upstream in trouble may
+# send them without end, and `http.client` skips them all.
+_MAX_INTERIM_ANSWERS = 8
+
+
+class _BoundedResponse(http.client.HTTPResponse):
+    """An answer with a bound of interim answers before it."""
+
+    _heads = 0
+
+    def _read_status(self) -> tuple[str, int, str]:
+        self._heads += 1
+        if self._heads > _MAX_INTERIM_ANSWERS + 1:
+            raise http.client.HTTPException(
+                f"above {_MAX_INTERIM_ANSWERS} interim answers"
+            )
+        # `begin` calls it for each status line.
+        return super()._read_status()  # type: ignore[misc]
+
+
 class PooledConnection(urllib3.connection.HTTPConnection):
     """A connection whose answers are read by `body_decoders`."""
 
+    response_class = _BoundedResponse
     created_at = 0.0
     idle_since = 0.0
     written = 0
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -4,6 +4,7 @@
 import itertools
 import socket
 import threading
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -626,6 +627,38 @@
         assert len(upstream.received) == 3
 
 
+class TestEndlessHead:
+    """Guards against a call that holds its thread for ever.
+
+    An upstream in trouble may send interim answers or fields without end.
+    """
+
+    @pytest.mark.parametrize(
+        "block",
+        [
+            b"HTTP/1.1 100 Continue\r\n\r\n" * 100,
+            b"X-Field: 1\r\n" * 1000,
+            b"x" * 65536,
+        ],
+    )
+    def test_call_fails_soon(self, bench: _Bench, block: bytes) -> None:
+        def flood(request: Received, sock: socket.socket) -> None:
+            del request
+            sock.settimeout(3.0)
+            if block.startswith(b"X-"):
+                sock.sendall(b"HTTP/1.1 200 OK\r\n")
+            # Ends when the call is given up and its connection closed.
+            ends_at = time.monotonic() + 6.0
+            while time.monotonic() < ends_at:
+                sock.sendall(block)
+
+        bench.add(flood)
+        started_at = time.monotonic()
+        refusal = bench.refusal(bench.request(deadline_s=4.0))
+        assert refusal.ran is Ran.UNKNOWN
+        assert time.monotonic() - started_at < 2.0
+
+
 class TestCallsThatMustNotBeRepeated:
     """Guards against a second deposit charge."""
 
