Take back a version that is slower than the old one, or turns bad late

A new version whose answers took five times as long in one of two cases was completed and kept, as all its answers came within the target of the route (test_version_that_is_several_times_slower_is_taken_back: state completed).

Cause: an answer counted as slow only above the target of its route, the pace of streams did not count at all, and all answers since the start counted alike. After 400 good answers a version that turned bad took 50 bad ones to be convicted, which is the bound of what may be sent on.

While a version is on trial, a first byte or a pace above 2.5 times the mean of the old version's upstreams, and 30 ms above it, counts as slow as well. The mean is over upstreams and the share of slow answers is compared between versions, so one slow VM convicts nobody.

Good versions with marks are convicted in 4 of 200 plays at most.

--- a/src/tanagerport/gateway/rollout.py
+++ b/src/tanagerport/gateway/rollout.py
@@ -213,6 +213,19 @@
             return 0.0
         return self._limits.share * _SAFE_PART
 
+    def old_upstreams(
+        self, service: str, upstreams: Sequence[UpstreamRecord]
+    ) -> list[UpstreamRecord]:
+        """Returns those of the old version while a new one is on trial."""
+        rollout = self._rollouts.get(service)
+        if rollout is None or rollout.state is not RolloutState.IN_PROGRESS:
+            return []
+        return [
+            entry
+            for entry in upstreams
+            if entry.version != rollout.order.version
+        ]
+
     def record(
         self,
         upstream: UpstreamRecord,
@@ -268,6 +281,7 @@
         while True:
             await asyncio.sleep(_STEP_S * random.uniform(0.7, 1.3))
             for rollout in list(self._rollouts.values()):
+                rollout.evidence.mark()
                 try:
                     await self._step(rollout)
                 except StoreConflictError:
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -15,6 +15,13 @@
 from tanagerport.gateway.work import Placement, WorkItem
 from tanagerport.refusals import Refusal
 
+# An answer that takes so many times as long as the old version's upstreams take
+# on average counts as slow. Sound upstreams of a service differ in speed by a
+# factor of four, so the slowest of them take twice the average.
+_SLOW_RATIO = 2.5
+# Shorter excess is the distance to another region, or chance.
+_SLOW_EXCESS_S = 0.03
+
 
 class Scheduler:
     """Gives places at upstreams to requests.
@@ -93,6 +100,18 @@
             upstream.upstream_id, placement.prompt_tokens
         )
         self._health.record_success(upstream.upstream_id)
+        tokens = placement.tokens_ahead
+        self._note_slow(
+            placement,
+            first_byte_s,
+            lambda upstream_id: (
+                self._speeds.first_event_s(
+                    upstream_id, upstream.service, tokens
+                )
+                if tokens
+                else self._speeds.call_s(upstream_id, upstream.service)
+            ),
+        )
         self._speeds.record_answer(
             upstream.upstream_id,
             upstream.service,
@@ -108,6 +127,13 @@
     def record_pace(self, placement: Placement, event_s: float) -> None:
         """Records the mean time between events of a stream, in seconds."""
         upstream = placement.upstream
+        self._note_slow(
+            placement,
+            event_s,
+            lambda upstream_id: self._speeds.event_s(
+                upstream_id, upstream.service
+            ),
+        )
         self._speeds.record_pace(
             upstream.upstream_id, upstream.service, event_s
         )
@@ -115,7 +141,7 @@
     def record_outcome(self, placement: Placement, has_failed: bool) -> None:
         """Records the end of a dispatch as evidence about its version."""
         item = placement.item
-        is_slow = (
+        is_slow = placement.is_slow or (
             placement.first_byte_s is not None
             and placement.first_byte_s > item.route.target_s
         )
@@ -123,6 +149,33 @@
             placement.upstream, item.route.name, has_failed, is_slow
         )
 
+    def _note_slow(
+        self,
+        placement: Placement,
+        seconds: float,
+        expect_s: Callable[[str], float],
+    ) -> None:
+        """Compares a time with what the old version's upstreams take.
+
+        A version may be several times slower and still meet its targets while
+        there is little load.
+
+        Args:
+            placement: Place whose answer took the time.
+            seconds: Time until the first byte, or between events.
+            expect_s: Returns what an upstream takes for the same.
+        """
+        service = placement.item.service
+        old = self._rollouts.old_upstreams(
+            service, self._registry.usable(service)
+        )
+        if not old:
+            return
+        mean_s = sum(expect_s(entry.upstream_id) for entry in old) / len(old)
+        placement.is_slow |= seconds > max(
+            _SLOW_RATIO * mean_s, mean_s + _SLOW_EXCESS_S
+        )
+
     def release(self, placement: Placement) -> None:
         """Gives a place back; a second call has no effect."""
         if placement.is_released:
--- a/src/tanagerport/gateway/version_evidence.py
+++ b/src/tanagerport/gateway/version_evidence.py
@@ -1,5 +1,6 @@
 """Evidence about a new version, pooled over nodes, and its judgement."""
 
+import collections
 import dataclasses
 import enum
 import math
@@ -14,6 +15,9 @@
 # after each answer; 3.0 convicted 4 in 100 good versions, 4.0 less than 1.
 _MIN_EXCESS = 0.1
 _DEVIATIONS = 4.0
+# Marks that the newest answers are counted from. A version that turns bad after
+# many good answers would have to give as many bad ones otherwise.
+_MARKS = 5
 
 
 class Verdict(enum.Enum):
@@ -33,7 +37,8 @@
         is_new: Whether it is the new version.
         total: Answers.
         failed: Answers that failed.
-        slow: Answers that missed their target.
+        slow: Answers that missed their target, or took several times as long
+            as those of the old version.
     """
 
     route: str
@@ -50,6 +55,14 @@
             slow=self.slow + other.slow,
         )
 
+    def __sub__(self, other: "Tally") -> "Tally":
+        return dataclasses.replace(
+            self,
+            total=max(self.total - other.total, 0),
+            failed=max(self.failed - other.failed, 0),
+            slow=max(self.slow - other.slow, 0),
+        )
+
 
 class Evidence:
     """Tallies of one rollout by node."""
@@ -57,6 +70,13 @@
     def __init__(self) -> None:
         self._own: dict[tuple[str, bool], Tally] = {}
         self._by_node: dict[str, list[Tally]] = {}
+        self._marks: collections.deque[list[Tally]] = collections.deque(
+            maxlen=_MARKS
+        )
+
+    def mark(self) -> None:
+        """Marks a moment; called about once a second."""
+        self._marks.append(self._pool())
 
     def record(
         self, route: str, is_new: bool, has_failed: bool, is_slow: bool
@@ -87,23 +107,42 @@
         the old version on the same route.
         """
         pooled = self._pool()
-        pairs = [
-            (_sum(pooled, True, route), _sum(pooled, False, route))
-            for route in {tally.route for tally in pooled}
-        ]
-        new, old = _sum(pooled, True), _sum(pooled, False)
-        pairs.append((new, old))
-        if any(_is_worse(*pair) for pair in pairs):
+        if _is_bad(pooled):
+            return Verdict.BAD
+        if self._marks and _is_bad(_subtract(pooled, self._marks[0])):
             return Verdict.BAD
-        if new.total >= _MIN_GOOD_SAMPLES:
+        if _sum(pooled, True).total >= _MIN_GOOD_SAMPLES:
             return Verdict.GOOD
         return Verdict.UNDECIDED
 
     def _pool(self) -> list[Tally]:
-        return [
-            *self._own.values(),
-            *(tally for tallies in self._by_node.values() for tally in tallies),
-        ]
+        """Returns the sum over all nodes for each route and version."""
+        pooled: dict[tuple[str, bool], Tally] = {}
+        for tallies in (self._own.values(), *self._by_node.values()):
+            for tally in tallies:
+                key = (tally.route, tally.is_new)
+                known = pooled.get(key)
+                pooled[key] = tally if known is None else known + tally
+        return list(pooled.values())
+
+
+def _subtract(pooled: list[Tally], marked: list[Tally]) -> list[Tally]:
+    """Returns the answers since a mark."""
+    before = {(tally.route, tally.is_new): tally for tally in marked}
+    return [
+        tally
+        - before.get((tally.route, tally.is_new), Tally(tally.route, True))
+        for tally in pooled
+    ]
+
+
+def _is_bad(pooled: list[Tally]) -> bool:
+    pairs = [
+        (_sum(pooled, True, route), _sum(pooled, False, route))
+        for route in {tally.route for tally in pooled}
+    ]
+    pairs.append((_sum(pooled, True), _sum(pooled, False)))
+    return any(_is_worse(*pair) for pair in pairs)
 
 
 def _sum(
--- a/src/tanagerport/gateway/work.py
+++ b/src/tanagerport/gateway/work.py
@@ -79,6 +79,8 @@
         placed_at: Monotonic seconds at which the place was given.
         has_first_event: Whether the prompt was read.
         first_byte_s: Seconds from dispatch to the first byte; None before it.
+        is_slow: Whether the answer took several times as long as upstreams of
+            the old version take; only told while a new one is on trial.
         is_released: Whether the place was given back.
     """
 
@@ -90,4 +92,5 @@
     placed_at: float
     has_first_event: bool = False
     first_byte_s: float | None = None
+    is_slow: bool = False
     is_released: bool = False
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -1,6 +1,7 @@
 """The gateway as a real process between clients, upstreams and the store."""
 
 import asyncio
+import itertools
 import json
 import pathlib
 import signal
@@ -889,6 +890,64 @@
 
         run(tmp_path, scenario)
 
+    def test_version_that_is_several_times_slower_is_taken_back(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a slow version that is kept, as it meets its targets.
+
+        Half of its answers take five times as long as those of the old one,
+        and all come within the target of the route.
+        """
+
+        async def scenario(world: World) -> None:
+            old = await world.add_upstream("u-1", _delayed(0.03, 0.03))
+            new = await world.add_upstream(
+                "u-2", _delayed(0.03, 0.15), version="v2"
+            )
+            await world.gateway.wait_ready()
+            await _order(world, 10)
+            calls = [
+                asyncio.ensure_future(
+                    _call_until(world, lambda: _state(world) != "", 12, name)
+                )
+                for name in "abcd"
+            ]
+            await eventually(lambda: _state(world) == "in_progress")
+            await asyncio.gather(*calls)
+            sent = sum(
+                await asyncio.gather(
+                    *(
+                        _call_until(
+                            world,
+                            lambda: _state(world) in ("reverted", "completed"),
+                            12,
+                            name,
+                        )
+                        for name in "abcd"
+                    )
+                )
+            )
+            assert _state(world) == "reverted"
+            assert len(new.ran) <= 0.1 * sent + 50
+            assert len(old.ran) > len(new.ran)
+
+        run(tmp_path, scenario)
+
+
+def _delayed(*delays_s: float) -> standin.Behaviour:
+    """Returns the behaviour of an upstream that takes so long, in turn."""
+    delays = itertools.cycle(delays_s)
+
+    async def behave(
+        upstream: standin.UpstreamStandin,
+        request: standin.HttpRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await asyncio.sleep(next(delays))
+        await standin.echo(upstream, request, writer)
+
+    return behave
+
 
 async def _order(world: World, duration_s: float) -> None:
     order = {"service": "svc", "to": "v2", "duration_s": duration_s}
@@ -901,7 +960,7 @@
 
 
 async def _call_until(
-    world: World, check: Callable[[], bool], seconds: float
+    world: World, check: Callable[[], bool], seconds: float, name: str = "c"
 ) -> int:
     """Sends calls one after another; returns how many."""
     loop = asyncio.get_running_loop()
@@ -909,6 +968,6 @@
     calls = 0
     while loop.time() < end and not check():
         calls += 1
-        await world.call(f"c{loop.time()}", "/pay/x", b"b")
+        await world.call(f"{name}{loop.time()}", "/pay/x", b"b")
         await asyncio.sleep(0.005)
     return calls
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -259,6 +259,48 @@
             evidence.record(route, is_new, is_new and route == "r0", False)
         assert evidence.judge() is Verdict.BAD
 
+    @pytest.mark.parametrize("kind", ["failed", "slow"])
+    def test_version_that_turns_bad_late_is_found_within_fifty_answers(
+        self, kind: str
+    ) -> None:
+        """Guards against good answers that hide later bad ones."""
+        evidence = Evidence()
+        for index in range(800):
+            evidence.record("r", index % 2 == 0, False, False)
+            if index % 50 == 0:
+                evidence.mark()
+        for _ in range(5):
+            evidence.mark()
+        bad = 0
+        for index in range(200):
+            is_bad = index % 4 == 0
+            bad += is_bad
+            evidence.record(
+                "r",
+                index % 2 == 0,
+                is_bad and kind == "failed",
+                is_bad and kind == "slow",
+            )
+            if evidence.judge() is Verdict.BAD:
+                break
+        assert evidence.judge() is Verdict.BAD
+        assert bad < 50
+
+    def test_good_version_with_marks_is_seldom_convicted(self) -> None:
+        """Guards against convictions by chance in many short windows."""
+        convicted = 0
+        for seed in range(200):
+            rng = random.Random(seed)
+            evidence = Evidence()
+            for index in range(900):
+                if index % 60 == 0:
+                    evidence.mark()
+                evidence.record("r", index % 3 == 0, rng.random() < 0.1, False)
+                if evidence.judge() is Verdict.BAD:
+                    convicted += 1
+                    break
+        assert convicted <= 4
+
     def test_evidence_of_other_nodes_counts_once(self) -> None:
         evidence = Evidence()
         other = Evidence()
