Read on after a late answer where the request has a body

Cause: an upstream may send an answer to an earlier request first. The call is then read on by a second codec, which is told of the request again, but not of its body, so it failed with 'Too little data for declared Content-Length' and the client's connection was cut. The test of late answers had requests without a body only.

The codec is now told of the body as well; nothing is sent twice. The new test failed before (connection closed) and passes now.

--- a/src/tanagerport/gateway/http_call.py
+++ b/src/tanagerport/gateway/http_call.py
@@ -55,6 +55,7 @@
     ) -> None:
         self._channel = channel
         self._request = request
+        self._body = body
         self._codec = h11.Connection(h11.CLIENT)
         self._bytes = self._codec.send(request) or b""
         if body:
@@ -88,7 +89,7 @@
 
     def reopen(self) -> "HttpCall":
         """Returns a call that reads the next answer to the same request."""
-        return HttpCall(self._channel, self._request, unread=self.surplus)
+        return HttpCall(self._channel, self._request, self._body, self.surplus)
 
     async def read_head(self) -> AnswerHead:
         """Waits for the status line and the header fields.
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -100,22 +100,8 @@
     ) -> None:
         """Guards against answers that reach another request's client."""
 
-        async def late_extra(
-            upstream: standin.UpstreamStandin,
-            request: standin.HttpRequest,
-            writer: asyncio.StreamWriter,
-        ) -> None:
-            attempt = request.headers["attempt-id"]
-            upstream.ran.append(attempt)
-            if attempt == "a2":
-                stray = {"Attempt-Id": "a1", "Response-Seal": "seal-a1"}
-                writer.write(standin.answer_bytes(200, b"stray", stray))
-            writer.write(
-                standin.answer_bytes(200, b"own", standin.sealed(request))
-            )
-
         async def scenario(world: World) -> None:
-            await world.add_upstream("u-1", late_extra)
+            await world.add_upstream("u-1", _late_extra)
             await world.gateway.wait_ready()
             first = await world.call("a1", "/read/x")
             second = await world.call("a2", "/read/x")
@@ -125,6 +111,21 @@
 
         run(tmp_path, scenario)
 
+    def test_late_answer_is_passed_over_where_the_request_has_a_body(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a connection closed without the answer that came."""
+
+        async def scenario(world: World) -> None:
+            upstream = await world.add_upstream("u-1", _late_extra)
+            await world.gateway.wait_ready()
+            await world.call("a1", "/pay/x", b"money")
+            answer = await world.call("a2", "/pay/x", b"money")
+            assert (answer.status, answer.body) == (200, b"own")
+            assert upstream.ran == ["a1", "a2"]
+
+        run(tmp_path, scenario)
+
     def test_truncated_answer_is_no_success(
         self, tmp_path: pathlib.Path
     ) -> None:
@@ -173,6 +174,19 @@
         run(tmp_path, scenario)
 
 
+async def _late_extra(
+    upstream: standin.UpstreamStandin,
+    request: standin.HttpRequest,
+    writer: asyncio.StreamWriter,
+) -> None:
+    attempt = request.headers["attempt-id"]
+    upstream.ran.append(attempt)
+    if attempt == "a2":
+        stray = {"Attempt-Id": "a1", "Response-Seal": "seal-a1"}
+        writer.write(standin.answer_bytes(200, b"stray", stray))
+    writer.write(standin.answer_bytes(200, b"own", standin.sealed(request)))
+
+
 class TestRepeats:
     """What may be sent again, and what is said otherwise."""
 
