--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -112,6 +112,8 @@
         mode: `ok`, `busy` (answers 503) or `silent` (answers nothing).
         history_from: Versions up to this one are forgotten.
         calls: Paths of all calls.
+        page_rows: Most rows of one answer.
+        between_pages: Called once between two pages of a read.
     """
 
     def __init__(self) -> None:
@@ -120,6 +122,8 @@
         self.history_from = 0
         self.calls: list[str] = []
         self.lose_next_write = False
+        self.page_rows = 500
+        self.between_pages: Callable[[], Awaitable[object]] | None = None
         self._version = 0
         self._rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
         self._changed = asyncio.Condition()
@@ -168,17 +172,29 @@
 
     async def _answer(self, request: HttpRequest) -> tuple[int, dict[str, Any]]:
         if request.path == "/-/rows-get":
-            return 200, {
-                "rows": self._list(request.query["table_name"], -1, False),
-                "has_more": False,
-                "schema_version": self._version,
-            }
+            return await self._page(request.query)
         if request.path == "/-/rows-feed":
             return await self._feed(request.query)
         if request.path == "/-/rows-tx":
             return await self._transact(json.loads(request.body))
         return 404, {}
 
+    async def _page(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        rows = [
+            row
+            for row in self._list(query["table_name"], -1, False)
+            if row["key"] >= query.get("from", "")
+        ]
+        page = {
+            "rows": rows[: self.page_rows],
+            "has_more": len(rows) > self.page_rows,
+            "schema_version": self._version,
+        }
+        if page["has_more"] and self.between_pages is not None:
+            change, self.between_pages = self.between_pages, None
+            await change()
+        return 200, page
+
     async def _feed(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(query["after"])
         if after < self.history_from:
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -604,6 +604,30 @@
 
         run(tmp_path, scenario)
 
+    def test_change_between_two_pages_of_a_read_is_not_missed(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against work for an upstream that left during a long read."""
+
+        async def scenario(world: World) -> None:
+            leaving = await world.add_upstream("u-1", standin.echo)
+            await world.add_upstream("u-2", standin.echo)
+            await world.gateway.wait_ready()
+            await world.gateway.stop()
+            world.store.page_rows = 1
+            world.store.between_pages = lambda: world.store.put(
+                "servers", "u-1", leaving.record("svc", "draining")
+            )
+            await world.gateway.start()
+            await world.gateway.wait_ready()
+            await asyncio.sleep(0.5)
+            assert world.store.between_pages is None
+            for number in range(6):
+                assert (await world.call(f"a{number}", "/read/x")).status == 200
+            assert leaving.arrivals == []
+
+        run(tmp_path, scenario)
+
     def test_lost_history_is_made_up_by_a_whole_read(
         self, tmp_path: pathlib.Path
     ) -> None:
