Give the gateway of tests ports that no stand-in can get

The port of the gateway was chosen by binding port 0 and closing; the stand-in, started before the gateway had bound it, was given the same one by the system.

Fixed ports now come from below the range that the system gives out, each one once. Checks and expectations are as before.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -8,6 +8,7 @@
 import base64
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -412,10 +413,24 @@
     return behave
 
 
+# Below the range from which the system takes ports for servers without a fixed
+# one, and for connections: a stand-in that started before the gateway had bound
+# its port was given the same one.
+_FIXED_PORTS = range(20000, 32000)
+_next_port = itertools.count(os.getpid() * 50)
+
+
 def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    for number in _next_port:
+        port = _FIXED_PORTS[number % len(_FIXED_PORTS)]
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                # Another program has it.
+                continue
+            return port
+    raise AssertionError
 
 
 class GatewayProcess:
