--- a/src/tanagerport/gateway/load_board.py
+++ b/src/tanagerport/gateway/load_board.py
@@ -10,6 +10,9 @@
 import time
 from collections.abc import Callable, Iterable
 
+# Time for which a report of the own region counts, in seconds: two are missing
+# then.
+_REPORT_LIFETIME_S = 1.5
 # Time until the other nodes know of a request, in intervals between reports.
 _REPORT_DELAY_INTERVALS = 1.5
 # An upstream that was heard this lately is not silent for this node.
@@ -183,7 +186,7 @@
         self,
         node: str,
         loads: Iterable[tuple[str, int, int, bool]],
-        lifetime_s: float = 1.5,
+        lifetime_s: float = _REPORT_LIFETIME_S,
     ) -> None:
         """Replaces the report of another node.
 
