Grant upstream slots through a coordinator of each region

Cause: nodes took slots on the reports of other nodes, which are up to 0.6 s old, longer than a request holds a slot.

Change: the nodes of a region ask one of them, chosen by link and rendezvous hash of the service, for a slot of the service's upstreams there. It knows all leases, places the waiting requests of all nodes in one order, learns speeds, failures and cached prompts of all of them, and frees the leases of lost nodes. A node whose coordinator does not answer asks the next one, and then decides on the reports as before. The waiting requests are kept in order by bisection in place of a sort for each dispatch.

The test of the order under overload uses the ordered list in place of the removed rank function; its bounds are unchanged.

--- a/src/tanagerport/gateway/admission.py
+++ b/src/tanagerport/gateway/admission.py
@@ -15,6 +15,7 @@
 
 from tanagerport.exceptions import RefusedError
 from tanagerport.gateway.placement import PlacementFinder
+from tanagerport.gateway.waiting_list import WaitingList
 from tanagerport.gateway.work_item import Placement, WorkItem
 from tanagerport.refusals import Refusal, RefusalReason
 
@@ -25,15 +26,23 @@
 _MIN_RETRY_AFTER_S = 0.1
 # Lower bound of the random factor that spreads the retries of clients.
 _MIN_JITTER_FACTOR = 0.7
-# Maximum length of the queue of one service at a node. Sorting and scanning a
-# longer queue costs more than refusing the request.
-_MAX_QUEUED_REQUESTS = 512
+# Maximum length of the queue of one service. By then the wait is longer than
+# any request can afford, and each entry takes about a kilobyte.
+_MAX_QUEUED_REQUESTS = 2048
+# Waiting requests that are tried for a free slot, in rank order. Usually the
+# first one takes it; the next ones are tried as the first may not use that
+# upstream.
+_MAX_TRIED_REQUESTS = 8
+# If none of them takes a free slot, as it would be late there, the requests are
+# tried again after this time, in seconds, or once more slots are free.
+_RETRY_INTERVAL_S = 0.02
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _QueuedRequest:
     item: WorkItem
     future: "asyncio.Future[Placement]"
+    number: int = -1
 
 
 class AdmissionQueue:
@@ -45,6 +54,8 @@
         on_abandoned: Called with a placement whose request was cancelled
             before it could use it.
         now: Monotonic clock, in seconds.
+        count_free_slots: Returns the number of free slots. Without it, waiting
+            requests are tried whenever something changed.
     """
 
     def __init__(
@@ -53,34 +64,55 @@
         on_placed: Callable[[Placement], None],
         on_abandoned: Callable[[Placement], None],
         now: Callable[[], float] = time.monotonic,
+        count_free_slots: Callable[[], int] | None = None,
     ) -> None:
         self._find_placement = find_placement
         self._on_placed = on_placed
         self._on_abandoned = on_abandoned
         self._now = now
-        self._waiting: list[_QueuedRequest] = []
+        self._waiting: WaitingList[_QueuedRequest] = WaitingList()
         self._placement_times: collections.deque[float] = collections.deque()
         self._random = random.Random()
+        self._count_free_slots = count_free_slots
+        # Free slots that no waiting request took, and when to try again.
+        self._unwanted_slots = 0
+        self._retry_at = float("-inf")
 
     @property
     def size(self) -> int:
         """Number of waiting requests."""
         return len(self._waiting)
 
+    def try_acquire(self, item: WorkItem) -> Placement | None:
+        """Returns a placement if none of the waiting requests goes first."""
+        # Also updates `item.best_first_byte_s`, on which the rank depends.
+        placement = self._find_placement(item)
+        if self._waiting.count_ahead(item, self._now()):
+            return None
+        if placement is not None:
+            self._record_placement(placement)
+        return placement
+
     async def acquire(self, item: WorkItem) -> Placement:
         """Waits for a placement.
 
         Raises:
             RefusedError: The request can't be answered before its deadline.
         """
-        if not self._has_predecessor(item):
-            placement = self._find_placement(item)
-            if placement is not None:
-                self._record_placement(placement)
-                return placement
+        placement = self.try_acquire(item)
+        if placement is not None:
+            return placement
+        return await self.wait(item)
+
+    async def wait(self, item: WorkItem) -> Placement:
+        """Waits for a placement that `try_acquire` did not find.
+
+        Raises:
+            RefusedError: The request can't be answered before its deadline.
+        """
         self._check_wait(item)
         entry = _QueuedRequest(item, asyncio.get_running_loop().create_future())
-        self._waiting.append(entry)
+        entry.number = self._waiting.add(item, entry, self._now())
         wait_until = (
             item.client_timeout_at
             - item.delivery_margin_s
@@ -98,37 +130,46 @@
             raise
 
     def admit_waiting(self) -> None:
-        """Places the waiting requests that have a free slot, in rank order."""
-        if not self._waiting:
-            return
-        now = self._now()
-        self._waiting.sort(key=lambda entry: rank(entry.item, now))
-        still_waiting = []
-        for entry in self._waiting:
-            if entry.future.done():
-                continue
+        """Places waiting requests in rank order, as far as slots are free."""
+        while len(self._waiting) and self._may_place():
+            if not self._place_first():
+                return
+
+    def _may_place(self) -> bool:
+        if self._count_free_slots is None:
+            return True
+        free_slots = self._count_free_slots()
+        return free_slots > 0 and (
+            free_slots > self._unwanted_slots or self._now() >= self._retry_at
+        )
+
+    def _place_first(self) -> bool:
+        """Places the first waiting request that takes a free slot."""
+        for number, entry in self._waiting.ordered(
+            self._now(), _MAX_TRIED_REQUESTS
+        ):
             placement = self._find_placement(entry.item)
             if placement is None:
-                still_waiting.append(entry)
                 continue
+            self._waiting.remove(number)
             self._record_placement(placement)
             entry.future.set_result(placement)
-        self._waiting = still_waiting
+            return True
+        if self._count_free_slots is not None:
+            self._unwanted_slots = self._count_free_slots()
+            self._retry_at = self._now() + _RETRY_INTERVAL_S
+        return False
 
     def refuse_all(self, refusal: Refusal) -> None:
         """Refuses all waiting requests."""
-        waiting, self._waiting = self._waiting, []
-        for entry in waiting:
+        for entry in self._waiting.clear():
             if not entry.future.done():
                 entry.future.set_exception(RefusedError(refusal))
 
     def expected_wait_s(self, item: WorkItem) -> float:
         """Returns the expected queueing time, in seconds."""
         now = self._now()
-        own_rank = rank(item, now)
-        ahead = sum(
-            1 for entry in self._waiting if rank(entry.item, now) <= own_rank
-        )
+        ahead = self._waiting.count_ahead(item, now)
         if ahead == 0:
             return 0.0
         while (
@@ -139,12 +180,6 @@
         rate = max(len(self._placement_times), 1) / _RATE_WINDOW_S
         return ahead / rate
 
-    def _has_predecessor(self, item: WorkItem) -> bool:
-        own_rank = rank(item, self._now())
-        return any(
-            rank(entry.item, self._now()) <= own_rank for entry in self._waiting
-        )
-
     def _check_wait(self, item: WorkItem) -> None:
         if len(self._waiting) >= _MAX_QUEUED_REQUESTS:
             raise self._refusal(
@@ -183,8 +218,7 @@
         self._on_placed(placement)
 
     def _abandon(self, entry: _QueuedRequest) -> None:
-        if entry in self._waiting:
-            self._waiting.remove(entry)
+        self._waiting.remove(entry.number)
         future = entry.future
         if future.done() and not future.cancelled() and not future.exception():
             self._on_abandoned(future.result())
@@ -193,15 +227,3 @@
 def _best_first_byte_s(item: WorkItem) -> float:
     """Returns the shortest time to first byte; 0 if no upstream is usable."""
     return 0.0 if math.isinf(item.best_first_byte_s) else item.best_first_byte_s
-
-
-def rank(item: WorkItem, now: float) -> tuple[bool, int, int, float]:
-    """Returns the sort key of a request; the lowest is placed first.
-
-    Requests that can still meet their target precede those that can't. If
-    requests were ordered by target alone, all would be late under overload.
-    The customer's tier takes precedence over the route's tier.
-    """
-    is_late = now + item.best_first_byte_s > item.target_at
-    due_at = item.deadline_at if is_late else item.target_at
-    return (is_late, item.tier, item.route.tier, due_at)
--- /dev/null
+++ b/src/tanagerport/gateway/coordinator.py
@@ -0,0 +1,401 @@
+"""Grants the upstream slots of one region to all nodes.
+
+Engines run the requests in their queue in order of arrival and know no tiers,
+so the nodes must not send more requests than an engine has slots. With the
+reports of other nodes alone, which are several hundred milliseconds old, each
+slot was taken by two requests at once under load, and requests waited at the
+engines (docs/decisions/coordination.md).
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Mapping
+
+from tanagerport.exceptions import RefusedError
+from tanagerport.gateway.admission import AdmissionQueue
+from tanagerport.gateway.domain import (
+    PromptPart,
+    RequestKind,
+    Route,
+    Service,
+    UpstreamRecord,
+    WorkEstimate,
+)
+from tanagerport.gateway.lease_table import Lease, LeaseKey, LeaseTable
+from tanagerport.gateway.placement import UpstreamSelector
+from tanagerport.gateway.prompt_cache import PromptCacheIndex
+from tanagerport.gateway.slot_demand import SlotDemand, as_demand
+from tanagerport.gateway.slot_messages import (
+    DenialReason,
+    LeaseReport,
+    SlotDenial,
+    SlotGrant,
+    SlotMessage,
+    SlotOutcome,
+    SlotProgress,
+    SlotQueued,
+    SlotRelease,
+    SlotRequest,
+)
+from tanagerport.gateway.upstream_health import UpstreamHealth
+from tanagerport.gateway.upstream_latency import LatencyEstimator
+from tanagerport.gateway.upstream_registry import UpstreamRegistry
+from tanagerport.gateway.work_item import Placement, WorkItem
+
+# A starting node grants nothing for this long, until the other nodes have
+# reported the leases that its predecessors granted: their reports are due every
+# second, or when they hear of it.
+_START_DELAY_S = 1.2
+
+
+class SlotCoordinator:
+    """Grants slots of the upstreams of one region.
+
+    Args:
+        zone: Availability zone of this node.
+        regions: Region of each availability zone.
+        start: Random id of the run of this process.
+        registry: Known upstreams.
+        health: Failure statistics of upstreams, from all nodes.
+        latencies: Latency estimates of upstreams.
+        cache: Prompt parts that upstreams have probably cached.
+        find_service: Returns a service of the applied configuration.
+        send: Sends a message to a node.
+        now: Monotonic clock, in seconds.
+        start_delay_s: Time after the start in which no slots are granted.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        regions: Mapping[str, str],
+        start: int,
+        registry: UpstreamRegistry,
+        health: UpstreamHealth,
+        latencies: LatencyEstimator,
+        cache: PromptCacheIndex,
+        find_service: Callable[[str], Service],
+        send: Callable[[str, SlotMessage], None],
+        now: Callable[[], float] = time.monotonic,
+        start_delay_s: float = _START_DELAY_S,
+    ) -> None:
+        self._regions = regions
+        self._region = regions.get(zone, "")
+        self._start = start
+        self._registry = registry
+        self._health = health
+        self._latencies = latencies
+        self._cache = cache
+        self._find_service = find_service
+        self._send = send
+        self._now = now
+        self._ready_at = now() + start_delay_s
+        self._is_stopping = False
+        self._leases = LeaseTable(now)
+        self._selector = UpstreamSelector(
+            zone, regions, self._leases, health, latencies, cache
+        )
+        self._queues: dict[str, AdmissionQueue] = {}
+        self._grants: dict[LeaseKey, Placement] = {}
+        self._waiting: dict[LeaseKey, asyncio.Task[None]] = {}
+        # Node that reported the last failure of an upstream since its last
+        # success.
+        self._failure_reporters: dict[str, str] = {}
+
+    @property
+    def waiting(self) -> dict[str, int]:
+        """Number of requests that wait for a slot, by service."""
+        return {
+            service: queue.size
+            for service, queue in self._queues.items()
+            if queue.size
+        }
+
+    def stop(self) -> None:
+        """Sends all waiting requests to other coordinators."""
+        self._is_stopping = True
+        for task in list(self._waiting.values()):
+            task.cancel()
+
+    def handle_request(self, host: str, request: SlotRequest) -> None:
+        """Grants a slot, queues the request or denies it."""
+        key = LeaseKey(host, request.start, request.lease)
+        placement = self._grants.get(key)
+        if placement is not None:
+            # The grant may have been lost.
+            self._send_grant(placement)
+            return
+        if key in self._waiting:
+            self._send(host, SlotQueued(lease=key.lease, start=self._start))
+            return
+        if self._is_stopping or self._now() < self._ready_at:
+            self._deny(key, DenialReason.NOT_COORDINATING)
+            return
+        item = self._create_demand(key, request)
+        if not self._find_upstreams(item):
+            self._deny(key, DenialReason.NO_UPSTREAM)
+            return
+        queue = self._get_queue(request.service)
+        placement = queue.try_acquire(item)
+        if placement is not None:
+            self._send_grant(placement)
+        elif not request.may_wait:
+            self._deny(key, DenialReason.NO_FREE_SLOT)
+        else:
+            self._send(host, SlotQueued(lease=key.lease, start=self._start))
+            self._waiting[key] = asyncio.get_running_loop().create_task(
+                self._wait(queue, item)
+            )
+
+    def handle_progress(self, host: str, progress: SlotProgress) -> None:
+        """Records the first event of an answer."""
+        key = LeaseKey(host, progress.start, progress.lease)
+        lease = self._leases.record_first_event(key)
+        if lease is None:
+            return
+        self._record_success(lease.upstream_id)
+        placement = self._grants.get(key)
+        if placement is None:
+            return
+        self._cache.record(lease.upstream_id, placement.item.work.parts)
+        if self._is_local(placement):
+            self._latencies.record_first_byte(
+                lease.upstream_id,
+                lease.service,
+                progress.first_byte_s,
+                lease.queued_prompt_tokens,
+            )
+
+    def handle_release(self, host: str, release: SlotRelease) -> None:
+        """Ends a lease, or removes a waiting request."""
+        key = LeaseKey(host, release.start, release.lease)
+        task = self._waiting.get(key)
+        if task is not None:
+            task.cancel()
+        placement = self._grants.pop(key, None)
+        lease = self._leases.end(key)
+        if lease is None:
+            return
+        self._record_outcome(host, lease, release)
+        if placement is not None and self._is_local(placement):
+            self._record_latency(lease, release)
+        self._admit_waiting(lease.service)
+
+    def handle_report(self, host: str, report: LeaseReport) -> None:
+        """Applies a node's report of its leases."""
+        has_freed = self._leases.apply_report(
+            host,
+            report.start,
+            report.sequence,
+            report.service,
+            report.leases,
+            report.silent,
+        )
+        if has_freed:
+            self._remove_ended_grants()
+            self._admit_waiting(report.service)
+
+    def update(self) -> None:
+        """Ends the leases of lost nodes, and admits waiting requests."""
+        if self._leases.remove_expired():
+            self._remove_ended_grants()
+        for service in list(self._queues):
+            self._admit_waiting(service)
+
+    async def _wait(self, queue: AdmissionQueue, item: SlotDemand) -> None:
+        key = item.lease
+        try:
+            self._send_grant(await queue.wait(item))
+        except RefusedError as error:
+            self._deny(
+                key,
+                DenialReason.DEADLINE_UNREACHABLE,
+                error.refusal.message,
+                error.refusal.retry_after_s,
+            )
+        except asyncio.CancelledError:
+            if not self._is_stopping:
+                raise
+            self._deny(key, DenialReason.NOT_COORDINATING)
+        finally:
+            self._waiting.pop(key, None)
+
+    def _create_demand(self, key: LeaseKey, request: SlotRequest) -> SlotDemand:
+        now = self._now()
+        return SlotDemand(
+            "",
+            Route(
+                "",
+                "",
+                "",
+                RequestKind.STREAM
+                if request.is_stream
+                else RequestKind.IDEMPOTENT,
+                (),
+                request.timeout_s,
+                request.target_s,
+                request.route_tier,
+                event_interval_target_s=request.interval_target_s,
+            ),
+            request.service,
+            request.tier,
+            now - request.waited_s,
+            now + request.remaining_s,
+            request.age_s,
+            WorkEstimate(
+                request.prompt_tokens,
+                request.output_tokens,
+                request.output_tokens,
+                tuple(PromptPart(*part) for part in request.parts),
+            ),
+            excluded=set(request.excluded),
+            origin_zone=request.zone,
+            lease=key,
+            versions=frozenset(request.versions),
+        )
+
+    def _get_queue(self, service: str) -> AdmissionQueue:
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = AdmissionQueue(
+                self._find_placement,
+                self._record_placement,
+                self._cancel_placement,
+                self._now,
+                lambda: self._count_free_slots(service),
+            )
+        return queue
+
+    def _find_upstreams(self, item: SlotDemand) -> list[UpstreamRecord]:
+        return [
+            upstream
+            for upstream in self._registry.usable(item.service)
+            if self._regions.get(upstream.zone) == self._region
+            and (not item.versions or upstream.version in item.versions)
+            and upstream.upstream_id not in item.excluded
+        ]
+
+    def _count_free_slots(self, service: str) -> int:
+        free_slots = 0
+        limits = self._find_service(service)
+        for upstream in self._registry.usable(service):
+            if self._regions.get(upstream.zone) == self._region:
+                free_slots += max(
+                    self._selector.capacity(upstream, limits)
+                    - self._leases.load(upstream.upstream_id).requests,
+                    0,
+                )
+        return free_slots
+
+    def _find_placement(self, item: WorkItem) -> Placement | None:
+        return self._selector.select(
+            item,
+            self._find_service(item.service),
+            self._find_upstreams(as_demand(item)),
+            self._now(),
+        )
+
+    def _record_placement(self, placement: Placement) -> None:
+        key = as_demand(placement.item).lease
+        self._grants[key] = placement
+        self._leases.start(
+            key,
+            Lease(
+                placement.upstream.upstream_id,
+                placement.item.service,
+                max(placement.prompt_tokens, 1),
+                placement.queued_prompt_tokens,
+                self._now(),
+            ),
+        )
+
+    def _cancel_placement(self, placement: Placement) -> None:
+        """Frees a slot whose request left before the grant was sent."""
+        key = as_demand(placement.item).lease
+        self._grants.pop(key, None)
+        if self._leases.end(key) is not None:
+            self._admit_waiting(placement.item.service)
+
+    def _send_grant(self, placement: Placement) -> None:
+        key = as_demand(placement.item).lease
+        self._send(
+            key.host,
+            SlotGrant(
+                lease=key.lease,
+                start=self._start,
+                upstream_id=placement.upstream.upstream_id,
+                prompt_tokens=placement.prompt_tokens,
+                queued_prompt_tokens=placement.queued_prompt_tokens,
+                first_byte_s=placement.predicted_first_byte_s,
+            ),
+        )
+
+    def _deny(
+        self,
+        key: LeaseKey,
+        reason: DenialReason,
+        message: str = "",
+        retry_after_s: float | None = None,
+    ) -> None:
+        self._send(
+            key.host,
+            SlotDenial(
+                lease=key.lease,
+                reason=reason,
+                message=message,
+                retry_after_s=retry_after_s,
+            ),
+        )
+
+    def _record_outcome(
+        self, host: str, lease: Lease, release: SlotRelease
+    ) -> None:
+        upstream_id = lease.upstream_id
+        if release.outcome == SlotOutcome.SUCCEEDED:
+            self._record_success(upstream_id)
+        elif release.outcome == SlotOutcome.ERROR_RESPONSE:
+            self._health.record_error_response(upstream_id)
+        elif release.outcome == SlotOutcome.REJECTED:
+            self._health.record_rejection(upstream_id)
+        elif release.outcome == SlotOutcome.FAILED:
+            # A node that is cut off from an upstream must not eject it for the
+            # others.
+            reporter = self._failure_reporters.get(upstream_id)
+            if reporter != host:
+                self._failure_reporters[upstream_id] = host
+                self._health.record_failure(upstream_id)
+
+    def _record_success(self, upstream_id: str) -> None:
+        self._failure_reporters.pop(upstream_id, None)
+        self._health.record_success(upstream_id)
+
+    def _record_latency(self, lease: Lease, release: SlotRelease) -> None:
+        if (
+            release.first_byte_s is not None
+            and not self._find_service(lease.service).is_engine
+        ):
+            self._latencies.record_first_byte(
+                lease.upstream_id, lease.service, release.first_byte_s, 0
+            )
+        if release.event_interval_s is not None:
+            self._latencies.record_event_interval(
+                lease.upstream_id, lease.service, release.event_interval_s
+            )
+
+    def _is_local(self, placement: Placement) -> bool:
+        """Returns whether the requesting node is in the region.
+
+        The latency seen by other regions contains that of the link.
+        """
+        zone = placement.item.origin_zone
+        return self._regions.get(zone) == self._region
+
+    def _admit_waiting(self, service: str) -> None:
+        queue = self._queues.get(service)
+        if queue is not None:
+            queue.admit_waiting()
+
+    def _remove_ended_grants(self) -> None:
+        for key in list(self._grants):
+            if self._leases.get(key) is None:
+                del self._grants[key]
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -24,6 +24,7 @@
 from tanagerport.gateway.retry_budget import RetryBudget
 from tanagerport.gateway.route_table import RouteTable
 from tanagerport.gateway.scheduler import Scheduler
+from tanagerport.gateway.slot_messages import SlotOutcome
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_pool import UpstreamPool
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
@@ -213,13 +214,16 @@
         context.has_open_dispatch = False
         context.may_have_run_before |= error.may_have_run
         if error.reason is RetryReason.CONNECT_FAILED:
+            placement.outcome = SlotOutcome.FAILED
             self._health.record_connect_failure(upstream_id)
             self._pool.close_idle(upstream_id)
         elif error.reason is RetryReason.REJECTED:
+            placement.outcome = SlotOutcome.REJECTED
             self._health.record_rejection(upstream_id)
         elif error.reason is not RetryReason.FAILED:
             self._health.record_failure(upstream_id)
             self._scheduler.record_outcome(placement, has_failed=True)
+            placement.outcome = SlotOutcome.FAILED
         self._log.warning(
             "dispatch_failed",
             request=context.item.request_id,
@@ -245,6 +249,7 @@
             return
         self._health.record_failure(placement.upstream.upstream_id)
         self._scheduler.record_outcome(placement, has_failed=True)
+        placement.outcome = SlotOutcome.FAILED
         self._log.warning(
             "dispatch_abandoned",
             request=placement.item.request_id,
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -6,7 +6,7 @@
 import secrets
 import signal
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
 from tanagerport.exceptions import (
@@ -15,6 +15,9 @@
     SettingsError,
 )
 from tanagerport.gateway.client_server import ClientServer
+from tanagerport.gateway.coordination import CoordinationTransport
+from tanagerport.gateway.coordinator import SlotCoordinator
+from tanagerport.gateway.coordinator_ranking import rank_coordinators
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.dispatch import Dispatcher
@@ -47,6 +50,7 @@
 from tanagerport.gateway.route_table import RouteTable
 from tanagerport.gateway.scheduler import Scheduler
 from tanagerport.gateway.settings import GatewaySettings, parse_address
+from tanagerport.gateway.slot_client import CoordinatorDirectory, SlotClient
 from tanagerport.gateway.store_watch import TableWatch
 from tanagerport.gateway.table_copy import TableCopy
 from tanagerport.gateway.table_exchange import TableClient, TableServer
@@ -214,6 +218,30 @@
             self._registry.usable,
             log,
         )
+        self._coordination = CoordinationTransport(
+            settings.peer_host, settings.coordination_port, log
+        )
+        self._slots = SlotClient(
+            self._start_id,
+            settings.zone,
+            settings.regions,
+            CoordinatorDirectory(self._rank_coordinators),
+            self._find_usable_upstream,
+            self._coordination.send,
+            self._find_overdue,
+        )
+        self._coordinator = SlotCoordinator(
+            settings.zone,
+            settings.regions,
+            self._start_id,
+            self._registry,
+            UpstreamHealth(),
+            self._latencies,
+            self._cache,
+            self._find_service,
+            self._coordination.send,
+        )
+        self._coordination.connect(self._coordinator, self._slots)
         self._scheduler = Scheduler(
             self._registry,
             UpstreamSelector(
@@ -231,6 +259,7 @@
             self._rollouts,
             self._find_service,
             self._peer_exchange.send_early_report,
+            self._slots,
         )
         dispatcher = Dispatcher(
             http_names,
@@ -269,6 +298,7 @@
         )
         self._registry.add_removal_callback(self._remove_upstream_state)
         self._registry.add_change_callback(self._scheduler.admit_waiting)
+        self._registry.add_change_callback(self._coordinator.update)
         self._reader_rank = reader_rank(settings.peer_host, settings.link_mbps)
         self._watches = (
             self._create_watch(
@@ -386,6 +416,7 @@
         listen = parse_address(settings.listen)
         ready = parse_address(settings.ready_listen)
         await self._peer_exchange.start()
+        await self._coordination.start()
         await self._internal_server.start(ready.host, ready.port)
         await self._internal_server.start(
             settings.peer_host, settings.metrics_port
@@ -410,6 +441,7 @@
         await self._client_server.close()
         self._pool.close_all()
         self._peer_exchange.close()
+        self._coordination.close()
         self._log.info("stopped")
         self._log.flush()
 
@@ -436,6 +468,7 @@
             "stopping", requests=self._client_server.requests_in_progress
         )
         self._client_server.start_draining()
+        self._coordinator.stop()
         self._peer_exchange.send_report()
         await asyncio.sleep(min(_DEREGISTRATION_S, grace_s / 2))
         self._client_server.close_idle()
@@ -512,6 +545,8 @@
             self._registry.remove_expired()
             self._pool.close_expired()
             self._scheduler.admit_waiting()
+            self._coordinator.update()
+            self._slots.update()
             self._log.flush()
 
     def _log_load(self, loop_delay_s: float) -> None:
@@ -538,6 +573,11 @@
             configuration_answer_age_s=round(self._watches[0].age_s, 3),
             requests=self._client_server.requests_in_progress,
             waiting=sum(self._scheduler.waiting.values()),
+            coordinated_waiting=sum(self._coordinator.waiting.values()),
+            slot_messages_sent=self._coordination.sent_messages,
+            slot_bytes_sent=self._coordination.sent_bytes,
+            slot_requests_unanswered=self._slots.unanswered_requests,
+            own_decisions=self._slots.own_decisions,
         )
 
     async def _run_membership(self) -> None:
@@ -563,6 +603,32 @@
             )
             await asyncio.sleep(random.uniform(20, 40))
 
+    def _rank_coordinators(self, service: str, region: str) -> list[str]:
+        """Returns the hosts that may coordinate a service in a region."""
+        settings = self._settings
+        hosts = [
+            (peer.host, peer.rank)
+            for peer in self._peer_exchange.live_peers()
+            if peer.rank is not None
+            and settings.regions.get(peer.zone) == region
+        ]
+        if region == settings.region and not self._is_draining:
+            hosts.append((settings.peer_host, self._reader_rank))
+        return rank_coordinators(service, hosts)
+
+    def _find_overdue(
+        self, service: str, upstream_ids: Iterable[str]
+    ) -> list[str]:
+        return self._scheduler.find_overdue(service, upstream_ids)
+
+    def _find_usable_upstream(
+        self, service: str, upstream_id: str
+    ) -> UpstreamRecord | None:
+        upstream = self._registry.get(upstream_id)
+        if upstream is None or upstream not in self._registry.usable(service):
+            return None
+        return upstream
+
     def _find_service(self, name: str) -> Service:
         if self._routes is None:
             return _UNKNOWN_SERVICE
--- a/src/tanagerport/gateway/placement.py
+++ b/src/tanagerport/gateway/placement.py
@@ -2,12 +2,13 @@
 
 import dataclasses
 from collections.abc import Callable, Mapping, Sequence
+from typing import Protocol
 
 from tanagerport.gateway.domain import Service, UpstreamRecord
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_latency import LatencyEstimator
-from tanagerport.gateway.upstream_load import LoadTracker, UpstreamLoad
+from tanagerport.gateway.upstream_load import UpstreamLoad
 from tanagerport.gateway.work_item import Placement, WorkItem
 
 # Cost of sending a request to another zone or region, in seconds of latency.
@@ -64,6 +65,22 @@
     cost_s: float
 
 
+class LoadSource(Protocol):
+    """Knows the load of upstreams."""
+
+    def load(self, upstream_id: str) -> UpstreamLoad:
+        """Returns the load of an upstream, summed over all nodes."""
+
+    def may_claim_slot(self, upstream_id: str, free_slots: int) -> bool:
+        """Returns whether a free slot of an upstream may be used."""
+
+    def silence_s(self, upstream_id: str) -> float:
+        """Returns how long an upstream has been silent, in seconds."""
+
+    def mark_silent(self, upstream_id: str) -> None:
+        """Records that an upstream is overdue to send data."""
+
+
 class UpstreamSelector:
     """Selects the upstream with the lowest predicted cost for a request.
 
@@ -80,7 +97,7 @@
         self,
         zone: str,
         regions: Mapping[str, str],
-        load_tracker: LoadTracker,
+        load_tracker: LoadSource,
         health: UpstreamHealth,
         latencies: LatencyEstimator,
         cache: PromptCacheIndex,
@@ -146,6 +163,11 @@
             now,
         )
 
+    def is_overdue(self, service: Service, upstream_id: str) -> bool:
+        """Returns whether an upstream in use is overdue to send data."""
+        load = self._load_tracker.load(upstream_id)
+        return load.is_silent or self._is_silent(service, upstream_id, load)
+
     def _has_free_slot(
         self, service: Service, upstream: UpstreamRecord, load: UpstreamLoad
     ) -> bool:
@@ -237,15 +259,15 @@
             <= item.client_timeout_at - item.delivery_margin_s,
             meets_interval_target and now + first_byte_s <= item.target_at,
             first_byte_s
-            + self._locality_cost_s(upstream)
+            + self._locality_cost_s(item.origin_zone or self._zone, upstream)
             + _FULL_BATCH_COST_S * utilization
             + _FAILURE_COST_S * self._health.failure_rate(upstream_id),
         )
 
-    def _locality_cost_s(self, upstream: UpstreamRecord) -> float:
-        if upstream.zone == self._zone:
+    def _locality_cost_s(self, zone: str, upstream: UpstreamRecord) -> float:
+        if upstream.zone == zone:
             return 0.0
-        own_region = self._regions.get(self._zone)
+        own_region = self._regions.get(zone)
         if self._regions.get(upstream.zone) == own_region:
             return _OTHER_ZONE_COST_S
         return _OTHER_REGION_COST_S
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -1,13 +1,15 @@
 """Request scheduling: one admission queue per service, and load accounting."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from tanagerport.gateway.admission import AdmissionQueue
 from tanagerport.gateway.domain import Service
 from tanagerport.gateway.placement import UpstreamSelector
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
 from tanagerport.gateway.rollout import RolloutController
+from tanagerport.gateway.slot_client import SlotClient
+from tanagerport.gateway.slot_messages import SlotOutcome
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_latency import LatencyEstimator
 from tanagerport.gateway.upstream_load import LoadTracker
@@ -36,6 +38,8 @@
         rollouts: Decides which versions may serve a request.
         find_service: Returns a service of the applied configuration.
         on_placed: Called after a request was assigned to an upstream.
+        slots: Gets slots from the coordinators; None to decide on the reports
+            of other nodes alone.
         now: Monotonic clock, in seconds.
     """
 
@@ -50,6 +54,7 @@
         rollouts: RolloutController,
         find_service: Callable[[str], Service],
         on_placed: Callable[[], None],
+        slots: SlotClient | None = None,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self._registry = registry
@@ -61,6 +66,7 @@
         self._rollouts = rollouts
         self._find_service = find_service
         self._on_placed = on_placed
+        self._slots = slots
         self._now = now
         self._queues: dict[str, AdmissionQueue] = {}
 
@@ -79,6 +85,14 @@
         Raises:
             RefusedError: The request can't be answered before its deadline.
         """
+        if self._slots is not None:
+            placement = await self._acquire_granted(self._slots, item)
+            if placement is not None:
+                self._load_tracker.record_start(
+                    placement.upstream.upstream_id, placement.prompt_tokens
+                )
+                self._rollouts.record_dispatch(placement.upstream)
+                return placement
         queue = self._queues.get(item.service)
         if queue is None:
             queue = AdmissionQueue(
@@ -88,7 +102,50 @@
                 self._now,
             )
             self._queues[item.service] = queue
-        return await queue.acquire(item)
+        placement = await queue.acquire(item)
+        if self._slots is not None:
+            self._slots.adopt(placement)
+        return placement
+
+    async def _acquire_granted(
+        self, slots: SlotClient, item: WorkItem
+    ) -> Placement | None:
+        """Waits for a slot that a coordinator grants.
+
+        Returns:
+            The placement; None if this node has to decide on its own.
+
+        Raises:
+            RefusedError: The request can't be answered before its deadline.
+        """
+        usable = self._registry.usable(item.service)
+        allowed = self._rollouts.select_upstreams(
+            item.service, item.request_id, usable
+        )
+        if not allowed:
+            return None
+        versions: list[str] = []
+        if len(allowed) < len(usable):
+            versions = sorted({upstream.version for upstream in allowed})
+        excluded = item.excluded | {
+            upstream.upstream_id
+            for upstream in allowed
+            if self._health.is_ejected(upstream.upstream_id)
+        }
+        if all(upstream.upstream_id in excluded for upstream in allowed):
+            excluded = item.excluded
+        return await slots.acquire(item, versions, excluded)
+
+    def find_overdue(
+        self, service: str, upstream_ids: Iterable[str]
+    ) -> list[str]:
+        """Returns the upstreams in use that are overdue to send data."""
+        limits = self._find_service(service)
+        return [
+            upstream_id
+            for upstream_id in upstream_ids
+            if self._selector.is_overdue(limits, upstream_id)
+        ]
 
     def record_first_event(
         self, placement: Placement, first_byte_s: float
@@ -98,6 +155,8 @@
             return
         placement.has_first_event = True
         placement.first_byte_s = first_byte_s
+        if self._slots is not None and placement.queued_prompt_tokens:
+            self._slots.record_first_event(placement, first_byte_s)
         upstream = placement.upstream
         self._load_tracker.record_first_event(
             upstream.upstream_id, placement.prompt_tokens
@@ -132,6 +191,7 @@
     ) -> None:
         """Records the mean time between events of a stream, in seconds."""
         upstream = placement.upstream
+        placement.event_interval_s = event_interval_s
         self._detect_slow_answer(
             placement,
             event_interval_s,
@@ -144,7 +204,10 @@
         )
 
     def record_outcome(self, placement: Placement, has_failed: bool) -> None:
-        """Reports the outcome of a dispatch to the rollout controller."""
+        """Records the outcome of a dispatch."""
+        placement.outcome = (
+            SlotOutcome.ERROR_RESPONSE if has_failed else SlotOutcome.SUCCEEDED
+        )
         item = placement.item
         is_slow = placement.is_slow or (
             placement.first_byte_s is not None
@@ -193,6 +256,8 @@
                 upstream_id, placement.prompt_tokens
             )
         self._load_tracker.record_end(upstream_id)
+        if self._slots is not None:
+            self._slots.release(placement)
         queue = self._queues.get(placement.item.service)
         if queue is not None:
             queue.admit_waiting()
--- a/src/tanagerport/gateway/settings.py
+++ b/src/tanagerport/gateway/settings.py
@@ -31,6 +31,8 @@
         ready_listen: `ip:port` that answers readiness checks.
         peer_host: IP address at which other nodes reach this node.
         peer_port: UDP port for reports of other nodes, the same on all nodes.
+        coordination_port: UDP port for requests for slots, the same on all
+            nodes.
         metrics_port: TCP port that serves the metrics, and the tables to
             other nodes; the same on all nodes.
         seeds: Addresses of a few other nodes to contact at start; their ports
@@ -60,6 +62,7 @@
     ready_listen: str
     peer_host: str
     peer_port: int
+    coordination_port: int
     metrics_port: int
     seeds: list[str] = []
     store: str
--- a/src/tanagerport/gateway/work_item.py
+++ b/src/tanagerport/gateway/work_item.py
@@ -8,6 +8,7 @@
     UpstreamRecord,
     WorkEstimate,
 )
+from tanagerport.gateway.slot_messages import SlotOutcome
 
 # Time reserved for delivering an answer before the client times out: this many
 # seconds, or this share of the client's timeout if that is less.
@@ -32,6 +33,8 @@
             without pending prefill; updated by each upstream selection.
         excluded: Ids of upstreams to avoid in further dispatches; cleared
             when no other upstream is usable.
+        origin_zone: Availability zone of the node that received the request;
+            empty for the node that selects the upstream.
     """
 
     request_id: str
@@ -44,6 +47,7 @@
     work: WorkEstimate = NO_WORK
     best_first_byte_s: float = 0.0
     excluded: set[str] = dataclasses.field(default_factory=set)
+    origin_zone: str = ""
 
     @property
     def client_timeout_at(self) -> float:
@@ -67,6 +71,19 @@
         return self.arrived_at - self.age_s + self.route.target_s
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotLease:
+    """A slot that a coordinator granted.
+
+    Attributes:
+        coordinator: IP address of the coordinator.
+        lease: Id of the lease.
+    """
+
+    coordinator: str
+    lease: int
+
+
 @dataclasses.dataclass(slots=True)
 class Placement:
     """Assignment of a request to a slot of an upstream.
@@ -86,6 +103,10 @@
         is_slow: Whether the answer was several times slower than those of the
             old version; only determined during a rollout.
         is_released: Whether the slot was freed.
+        lease: Lease of the slot; None if this node chose it on its own.
+        outcome: What became of the request at the upstream.
+        event_interval_s: Mean interval between the events, in seconds; None
+            without two events.
     """
 
     upstream: UpstreamRecord
@@ -98,3 +119,6 @@
     first_byte_s: float | None = None
     is_slow: bool = False
     is_released: bool = False
+    lease: SlotLease | None = None
+    outcome: SlotOutcome = SlotOutcome.CANCELLED
+    event_interval_s: float | None = None
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -478,6 +478,7 @@
             "peer_host": HOST,
             "peer_port": free_port(socket.SOCK_DGRAM),
             "metrics_port": self.metrics_port,
+            "coordination_port": free_port(socket.SOCK_DGRAM),
             "store": f"{HOST}:{store_port}",
             "drain_grace_s": 6,
             **settings,
--- /dev/null
+++ b/tests/simulated_slots.py
@@ -0,0 +1,188 @@
+"""Nodes and engines in one process, joined by a network in memory."""
+
+import asyncio
+import collections
+import random
+from collections.abc import Iterable, Sequence
+
+from gateway_doubles import make_upstream
+from tanagerport.gateway.coordinator import SlotCoordinator
+from tanagerport.gateway.domain import Service, UpstreamRecord
+from tanagerport.gateway.prompt_cache import PromptCacheIndex
+from tanagerport.gateway.slot_client import CoordinatorDirectory, SlotClient
+from tanagerport.gateway.slot_messages import (
+    LeaseReport,
+    SlotDenial,
+    SlotGrant,
+    SlotMessage,
+    SlotOutcome,
+    SlotProgress,
+    SlotQueued,
+    SlotRelease,
+    SlotRequest,
+    decode_message,
+    encode_message,
+)
+from tanagerport.gateway.upstream_health import UpstreamHealth
+from tanagerport.gateway.upstream_latency import LatencyEstimator
+from tanagerport.gateway.upstream_registry import UpstreamRegistry
+from tanagerport.gateway.work_item import Placement, WorkItem
+
+REGIONS = {"zone-a": "r1", "zone-b": "r1", "zone-c": "r2"}
+SERVICE = Service("models", 100, True, 4, 6)
+_MESSAGE_DELAY_S = 0.0005
+
+
+class SimulatedNetwork:
+    """Delivers messages as datagrams would; may lose some of them."""
+
+    def __init__(self, loss: float = 0.0, seed: int = 1) -> None:
+        self.nodes: dict[str, SimulatedNode] = {}
+        self.unreachable: set[str] = set()
+        self.sent: collections.Counter[str] = collections.Counter()
+        self._loss = loss
+        self._random = random.Random(seed)
+
+    def send(self, sender: str, host: str, message: SlotMessage) -> None:
+        """Delivers an encoded copy of a message after a short delay."""
+        self.sent[type(message).__name__] += 1
+        if {sender, host} & self.unreachable:
+            return
+        if sender != host and self._random.random() < self._loss:
+            return
+        asyncio.get_running_loop().call_later(
+            _MESSAGE_DELAY_S,
+            self._deliver,
+            sender,
+            host,
+            encode_message(message),
+        )
+
+    def _deliver(self, sender: str, host: str, data: bytes) -> None:
+        if host in self.nodes and host not in self.unreachable:
+            self.nodes[host].receive(sender, decode_message(data))
+
+
+class SimulatedEngines:
+    """Counts the requests that run at each engine."""
+
+    def __init__(self, count: int, slots: int, zone: str = "zone-a") -> None:
+        self.records = [
+            make_upstream(f"{zone}-{number}", zone, slots)
+            for number in range(count)
+        ]
+        self.running: collections.Counter[str] = collections.Counter()
+        self.most_running: collections.Counter[str] = collections.Counter()
+
+    async def run(self, upstream_id: str, duration_s: float) -> None:
+        """Runs a request."""
+        self.running[upstream_id] += 1
+        self.most_running[upstream_id] = max(
+            self.most_running[upstream_id], self.running[upstream_id]
+        )
+        await asyncio.sleep(duration_s)
+        self.running[upstream_id] -= 1
+
+
+class SimulatedNode:
+    """The part of a gateway node that requests and grants slots.
+
+    Args:
+        network: Network that joins the nodes.
+        host: Address of the node; nodes are ranked by it.
+        zone: Availability zone of the node.
+        upstreams: Upstreams that the node knows.
+        start_delay_s: Time after its start in which it grants no slots.
+    """
+
+    def __init__(
+        self,
+        network: SimulatedNetwork,
+        host: str,
+        zone: str,
+        upstreams: Sequence[UpstreamRecord],
+        start_delay_s: float = 0.0,
+    ) -> None:
+        self.host = host
+        self.zone = zone
+        self._network = network
+        self.registry = UpstreamRegistry()
+        for upstream in upstreams:
+            self.registry.put(upstream)
+        self.health = UpstreamHealth()
+        self.silent: list[str] = []
+        start = random.getrandbits(48)
+        self.client = SlotClient(
+            start,
+            zone,
+            REGIONS,
+            CoordinatorDirectory(self._find_candidates),
+            self._find_upstream,
+            self._send,
+            lambda service, ids: self.silent,
+        )
+        self.coordinator = SlotCoordinator(
+            zone,
+            REGIONS,
+            start,
+            self.registry,
+            self.health,
+            LatencyEstimator(),
+            PromptCacheIndex(),
+            lambda name: SERVICE,
+            self._send,
+            start_delay_s=start_delay_s,
+        )
+        network.nodes[host] = self
+
+    def receive(self, sender: str, message: SlotMessage) -> None:
+        """Handles a message of a node."""
+        match message:
+            case SlotRequest():
+                self.coordinator.handle_request(sender, message)
+            case SlotProgress():
+                self.coordinator.handle_progress(sender, message)
+            case SlotRelease():
+                self.coordinator.handle_release(sender, message)
+            case LeaseReport():
+                self.coordinator.handle_report(sender, message)
+            case SlotGrant() | SlotQueued() | SlotDenial():
+                self.client.handle_answer(sender, message)
+
+    async def acquire(
+        self, item: WorkItem, excluded: Iterable[str] = ()
+    ) -> Placement | None:
+        """Requests a slot."""
+        return await self.client.acquire(item, [], excluded)
+
+    def release(
+        self,
+        placement: Placement,
+        outcome: SlotOutcome = SlotOutcome.SUCCEEDED,
+    ) -> None:
+        """Frees a slot."""
+        placement.outcome = outcome
+        self.client.release(placement)
+
+    async def run_housekeeping(self) -> None:
+        """Updates the node at the interval of a gateway process."""
+        while True:
+            await asyncio.sleep(0.1)
+            self.coordinator.update()
+            self.client.update()
+
+    def _send(self, host: str, message: SlotMessage) -> None:
+        self._network.send(self.host, host, message)
+
+    def _find_candidates(self, service: str, region: str) -> list[str]:
+        return sorted(
+            host
+            for host, node in self._network.nodes.items()
+            if REGIONS[node.zone] == region
+        )
+
+    def _find_upstream(
+        self, service: str, upstream_id: str
+    ) -> UpstreamRecord | None:
+        upstream = self.registry.get(upstream_id)
+        return upstream if upstream in self.registry.usable(service) else None
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -17,6 +17,7 @@
 from tanagerport.exceptions import RefusedError
 from tanagerport.gateway.admission import AdmissionQueue
 from tanagerport.gateway.attempt_age import AttemptAgeEstimator
+from tanagerport.gateway.waiting_list import WaitingList
 from tanagerport.gateway.work_item import Placement, WorkItem
 from tanagerport.refusals import Ran, RefusalReason
 
@@ -184,27 +185,31 @@
         heapq.heapify(events)
         free_slots = slots
         waiting: list[WorkItem] = []
+        ranked: WaitingList[WorkItem] = WaitingList()
+        numbers: dict[int, int] = {}
         on_time = 0
-        from tanagerport.gateway import admission  # noqa: PLC0415
-
         while events:
             now, index, kind = heapq.heappop(events)
             if kind == "arrival":
                 item = make_item(now)
                 item.best_first_byte_s = 0.1
                 waiting.append(item)
+                numbers[id(item)] = ranked.add(item, item, now)
             else:
                 free_slots += 1
+            for item in waiting:
+                if item.client_timeout_at <= now:
+                    ranked.remove(numbers[id(item)])
             waiting = [item for item in waiting if item.client_timeout_at > now]
-            waiting.sort(
-                key=lambda item: (
-                    (item.target_at,)
-                    if by_target
-                    else admission.rank(item, now)
-                )
-            )
+            if by_target:
+                waiting.sort(key=lambda item: item.target_at)
+            else:
+                waiting = [
+                    item for _, item in ranked.ordered(now, len(waiting))
+                ]
             while free_slots and waiting:
                 item = waiting.pop(0)
+                ranked.remove(numbers[id(item)])
                 free_slots -= 1
                 on_time += now + 0.1 <= item.target_at
                 heapq.heappush(events, (now + service_s, index, "completion"))
--- a/tests/test_gateway_state.py
+++ b/tests/test_gateway_state.py
@@ -374,7 +374,8 @@
         settings = {
             "node": "n", "zone": "z", "regions": {}, "listen": "x",
             "ready_listen": "1.2.3.4:0", "peer_host": "1.2.3.4",
-            "peer_port": 1, "metrics_port": 2, "store": "1.2.3.4:5",
+            "peer_port": 1, "metrics_port": 2,
+            "coordination_port": 3, "store": "1.2.3.4:5",
             "retry_window_s": 0, "unknown": 1,
         }  # fmt: skip
         with open(path, "w", encoding="ascii") as file:
