Let coordinators choose among the upstreams of all regions

Causes, from logs: a request left its region only after 60 ms of waiting, as its coordinator knew no other region; and one waiting request that no upstream can answer before its deadline made a region look full (25 free slots there, 40 requests waiting elsewhere).

Change: coordinators send each other loads and speeds of their upstreams ten times a second, choose among all, and redirect. Requests that leave free slots no longer keep others from them. A node grants only while no other live node goes before it, so that one node's lost datagrams make no second coordinator; draining and starting nodes are no candidates.

--- a/src/tanagerport/gateway/admission.py
+++ b/src/tanagerport/gateway/admission.py
@@ -29,9 +29,9 @@
 # Maximum length of the queue of one service. By then the wait is longer than
 # any request can afford, and each entry takes about a kilobyte.
 _MAX_QUEUED_REQUESTS = 2048
-# Waiting requests that are tried for a free slot, in rank order. Usually the
-# first one takes it; the next ones are tried as the first may not use that
-# upstream.
+# Waiting requests that are tried for a free slot, in rank order, among those
+# that can still meet their target and among the late ones. The first ones may
+# leave the slot for a better one, which late requests take anyway.
 _MAX_TRIED_REQUESTS = 8
 # If none of them takes a free slot, as it would be late there, the requests are
 # tried again after this time, in seconds, or once more slots are free.
@@ -76,6 +76,7 @@
         self._count_free_slots = count_free_slots
         # Free slots that no waiting request took, and when to try again.
         self._unwanted_slots = 0
+        self._has_unwanted_slots = False
         self._retry_at = float("-inf")
 
     @property
@@ -83,11 +84,19 @@
         """Number of waiting requests."""
         return len(self._waiting)
 
+    @property
+    def is_saturated(self) -> bool:
+        """Whether the waiting requests take each slot that gets free."""
+        return len(self._waiting) > 0 and not self._has_unwanted_slots
+
     def try_acquire(self, item: WorkItem) -> Placement | None:
-        """Returns a placement if none of the waiting requests goes first."""
+        """Returns a placement if no waiting request wants the slot first."""
         # Also updates `item.best_first_byte_s`, on which the rank depends.
         placement = self._find_placement(item)
-        if self._waiting.count_ahead(item, self._now()):
+        if (
+            self._waiting.count_ahead(item, self._now())
+            and not self._has_unwanted_slots
+        ):
             return None
         if placement is not None:
             self._record_placement(placement)
@@ -139,6 +148,8 @@
         if self._count_free_slots is None:
             return True
         free_slots = self._count_free_slots()
+        if free_slots <= 0:
+            self._has_unwanted_slots = False
         return free_slots > 0 and (
             free_slots > self._unwanted_slots or self._now() >= self._retry_at
         )
@@ -154,8 +165,10 @@
             self._waiting.remove(number)
             self._record_placement(placement)
             entry.future.set_result(placement)
+            self._has_unwanted_slots = False
             return True
         if self._count_free_slots is not None:
+            self._has_unwanted_slots = True
             self._unwanted_slots = self._count_free_slots()
             self._retry_at = self._now() + _RETRY_INTERVAL_S
         return False
@@ -172,13 +185,14 @@
         ahead = self._waiting.count_ahead(item, now)
         if ahead == 0:
             return 0.0
-        while (
-            self._placement_times
-            and self._placement_times[0] < now - _RATE_WINDOW_S
-        ):
+        return ahead / self.placements_per_s()
+
+    def placements_per_s(self) -> float:
+        """Returns the recent rate of placements; at least one in the window."""
+        oldest_at = self._now() - _RATE_WINDOW_S
+        while self._placement_times and self._placement_times[0] < oldest_at:
             self._placement_times.popleft()
-        rate = max(len(self._placement_times), 1) / _RATE_WINDOW_S
-        return ahead / rate
+        return max(len(self._placement_times), 1) / _RATE_WINDOW_S
 
     def _check_wait(self, item: WorkItem) -> None:
         if len(self._waiting) >= _MAX_QUEUED_REQUESTS:
--- a/src/tanagerport/gateway/coordination.py
+++ b/src/tanagerport/gateway/coordination.py
@@ -10,11 +10,13 @@
 from tanagerport.gateway.slot_client import SlotClient
 from tanagerport.gateway.slot_messages import (
     LeaseReport,
+    RegionSummary,
     SlotDenial,
     SlotGrant,
     SlotMessage,
     SlotProgress,
     SlotQueued,
+    SlotRedirect,
     SlotRelease,
     SlotRequest,
     decode_message,
@@ -110,5 +112,9 @@
             self._coordinator.handle_release(host, message)
         elif isinstance(message, LeaseReport):
             self._coordinator.handle_report(host, message)
-        elif isinstance(message, SlotGrant | SlotQueued | SlotDenial):
+        elif isinstance(message, RegionSummary):
+            self._coordinator.handle_summary(message)
+        elif isinstance(
+            message, SlotGrant | SlotQueued | SlotDenial | SlotRedirect
+        ):
             self._client.handle_answer(host, message)
--- a/src/tanagerport/gateway/coordinator.py
+++ b/src/tanagerport/gateway/coordinator.py
@@ -8,8 +8,9 @@
 """
 
 import asyncio
+import itertools
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from tanagerport.exceptions import RefusedError
 from tanagerport.gateway.admission import AdmissionQueue
@@ -24,28 +25,36 @@
 from tanagerport.gateway.lease_table import Lease, LeaseKey, LeaseTable
 from tanagerport.gateway.placement import UpstreamSelector
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
+from tanagerport.gateway.region_loads import RegionLoads
 from tanagerport.gateway.slot_demand import SlotDemand, as_demand
 from tanagerport.gateway.slot_messages import (
     DenialReason,
     LeaseReport,
+    RegionSummary,
     SlotDenial,
     SlotGrant,
     SlotMessage,
     SlotOutcome,
     SlotProgress,
     SlotQueued,
+    SlotRedirect,
     SlotRelease,
     SlotRequest,
+    UpstreamSummary,
 )
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_latency import LatencyEstimator
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
 from tanagerport.gateway.work_item import Placement, WorkItem
 
+# Interval between summaries for the other regions, and the time after the last
+# request for which they are sent, in seconds.
+_SUMMARY_INTERVAL_S = 0.1
+_ACTIVE_S = 2.0
 # A starting node grants nothing for this long, until the other nodes have
 # reported the leases that its predecessors granted: their reports are due every
 # second, or when they hear of it.
-_START_DELAY_S = 1.2
+START_DELAY_S = 1.2
 
 
 class SlotCoordinator:
@@ -60,6 +69,10 @@
         latencies: Latency estimates of upstreams.
         cache: Prompt parts that upstreams have probably cached.
         find_service: Returns a service of the applied configuration.
+        is_first: Returns whether no other live node goes before this one as the
+            coordinator of a service.
+        find_others: Returns the coordinators of a service in the other
+            regions.
         send: Sends a message to a node.
         now: Monotonic clock, in seconds.
         start_delay_s: Time after the start in which no slots are granted.
@@ -75,9 +88,11 @@
         latencies: LatencyEstimator,
         cache: PromptCacheIndex,
         find_service: Callable[[str], Service],
+        is_first: Callable[[str], bool],
+        find_others: Callable[[str], Sequence[str]],
         send: Callable[[str, SlotMessage], None],
         now: Callable[[], float] = time.monotonic,
-        start_delay_s: float = _START_DELAY_S,
+        start_delay_s: float = START_DELAY_S,
     ) -> None:
         self._regions = regions
         self._region = regions.get(zone, "")
@@ -87,14 +102,22 @@
         self._latencies = latencies
         self._cache = cache
         self._find_service = find_service
+        self._is_first = is_first
+        self._find_others = find_others
         self._send = send
         self._now = now
         self._ready_at = now() + start_delay_s
         self._is_stopping = False
         self._leases = LeaseTable(now)
+        self._loads = RegionLoads(self._leases, now)
         self._selector = UpstreamSelector(
-            zone, regions, self._leases, health, latencies, cache
+            zone, regions, self._loads, health, latencies, cache
         )
+        self._summary_sequence = itertools.count()
+        self._summary_due_at = float("-inf")
+        # Services that this node coordinated lately, and until when it tells
+        # the other regions of them.
+        self._active_until: dict[str, float] = {}
         self._queues: dict[str, AdmissionQueue] = {}
         self._grants: dict[LeaseKey, Placement] = {}
         self._waiting: dict[LeaseKey, asyncio.Task[None]] = {}
@@ -102,6 +125,11 @@
         # success.
         self._failure_reporters: dict[str, str] = {}
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether this node may grant slots."""
+        return not self._is_stopping and self._now() >= self._ready_at
+
     @property
     def waiting(self) -> dict[str, int]:
         """Number of requests that wait for a slot, by service."""
@@ -128,13 +156,16 @@
         if key in self._waiting:
             self._send(host, SlotQueued(lease=key.lease, start=self._start))
             return
-        if self._is_stopping or self._now() < self._ready_at:
+        if not self.is_ready or not self._is_first(request.service):
+            # A node that lost a few datagrams must not make a second
+            # coordinator grant the slots of the first.
             self._deny(key, DenialReason.NOT_COORDINATING)
             return
         item = self._create_demand(key, request)
         if not self._find_upstreams(item):
             self._deny(key, DenialReason.NO_UPSTREAM)
             return
+        self._active_until[request.service] = self._now() + _ACTIVE_S
         queue = self._get_queue(request.service)
         placement = queue.try_acquire(item)
         if placement is not None:
@@ -142,7 +173,15 @@
         elif not request.may_wait:
             self._deny(key, DenialReason.NO_FREE_SLOT)
         else:
-            self._send(host, SlotQueued(lease=key.lease, start=self._start))
+            self._send(
+                host,
+                SlotQueued(
+                    lease=key.lease,
+                    start=self._start,
+                    expected_wait_s=queue.expected_wait_s(item)
+                    + 1 / queue.placements_per_s(),
+                ),
+            )
             self._waiting[key] = asyncio.get_running_loop().create_task(
                 self._wait(queue, item)
             )
@@ -195,13 +234,68 @@
             self._remove_ended_grants()
             self._admit_waiting(report.service)
 
+    def handle_summary(self, summary: RegionSummary) -> None:
+        """Applies what the coordinator of another region tells."""
+        if not self._loads.apply_summary(summary):
+            return
+        for upstream in summary.upstreams:
+            self._latencies.set_estimates(
+                upstream.upstream_id,
+                upstream.prompt_token_s,
+                upstream.event_interval_s,
+                upstream.response_s,
+            )
+        self._admit_waiting(summary.service)
+
     def update(self) -> None:
-        """Ends the leases of lost nodes, and admits waiting requests."""
+        """Ends the leases of lost nodes, admits waiting requests and reports.
+
+        It is called every tenth of a second, and when an upstream changed.
+        """
+        if self._now() >= self._summary_due_at:
+            self._summary_due_at = self._now() + _SUMMARY_INTERVAL_S * 0.9
+            for service, until in self._active_until.items():
+                if until > self._now():
+                    self._send_summary(service)
         if self._leases.remove_expired():
             self._remove_ended_grants()
         for service in list(self._queues):
             self._admit_waiting(service)
 
+    def _send_summary(self, service: str) -> None:
+        hosts = self._find_others(service)
+        if not hosts:
+            return
+        queue = self._queues.get(service)
+        upstreams = []
+        for upstream in self._registry.usable(service):
+            upstream_id = upstream.upstream_id
+            if self._regions.get(upstream.zone) != self._region:
+                continue
+            load = self._leases.load(upstream_id)
+            if load.is_silent or self._health.is_ejected(upstream_id):
+                continue
+            upstreams.append(
+                UpstreamSummary(
+                    upstream_id,
+                    load.requests,
+                    load.pending_prompt_tokens,
+                    self._latencies.prompt_token_s(upstream_id, service),
+                    self._latencies.event_interval_s(upstream_id, service),
+                    self._latencies.response_s(upstream_id, service),
+                )
+            )
+        summary = RegionSummary(
+            sequence=next(self._summary_sequence),
+            start=self._start,
+            service=service,
+            region=self._region,
+            is_saturated=queue is not None and queue.is_saturated,
+            upstreams=upstreams,
+        )
+        for host in hosts:
+            self._send(host, summary)
+
     async def _wait(self, queue: AdmissionQueue, item: SlotDemand) -> None:
         key = item.lease
         try:
@@ -252,6 +346,7 @@
             origin_zone=request.zone,
             lease=key,
             versions=frozenset(request.versions),
+            may_redirect=request.may_redirect,
         )
 
     def _get_queue(self, service: str) -> AdmissionQueue:
@@ -270,19 +365,35 @@
         return [
             upstream
             for upstream in self._registry.usable(item.service)
-            if self._regions.get(upstream.zone) == self._region
-            and (not item.versions or upstream.version in item.versions)
+            if (not item.versions or upstream.version in item.versions)
             and upstream.upstream_id not in item.excluded
+            and (
+                self._is_own(upstream)
+                or (
+                    item.may_redirect
+                    and self._loads.is_usable(
+                        item.service,
+                        self._regions.get(upstream.zone, ""),
+                        upstream.upstream_id,
+                    )
+                )
+            )
         ]
 
+    def _is_own(self, upstream: UpstreamRecord) -> bool:
+        return self._regions.get(upstream.zone) == self._region
+
     def _count_free_slots(self, service: str) -> int:
         free_slots = 0
         limits = self._find_service(service)
         for upstream in self._registry.usable(service):
-            if self._regions.get(upstream.zone) == self._region:
+            upstream_id = upstream.upstream_id
+            if self._is_own(upstream) or self._loads.is_usable(
+                service, self._regions.get(upstream.zone, ""), upstream_id
+            ):
                 free_slots += max(
                     self._selector.capacity(upstream, limits)
-                    - self._leases.load(upstream.upstream_id).requests,
+                    - self._loads.load(upstream_id).requests,
                     0,
                 )
         return free_slots
@@ -296,6 +407,15 @@
         )
 
     def _record_placement(self, placement: Placement) -> None:
+        upstream = placement.upstream
+        if not self._is_own(upstream):
+            self._loads.record_redirect(
+                upstream.service,
+                self._regions.get(upstream.zone, ""),
+                upstream.upstream_id,
+                placement.prompt_tokens,
+            )
+            return
         key = as_demand(placement.item).lease
         self._grants[key] = placement
         self._leases.start(
@@ -318,6 +438,16 @@
 
     def _send_grant(self, placement: Placement) -> None:
         key = as_demand(placement.item).lease
+        if not self._is_own(placement.upstream):
+            self._send(
+                key.host,
+                SlotRedirect(
+                    lease=key.lease,
+                    start=self._start,
+                    region=self._regions.get(placement.upstream.zone, ""),
+                ),
+            )
+            return
         self._send(
             key.host,
             SlotGrant(
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -16,7 +16,7 @@
 )
 from tanagerport.gateway.client_server import ClientServer
 from tanagerport.gateway.coordination import CoordinationTransport
-from tanagerport.gateway.coordinator import SlotCoordinator
+from tanagerport.gateway.coordinator import START_DELAY_S, SlotCoordinator
 from tanagerport.gateway.coordinator_ranking import rank_coordinators
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
@@ -221,11 +221,12 @@
         self._coordination = CoordinationTransport(
             settings.peer_host, settings.coordination_port, log
         )
+        directory = CoordinatorDirectory(self._rank_coordinators)
         self._slots = SlotClient(
             self._start_id,
             settings.zone,
             settings.regions,
-            CoordinatorDirectory(self._rank_coordinators),
+            directory,
             self._find_usable_upstream,
             self._coordination.send,
             self._find_overdue,
@@ -239,6 +240,15 @@
             self._latencies,
             self._cache,
             self._find_service,
+            lambda service: directory.is_first(
+                settings.peer_host, service, settings.region
+            ),
+            lambda service: [
+                host
+                for region in set(settings.regions.values())
+                if region != settings.region
+                for host in directory.coordinators(service, region)[:1]
+            ],
             self._coordination.send,
         )
         self._coordination.connect(self._coordinator, self._slots)
@@ -606,13 +616,16 @@
     def _rank_coordinators(self, service: str, region: str) -> list[str]:
         """Returns the hosts that may coordinate a service in a region."""
         settings = self._settings
+        started_before = time.monotonic() - START_DELAY_S
         hosts = [
             (peer.host, peer.rank)
             for peer in self._peer_exchange.live_peers()
             if peer.rank is not None
+            and not peer.is_draining
+            and peer.started_at <= started_before
             and settings.regions.get(peer.zone) == region
         ]
-        if region == settings.region and not self._is_draining:
+        if region == settings.region and self._coordinator.is_ready:
             hosts.append((settings.peer_host, self._reader_rank))
         return rank_coordinators(service, hosts)
 
@@ -756,6 +769,7 @@
                 _own_response_age_ms(self._watches[1]),
             ),
             link_mbps=round(self._settings.link_mbps),
+            is_draining=self._is_draining,
         )
 
     def _apply_report(self, report: NodeReport) -> None:
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -118,6 +118,7 @@
         table_ages_ms: Milliseconds since the store last responded to this
             node, for the same tables as `table_versions`.
         link_mbps: Bandwidth of the node's link, in Mbit/s.
+        is_draining: Whether the node is stopping.
     """
 
     node: str
@@ -138,6 +139,7 @@
     must_relay: bool = False
     table_ages_ms: tuple[int, int] = (MAX_TABLE_AGE_MS, MAX_TABLE_AGE_MS)
     link_mbps: int = 0
+    is_draining: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -155,6 +157,8 @@
         table_ages_ms: Milliseconds since the store last responded to it, as of
             its newest report.
         rank: Rank in the selection of readers; None before the first report.
+        started_at: Monotonic time at which its process started, in seconds.
+        is_draining: Whether it is stopping.
     """
 
     host: str
@@ -166,6 +170,8 @@
     last_report_at: float = float("-inf")
     table_ages_ms: tuple[int, int] = (MAX_TABLE_AGE_MS, MAX_TABLE_AGE_MS)
     rank: ReaderRank | None = None
+    started_at: float = float("inf")
+    is_draining: bool = False
 
 
 def report_interval_s(
@@ -642,6 +648,8 @@
         peer.last_report_at = self._now()
         peer.table_ages_ms = report.table_ages_ms
         peer.rank = reader_rank(report.host, report.link_mbps)
+        peer.started_at = self._now() - report.uptime_s
+        peer.is_draining = report.is_draining
         self.add_hosts(report.known_hosts)
         self._on_report(report)
         return True
--- a/src/tanagerport/gateway/slot_client.py
+++ b/src/tanagerport/gateway/slot_client.py
@@ -18,6 +18,7 @@
     SlotOutcome,
     SlotProgress,
     SlotQueued,
+    SlotRedirect,
     SlotRelease,
     SlotRequest,
     limit_excluded,
@@ -26,27 +27,31 @@
 from tanagerport.gateway.work_item import Placement, SlotLease, WorkItem
 from tanagerport.refusals import Refusal, RefusalReason
 
-# Times at which an unanswered request is sent again and given up. Datagrams
-# take up to 3 ms within a region and 24 ms between regions there and back; a
-# coordinator that has used up its share of the processor answers 0.1 s later.
-_LOCAL_RESEND_S = 0.04
-_LOCAL_TIMEOUT_S = 0.13
-_REMOTE_RESEND_S = 0.08
-_REMOTE_TIMEOUT_S = 0.2
+# Intervals at which an unanswered request is sent, before it is given up.
+# Datagrams take up to 3 ms within a region and 24 ms between regions there and
+# back; a coordinator that has used up its share of the processor answers up to
+# 0.1 s later. With three attempts, one in a thousand requests is given up on a
+# link that loses one datagram in twenty.
+_LOCAL_INTERVALS_S = (0.03, 0.04, 0.06)
+_REMOTE_INTERVALS_S = (0.08, 0.12)
 # Time for which a coordinator that did not answer is not asked again.
-_SUSPICION_S = 1.0
+_SUSPICION_S = 0.5
 # Time for which a ranking of the nodes is used. It changes when a node is found
 # or times out, which takes longer.
 _CANDIDATES_LIFETIME_S = 0.25
 # Coordinators of a region that are asked before the node decides on its own.
 _MAX_COORDINATORS = 2
-# A waiting request looks for a slot in the other regions after this time, as
-# long as a slot there costs (`_OTHER_REGION_COST_S` of the selector), and again
-# after each interval.
+# A request looks for a slot in the other regions if it waits, or is expected to
+# wait, for longer than this, which is what a slot there costs
+# (`_OTHER_REGION_COST_S` of the selector), and again after each interval.
 _OVERFLOW_DELAY_S = 0.06
 _OVERFLOW_INTERVAL_S = 0.25
-# Interval at which a waiting request checks that its coordinator is alive.
-_PING_INTERVAL_S = 0.25
+# Time for which a region that had no free slot is not asked again for the same
+# service, by any request of this node.
+_FULL_REGION_S = 0.2
+# Interval at which a waiting request checks that its coordinator is alive and
+# that no grant was lost.
+_PING_INTERVAL_S = 0.4
 # Interval between reports of the leases that a node holds.
 _REPORT_INTERVAL_S = 1.0
 # Grants that a node may reject, as it knows more of the upstream than the
@@ -77,15 +82,8 @@
     def coordinators(self, service: str, region: str) -> list[str]:
         """Returns the hosts to ask, in order."""
         now = self._now()
-        if now >= self._candidates_expire_at:
-            self._candidates.clear()
-            self._candidates_expire_at = now + _CANDIDATES_LIFETIME_S
-        candidates = self._candidates.get((service, region))
-        if candidates is None:
-            candidates = self._find_candidates(service, region)
-            self._candidates[service, region] = candidates
         hosts = []
-        for host in candidates:
+        for host in self._rank(service, region):
             if self._suspected_until.get(host, now) > now:
                 continue
             hosts.append(host)
@@ -93,10 +91,28 @@
                 break
         return hosts
 
+    def is_first(self, host: str, service: str, region: str) -> bool:
+        """Returns whether a node is the coordinator.
+
+        What this node suspects is left out: it may be the one that is cut off.
+        """
+        return host in self._rank(service, region)[:1]
+
     def suspect(self, host: str) -> None:
         """Records that a node did not answer or does not coordinate."""
         self._suspected_until[host] = self._now() + _SUSPICION_S
 
+    def _rank(self, service: str, region: str) -> Sequence[str]:
+        now = self._now()
+        if now >= self._candidates_expire_at:
+            self._candidates.clear()
+            self._candidates_expire_at = now + _CANDIDATES_LIFETIME_S
+        candidates = self._candidates.get((service, region))
+        if candidates is None:
+            candidates = self._find_candidates(service, region)
+            self._candidates[service, region] = candidates
+        return candidates
+
 
 @dataclasses.dataclass(slots=True)
 class _PendingRequest:
@@ -105,17 +121,18 @@
     Attributes:
         host: Coordinator that was asked.
         message: The request.
-        answer: The grant or the denial.
-        heard_at: Monotonic time of the last message about it.
+        answer: The grant, the denial or the redirection.
         heard: Set by each message about it.
+        expected_wait_s: Expected time until the grant, in seconds, as of the
+            first message about it.
         is_used: Whether the granted slot is used.
     """
 
     host: str
     message: SlotRequest
-    answer: "asyncio.Future[SlotGrant | SlotDenial]"
-    heard_at: float = float("-inf")
+    answer: "asyncio.Future[SlotGrant | SlotDenial | SlotRedirect]"
     heard: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    expected_wait_s: float = 0.0
     is_used: bool = False
 
 
@@ -168,6 +185,8 @@
         # Start id of each coordinator's process, to notice its restart.
         self._coordinator_starts: dict[str, int] = {}
         self._report_due_at = float("-inf")
+        # Time until which a region counts as full, by service and region.
+        self._full_until: dict[tuple[str, str], float] = {}
         # Coordinator of each service and region at the last report.
         self._reported_to: dict[tuple[str, str], str] = {}
         self._unanswered_requests = 0
@@ -268,7 +287,9 @@
         )
 
     def handle_answer(
-        self, host: str, message: SlotGrant | SlotQueued | SlotDenial
+        self,
+        host: str,
+        message: SlotGrant | SlotQueued | SlotDenial | SlotRedirect,
     ) -> None:
         """Handles a message of a coordinator."""
         if not isinstance(message, SlotDenial):
@@ -281,7 +302,8 @@
                 # The request was given up before the grant arrived.
                 self._send_release(host, message.lease, SlotOutcome.UNUSED)
             return
-        pending.heard_at = self._now()
+        if isinstance(message, SlotQueued):
+            pending.expected_wait_s = message.expected_wait_s
         pending.heard.set()
         if not isinstance(message, SlotQueued) and not pending.answer.done():
             pending.answer.set_result(message)
@@ -348,9 +370,15 @@
         self, item: WorkItem, versions: list[str], excluded: set[str]
     ) -> tuple[SlotGrant, str, str] | None:
         """Gets a grant, its coordinator and that one's region."""
+        may_redirect = True
         while True:
             pending = await self._open(
-                item, self._region, versions, excluded, may_wait=True
+                item,
+                self._region,
+                versions,
+                excluded,
+                may_wait=True,
+                may_redirect=may_redirect,
             )
             if pending is None:
                 return None
@@ -364,7 +392,15 @@
                 continue
             finally:
                 self._close(pending)
-            return outcome
+            if not isinstance(outcome, SlotRedirect):
+                return outcome
+            grant = await self._try_region(
+                item, outcome.region, versions, excluded
+            )
+            if grant is not None:
+                return grant
+            # The slot was taken meanwhile, or the region can't be reached.
+            may_redirect = False
 
     async def _await_slot(
         self,
@@ -372,7 +408,7 @@
         pending: _PendingRequest,
         versions: list[str],
         excluded: set[str],
-    ) -> tuple[SlotGrant, str, str] | None:
+    ) -> tuple[SlotGrant, str, str] | SlotRedirect | None:
         """Waits for a slot of the own region, or an earlier one elsewhere.
 
         Raises:
@@ -380,6 +416,9 @@
             TimeoutError: The coordinator no longer answers.
         """
         wait_s = _OVERFLOW_DELAY_S
+        if pending.expected_wait_s > _OVERFLOW_DELAY_S:
+            wait_s = 0.0
+        ping_at = self._now() + _PING_INTERVAL_S
         while True:
             await asyncio.wait([pending.answer], timeout=wait_s)
             if pending.answer.done():
@@ -389,12 +428,16 @@
             )
             if grant is not None:
                 return grant
-            await self._ping(pending)
+            if self._now() >= ping_at:
+                await self._ping(pending)
+                ping_at = self._now() + _PING_INTERVAL_S
             wait_s = _OVERFLOW_INTERVAL_S
         answer = pending.answer.result()
         if isinstance(answer, SlotGrant):
             pending.is_used = True
             return answer, pending.host, self._region
+        if isinstance(answer, SlotRedirect):
+            return answer
         if answer.reason == DenialReason.NOT_COORDINATING:
             raise TimeoutError
         grant = await self._try_other_regions(item, versions, excluded, None)
@@ -414,10 +457,7 @@
         """Checks that the coordinator still knows a waiting request."""
         pending.heard.clear()
         self._send(pending.host, pending.message)
-        for timeout_s in (
-            _LOCAL_RESEND_S,
-            _LOCAL_TIMEOUT_S - _LOCAL_RESEND_S,
-        ):
+        for timeout_s in _LOCAL_INTERVALS_S:
             try:
                 async with asyncio.timeout(timeout_s):
                     await pending.heard.wait()
@@ -446,25 +486,45 @@
         for region in self._other_regions:
             if own is not None and own.answer.done():
                 return None
-            pending = await self._open(
-                item, region, versions, excluded, may_wait=False
-            )
-            if pending is None:
+            if self._full_until.get((item.service, region), 0) > self._now():
                 continue
-            try:
-                if not pending.answer.done():
-                    continue
-                answer = pending.answer.result()
-                if not isinstance(answer, SlotGrant):
-                    continue
-                if own is not None and own.answer.done():
-                    return None
-                pending.is_used = True
-                return answer, pending.host, region
-            finally:
-                self._close(pending)
+            grant = await self._try_region(
+                item, region, versions, excluded, own
+            )
+            if grant is not None:
+                return grant
         return None
 
+    async def _try_region(
+        self,
+        item: WorkItem,
+        region: str,
+        versions: list[str],
+        excluded: set[str],
+        own: _PendingRequest | None = None,
+    ) -> tuple[SlotGrant, str, str] | None:
+        """Takes a free slot of a region, if there is one."""
+        pending = await self._open(
+            item, region, versions, excluded, may_wait=False
+        )
+        if pending is None:
+            return None
+        try:
+            if not pending.answer.done():
+                return None
+            answer = pending.answer.result()
+            if not isinstance(answer, SlotGrant):
+                self._full_until[item.service, region] = (
+                    self._now() + _FULL_REGION_S
+                )
+                return None
+            if own is not None and own.answer.done():
+                return None
+            pending.is_used = True
+            return answer, pending.host, region
+        finally:
+            self._close(pending)
+
     async def _open(
         self,
         item: WorkItem,
@@ -472,18 +532,17 @@
         versions: list[str],
         excluded: set[str],
         may_wait: bool,
+        may_redirect: bool = False,
     ) -> _PendingRequest | None:
         """Sends a request to the first coordinator that answers."""
         is_local = region == self._region
-        timeouts_s = (
-            (_LOCAL_RESEND_S, _LOCAL_TIMEOUT_S - _LOCAL_RESEND_S)
-            if is_local
-            else (_REMOTE_RESEND_S, _REMOTE_TIMEOUT_S - _REMOTE_RESEND_S)
-        )
+        timeouts_s = _LOCAL_INTERVALS_S if is_local else _REMOTE_INTERVALS_S
         for host in self._directory.coordinators(item.service, region):
             pending = _PendingRequest(
                 host,
-                self._create_request(item, versions, excluded, may_wait),
+                self._create_request(
+                    item, versions, excluded, may_wait, may_redirect
+                ),
                 asyncio.get_running_loop().create_future(),
             )
             self._pending[pending.message.lease] = pending
@@ -527,6 +586,7 @@
         versions: list[str],
         excluded: set[str],
         may_wait: bool,
+        may_redirect: bool,
     ) -> SlotRequest:
         now = self._now()
         route = item.route
@@ -536,6 +596,7 @@
             zone=self._zone,
             service=item.service,
             may_wait=may_wait,
+            may_redirect=may_redirect,
             is_stream=route.kind is RequestKind.STREAM,
             tier=item.tier,
             route_tier=route.tier,
--- a/src/tanagerport/gateway/slot_demand.py
+++ b/src/tanagerport/gateway/slot_demand.py
@@ -13,10 +13,12 @@
     Attributes:
         lease: Identity of the lease.
         versions: Versions that may serve the request; empty for any.
+        may_redirect: Whether another region may serve the request.
     """
 
     lease: LeaseKey
     versions: frozenset[str] = frozenset()
+    may_redirect: bool = False
 
 
 def as_demand(item: WorkItem) -> SlotDemand:
--- a/src/tanagerport/gateway/slot_messages.py
+++ b/src/tanagerport/gateway/slot_messages.py
@@ -54,6 +54,7 @@
         zone: Availability zone of the requesting node.
         service: Service of the request.
         may_wait: Whether the request is queued if no slot is free.
+        may_redirect: Whether it may be sent to another region.
         is_stream: Whether the answer is a stream.
         tier: Tier of the customer, or else of the route.
         route_tier: Tier of the route.
@@ -76,6 +77,7 @@
     zone: str
     service: str
     may_wait: bool
+    may_redirect: bool
     is_stream: bool
     tier: int
     route_tier: int
@@ -123,10 +125,12 @@
     Attributes:
         lease: Id of the lease.
         start: Random id of the run of the coordinator's process.
+        expected_wait_s: Expected time until its grant, in seconds.
     """
 
     lease: int
     start: int
+    expected_wait_s: float = 0.0
 
 
 class SlotDenial(
@@ -219,6 +223,65 @@
     silent: list[str]
 
 
+class SlotRedirect(
+    msgspec.Struct, array_like=True, frozen=True, tag=8, kw_only=True
+):
+    """Sends a request to the coordinator of another region.
+
+    Attributes:
+        lease: Id of the lease.
+        start: Random id of the run of the coordinator's process.
+        region: The other region.
+    """
+
+    lease: int
+    start: int
+    region: str
+
+
+class UpstreamSummary(msgspec.Struct, array_like=True, frozen=True):
+    """Load and speed of an upstream that may be used.
+
+    Attributes:
+        upstream_id: The upstream.
+        requests: Number of requests in progress.
+        pending_prompt_tokens: Prompt tokens not yet prefilled.
+        prompt_token_s: Time to prefill a token, in seconds.
+        event_interval_s: Interval between events, in seconds.
+        response_s: Response time of a plain service, in seconds.
+    """
+
+    upstream_id: str
+    requests: int
+    pending_prompt_tokens: int
+    prompt_token_s: float
+    event_interval_s: float
+    response_s: float
+
+
+class RegionSummary(
+    msgspec.Struct, array_like=True, frozen=True, tag=9, kw_only=True
+):
+    """What a coordinator tells those of the other regions.
+
+    Attributes:
+        sequence: Increases with every summary of the process.
+        start: Random id of the run of the coordinator's process.
+        service: Service of the upstreams.
+        region: Region of the coordinator.
+        is_saturated: Whether waiting requests of the region take each slot that
+            gets free.
+        upstreams: Usable upstreams of the region.
+    """
+
+    sequence: int
+    start: int
+    service: str
+    region: str
+    is_saturated: bool
+    upstreams: list[UpstreamSummary]
+
+
 SlotMessage = (
     SlotRequest
     | SlotGrant
@@ -227,6 +290,8 @@
     | SlotProgress
     | SlotRelease
     | LeaseReport
+    | SlotRedirect
+    | RegionSummary
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/tanagerport/gateway/upstream_latency.py
+++ b/src/tanagerport/gateway/upstream_latency.py
@@ -146,6 +146,21 @@
                     upstream_id, service, LatencyMetric(metric), seconds
                 )
 
+    def set_estimates(
+        self,
+        upstream_id: str,
+        prompt_token_s: float,
+        event_interval_s: float,
+        response_s: float,
+    ) -> None:
+        """Takes over the estimates of a node that has more samples."""
+        for metric, seconds in (
+            (LatencyMetric.PROMPT_TOKEN, prompt_token_s),
+            (LatencyMetric.EVENT_INTERVAL, event_interval_s),
+            (LatencyMetric.RESPONSE, response_s),
+        ):
+            self._by_upstream[upstream_id, metric] = seconds
+
     def remove_upstream(self, upstream_id: str) -> None:
         """Removes the estimates of an upstream that no longer exists."""
         for metric in LatencyMetric:
--- a/src/tanagerport/gateway/waiting_list.py
+++ b/src/tanagerport/gateway/waiting_list.py
@@ -65,12 +65,11 @@
 
         Args:
             now: Monotonic time, in seconds.
-            limit: Maximum number of entries.
+            limit: Maximum number of entries that can still meet their target,
+                and of those that can't.
         """
         self._move_late(now)
-        chosen = list(
-            itertools.islice(itertools.chain(self._on_time, self._late), limit)
-        )
+        chosen = self._on_time[:limit] + self._late[:limit]
         return ((key[-1], entry) for key, entry in chosen)
 
     def count_ahead(self, item: WorkItem, now: float) -> int:
