Bound the doublings of an ejection time

An upstream that failed or rejected some 1,026 requests in a row raised OverflowError in each further one, as a power of two without a bound was multiplied with a float: those clients got no answer. With failures of all nodes reported to one coordinator the count is reached sooner. The new test failed for failures and for rejections. Also fuzzes the messages between nodes and coordinators; no fault found there.

--- a/src/tanagerport/gateway/upstream_health.py
+++ b/src/tanagerport/gateway/upstream_health.py
@@ -13,6 +13,9 @@
 # it yet. Each further rejection doubles the ejection time.
 _MIN_REJECTION_EJECTION_S = 0.15
 _MAX_REJECTION_EJECTION_S = 2.0
+# Number of doublings after which every ejection time has reached its maximum. A
+# power of two of an unbounded count does not fit into a float.
+_MAX_DOUBLINGS = 4
 # Weight of a new sample in the moving average of the failure rate.
 _FAILURE_SAMPLE_WEIGHT = 0.15
 
@@ -70,7 +73,10 @@
         )
         doublings = record.consecutive_failures - _EJECTION_FAILURES
         if doublings >= 0:
-            ejection_s = min(_MIN_EJECTION_S * 2**doublings, _MAX_EJECTION_S)
+            ejection_s = min(
+                _MIN_EJECTION_S * 2 ** min(doublings, _MAX_DOUBLINGS),
+                _MAX_EJECTION_S,
+            )
             record.ejected_until = self._now() + ejection_s
 
     def record_error_response(self, upstream_id: str) -> None:
@@ -87,7 +93,9 @@
         record.consecutive_failures = max(
             record.consecutive_failures + 1, _EJECTION_FAILURES
         )
-        doublings = min(record.consecutive_failures - _EJECTION_FAILURES, 4)
+        doublings = min(
+            record.consecutive_failures - _EJECTION_FAILURES, _MAX_DOUBLINGS
+        )
         ejection_s = min(_MIN_EJECTION_S * 2**doublings, _MAX_EJECTION_S)
         record.ejected_until = self._now() + ejection_s
 
@@ -100,7 +108,7 @@
         )
         ejection_s = min(
             _MIN_REJECTION_EJECTION_S
-            * 2 ** (record.consecutive_rejections - 1),
+            * 2 ** min(record.consecutive_rejections - 1, _MAX_DOUBLINGS),
             _MAX_REJECTION_EJECTION_S,
         )
         record.ejected_until = max(
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -1,20 +1,33 @@
 """Tests of slots that a coordinator grants to all nodes of a region."""
 
 import asyncio
+import os
 import random
 import time
 from collections.abc import Coroutine
 from typing import Any
 
+import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from gateway_doubles import make_item, make_route
 from simulated_slots import SimulatedEngines, SimulatedNetwork, SimulatedNode
 from tanagerport.clock import FakeClock
 from tanagerport.exceptions import RefusedError
+from tanagerport.gateway.coordination import CoordinationTransport
 from tanagerport.gateway.coordinator_ranking import rank_coordinators
+from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.lease_table import Lease, LeaseKey, LeaseTable
-from tanagerport.gateway.slot_messages import HeldLease, SlotOutcome
+from tanagerport.gateway.slot_messages import (
+    HeldLease,
+    SlotOutcome,
+    SlotRelease,
+    SlotRequest,
+    decode_message,
+    encode_message,
+)
 from tanagerport.gateway.table_readers import reader_rank
 from tanagerport.gateway.work_item import Placement
 
@@ -516,6 +529,87 @@
         _run(scenario())
 
 
+class TestMalformedMessages:
+    """Datagrams that are no message of this build."""
+
+    @settings(max_examples=200)
+    @given(data=st.binary(max_size=400))
+    def test_bytes_raise_a_decode_error_or_are_a_message(
+        self, data: bytes
+    ) -> None:
+        try:
+            message = decode_message(data)
+        except msgspec.DecodeError:
+            return
+        assert decode_message(encode_message(message)) == message
+
+    @settings(max_examples=300)
+    @given(
+        tag=st.integers(0, 12),
+        fields=st.lists(
+            st.none()
+            | st.booleans()
+            | st.integers(-(2**63), 2**63 - 1)
+            | st.floats(allow_nan=True, allow_infinity=True)
+            | st.text(max_size=5)
+            | st.lists(st.text(max_size=3), max_size=2),
+            max_size=20,
+        ),
+    )
+    def test_message_with_senseless_values_does_not_end_the_process(
+        self, tag: int, fields: list[object]
+    ) -> None:
+        """Guards against one malformed message that takes a node down."""
+        data = msgspec.msgpack.encode([tag, *fields])
+
+        async def scenario() -> None:
+            network = SimulatedNetwork()
+            engines = SimulatedEngines(1, 1)
+            node = _create_nodes(network, engines, 1)[0]
+            reader, writer = os.pipe()
+            os.set_blocking(writer, False)
+            transport = CoordinationTransport(
+                node.host, 1, DecisionLog("n", writer)
+            )
+            transport.connect(node.coordinator, node.client)
+            transport.datagram_received(data, ("10.0.0.9", 1))
+            await asyncio.sleep(0)
+            assert await node.acquire(make_item(time.monotonic()))
+            os.close(reader)
+            os.close(writer)
+
+        _run(scenario())
+
+    @pytest.mark.parametrize("value", [float("nan"), float("inf"), -1e308])
+    def test_request_with_senseless_times_does_not_end_the_process(
+        self, value: float
+    ) -> None:
+        async def scenario() -> None:
+            network = SimulatedNetwork()
+            engines = SimulatedEngines(1, 1)
+            nodes = _create_nodes(network, engines, 2)
+            held = await nodes[1].acquire(make_item(time.monotonic()))
+            assert held is not None
+            request = SlotRequest(
+                lease=1, start=1, zone="", service="models", may_wait=True,
+                may_redirect=True, is_stream=True, tier=-1, route_tier=0,
+                timeout_s=value, target_s=value, interval_target_s=value,
+                age_s=value, waited_s=value, remaining_s=value,
+                prompt_tokens=-5, output_tokens=-5, parts=[], excluded=[],
+                versions=[],
+            )  # fmt: skip
+            nodes[0].receive("10.0.0.9", request)
+            await asyncio.sleep(0.05)
+            nodes[1].release(held)
+            await asyncio.sleep(0.05)
+            nodes[0].receive(
+                "10.0.0.9", SlotRelease(lease=1, start=1, outcome=99)
+            )
+            assert await nodes[1].acquire(make_item(time.monotonic()))
+
+        _run(scenario())
+
+
 class TestRanking:
     """Choice of the node that coordinates a service."""
 
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -211,6 +211,17 @@
 class TestSharing:
     """Slots of an upstream that several nodes use."""
 
+    @pytest.mark.parametrize("record", ["record_failure", "record_rejection"])
+    def test_endless_failures_raise_no_error(self, record: str) -> None:
+        """Guards against an overflow after a thousand failures in a row."""
+        clock = FakeClock(100.0)
+        health = UpstreamHealth(clock.monotonic)
+        for _ in range(3000):
+            getattr(health, record)("u")
+        assert health.is_ejected("u")
+        clock.advance(8.1)
+        assert not health.is_ejected("u")
+
     def test_slots_freed_at_once_are_not_claimed_by_every_node(self) -> None:
         """Guards against 80 requests for ten slots.
 
