Refuse by the rate of placements only while requests wait

The first requests of a burst after an idle time were refused: the rate of placements in the last 2 s showed the load and not the capacity. The rate now counts from the moment at which requests began to wait, and after 0.3 s.

--- a/src/tanagerport/gateway/admission.py
+++ b/src/tanagerport/gateway/admission.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import bisect
 import collections
 import dataclasses
 import math
@@ -21,6 +22,9 @@
 
 # Sliding window for the admission rate, in seconds.
 _RATE_WINDOW_S = 2.0
+# Time for which requests must have waited before the rate counts, in seconds.
+# While slots were free, the rate showed the load and not the capacity.
+_MIN_RATE_SAMPLE_S = 0.3
 # Clients honor a Retry-After of up to this share of their remaining time.
 _RETRY_AFTER_SHARE = 1 / 3
 _MIN_RETRY_AFTER_S = 0.1
@@ -73,6 +77,8 @@
         self._waiting: WaitingList[_QueuedRequest] = WaitingList()
         self._placement_times: collections.deque[float] = collections.deque()
         self._random = random.Random()
+        # Monotonic time since which some request has been waiting.
+        self._waiting_since = float("inf")
         self._count_free_slots = count_free_slots
         # Free slots that no waiting request took, and when to try again.
         self._unwanted_slots = 0
@@ -120,6 +126,8 @@
             RefusedError: The request can't be answered before its deadline.
         """
         self._check_wait(item)
+        if not len(self._waiting):
+            self._waiting_since = self._now()
         entry = _QueuedRequest(item, asyncio.get_running_loop().create_future())
         entry.number = self._waiting.add(item, entry, self._now())
         wait_until = (
@@ -185,14 +193,25 @@
         ahead = self._waiting.count_ahead(item, now)
         if ahead == 0:
             return 0.0
-        return ahead / self.placements_per_s()
+        rate = self.placements_per_s()
+        return 0.0 if rate is None else ahead / rate
 
-    def placements_per_s(self) -> float:
-        """Returns the recent rate of placements; at least one in the window."""
-        oldest_at = self._now() - _RATE_WINDOW_S
-        while self._placement_times and self._placement_times[0] < oldest_at:
+    def placements_per_s(self) -> float | None:
+        """Returns the rate of placements while requests wait.
+
+        None if they have waited for too short a time to tell.
+        """
+        now = self._now()
+        window_s = min(now - self._waiting_since, _RATE_WINDOW_S)
+        while (
+            self._placement_times
+            and self._placement_times[0] < now - _RATE_WINDOW_S
+        ):
             self._placement_times.popleft()
-        return max(len(self._placement_times), 1) / _RATE_WINDOW_S
+        if not len(self._waiting) or window_s < _MIN_RATE_SAMPLE_S:
+            return None
+        first = bisect.bisect_left(self._placement_times, now - window_s)
+        return max(len(self._placement_times) - first, 1) / window_s
 
     def _check_wait(self, item: WorkItem) -> None:
         if len(self._waiting) >= _MAX_QUEUED_REQUESTS:
--- a/src/tanagerport/gateway/coordinator.py
+++ b/src/tanagerport/gateway/coordinator.py
@@ -178,8 +178,7 @@
                 SlotQueued(
                     lease=key.lease,
                     start=self._start,
-                    expected_wait_s=queue.expected_wait_s(item)
-                    + 1 / queue.placements_per_s(),
+                    expected_wait_s=queue.expected_wait_s(item),
                 ),
             )
             self._waiting[key] = asyncio.get_running_loop().create_task(
--- a/src/tanagerport/gateway/coordinator_ranking.py
+++ b/src/tanagerport/gateway/coordinator_ranking.py
@@ -1,16 +1,24 @@
 """Selects the node that coordinates the upstreams of a service in a region."""
 
+import functools
+import heapq
 from collections.abc import Iterable
 
 import xxhash
 
 from tanagerport.gateway.table_readers import ReaderRank
 
+# Nodes that are ranked. The first one that is live coordinates; the others are
+# asked while the first one does not answer.
+_MAX_RANKED = 4
+# A region has hundreds of nodes, and a node some services.
+_MAX_CACHED_HASHES = 4096
+
 
 def rank_coordinators(
     service: str, candidates: Iterable[tuple[str, ReaderRank]]
 ) -> list[str]:
-    """Returns the hosts of a region in the order in which they coordinate.
+    """Returns the first hosts in the order in which they coordinate.
 
     Nodes with fast links come first, as all requests of the region for the
     service ask the first one. Among nodes of equal bandwidth, rendezvous
@@ -23,11 +31,16 @@
     """
     return [
         host
-        for host, _ in sorted(
-            candidates,
-            key=lambda candidate: (
-                candidate[1].link_rank,
-                xxhash.xxh32_intdigest(f"{service} {candidate[0]}"),
+        for _, _, host in heapq.nsmallest(
+            _MAX_RANKED,
+            (
+                (rank.link_rank, _hash(service, host), host)
+                for host, rank in candidates
             ),
         )
     ]
+
+
+@functools.lru_cache(_MAX_CACHED_HASHES)
+def _hash(service: str, host: str) -> int:
+    return xxhash.xxh32_intdigest(f"{service} {host}")
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -34,9 +34,9 @@
 from tanagerport.gateway.table_readers import ReaderRank, reader_rank
 from tanagerport.gateway.upstream_latency import Sample
 
-# Minimum and maximum interval between reports to the local region. Under load,
-# a slot of an upstream is reassigned within tens of milliseconds.
-_LOCAL_INTERVAL_BOUNDS_S = (0.1, 0.6)
+# Minimum and maximum interval between reports to the local region. Two reports
+# are due before a node times out.
+_LOCAL_INTERVAL_BOUNDS_S = (0.1, 0.7)
 # Minimum and maximum interval between reports to remote regions, which receive
 # few requests, and the target rate of reports that a node receives from remote
 # regions, including relayed ones.
--- a/src/tanagerport/gateway/slot_client.py
+++ b/src/tanagerport/gateway/slot_client.py
@@ -185,6 +185,9 @@
         # Start id of each coordinator's process, to notice its restart.
         self._coordinator_starts: dict[str, int] = {}
         self._report_due_at = float("-inf")
+        # Releases to send once more, as a lost one blocks a slot until the next
+        # report.
+        self._unrepeated_releases: list[tuple[str, SlotRelease]] = []
         # Time until which a region counts as full, by service and region.
         self._full_until: dict[tuple[str, str], float] = {}
         # Coordinator of each service and region at the last report.
@@ -309,7 +312,13 @@
             pending.answer.set_result(message)
 
     def update(self) -> None:
-        """Reports the leases that this node holds, when it is due."""
+        """Repeats releases, and reports the held leases when it is due.
+
+        It is called every tenth of a second.
+        """
+        releases, self._unrepeated_releases = self._unrepeated_releases, []
+        for host, release in releases:
+            self._send(host, release)
         now = self._now()
         if now < self._report_due_at and not self._has_new_coordinator():
             return
@@ -634,16 +643,15 @@
         first_byte_s: float | None = None,
         event_interval_s: float | None = None,
     ) -> None:
-        self._send(
-            host,
-            SlotRelease(
-                lease=lease,
-                start=self._start,
-                outcome=outcome,
-                first_byte_s=first_byte_s,
-                event_interval_s=event_interval_s,
-            ),
+        release = SlotRelease(
+            lease=lease,
+            start=self._start,
+            outcome=outcome,
+            first_byte_s=first_byte_s,
+            event_interval_s=event_interval_s,
         )
+        self._send(host, release)
+        self._unrepeated_releases.append((host, release))
 
     def _check_start(self, host: str, start: int) -> None:
         """Reports all leases to a coordinator that has restarted."""
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -165,6 +165,30 @@
         asyncio.run(scenario())
 
 
+class TestSuddenBurst:
+    """Many requests at once after an idle time."""
+
+    def test_first_requests_of_a_burst_are_not_refused(self) -> None:
+        """Guards against refusals that take the past load for the capacity.
+
+        Twelve slots were filled at once after an idle time. With 12 placements
+        in the last 2 s, the next requests were expected to wait for 2 s, and
+        were refused, though a slot got free every 4 ms.
+        """
+
+        async def scenario() -> None:
+            queue_harness = _QueueHarness(12)
+            tasks = [queue_harness.submit(str(i)) for i in range(60)]
+            await run_pending_tasks()
+            assert queue_harness.queue.size == 48
+            refused = [task for task in tasks if task.done()]
+            assert len(refused) == 12
+            for task in tasks:
+                task.cancel()
+
+        asyncio.run(scenario())
+
+
 class TestOverload:
     """Load of twice the capacity for four seconds, in simulated time.
 
