Refuse requests that wait at a coordinator when the node stops

Requests that waited for a slot of another node's coordinator were left out when a stopping node refused its waiting requests, and would have been cut off without an answer at the end of the drain. They are refused now, as those in the node's own queue are, and their place in the coordinator's queue is given up.

--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -1,8 +1,10 @@
 """Request scheduling: one admission queue per service, and load accounting."""
 
+import asyncio
 import time
 from collections.abc import Callable, Iterable
 
+from tanagerport.exceptions import RefusedError
 from tanagerport.gateway.admission import AdmissionQueue
 from tanagerport.gateway.domain import Service
 from tanagerport.gateway.placement import UpstreamSelector
@@ -69,6 +71,10 @@
         self._slots = slots
         self._now = now
         self._queues: dict[str, AdmissionQueue] = {}
+        # Requests that wait for a coordinator, and their refusal once the
+        # process stops.
+        self._granted_waits: set[asyncio.Timeout] = set()
+        self._stop_refusal: Refusal | None = None
 
     @property
     def waiting(self) -> dict[str, int]:
@@ -134,7 +140,16 @@
         }
         if all(upstream.upstream_id in excluded for upstream in allowed):
             excluded = item.excluded
-        return await slots.acquire(item, versions, excluded)
+        try:
+            async with asyncio.timeout(None) as wait:
+                self._granted_waits.add(wait)
+                return await slots.acquire(item, versions, excluded)
+        except TimeoutError:
+            if self._stop_refusal is None:
+                raise
+            raise RefusedError(self._stop_refusal) from None
+        finally:
+            self._granted_waits.discard(wait)
 
     def find_overdue(
         self, service: str, upstream_ids: Iterable[str]
@@ -269,6 +284,10 @@
 
     def refuse_waiting(self, refusal: Refusal) -> None:
         """Refuses all waiting requests."""
+        self._stop_refusal = refusal
+        now = asyncio.get_running_loop().time()
+        for wait in self._granted_waits:
+            wait.reschedule(now)
         for queue in self._queues.values():
             queue.refuse_all(refusal)
 
--- a/tests/simulated_slots.py
+++ b/tests/simulated_slots.py
@@ -4,11 +4,14 @@
 import collections
 import random
 from collections.abc import Iterable, Sequence
+from typing import cast
 
-from gateway_doubles import make_upstream
+from gateway_doubles import NodeHarness, make_upstream
 from tanagerport.gateway.coordinator import SlotCoordinator
 from tanagerport.gateway.domain import Service, UpstreamRecord
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
+from tanagerport.gateway.rollout import RolloutController
+from tanagerport.gateway.scheduler import Scheduler
 from tanagerport.gateway.slot_client import CoordinatorDirectory, SlotClient
 from tanagerport.gateway.slot_messages import (
     LeaseReport,
@@ -92,6 +95,39 @@
         self.running[upstream_id] -= 1
 
 
+class _NoRollouts:
+    """Stands in for the rollout controller while nothing is rolled out."""
+
+    def select_upstreams(
+        self,
+        service: str,
+        request_id: str,
+        upstreams: Sequence[UpstreamRecord],
+    ) -> Sequence[UpstreamRecord]:
+        del service, request_id
+        return upstreams
+
+    def record_dispatch(self, upstream: UpstreamRecord) -> None:
+        del upstream
+
+
+def create_scheduler(node: "SimulatedNode") -> Scheduler:
+    """Returns a scheduler that requests its slots through a node."""
+    harness = NodeHarness()
+    return Scheduler(
+        node.registry,
+        harness.selector,
+        harness.load_tracker,
+        harness.health,
+        harness.latencies,
+        harness.cache,
+        cast(RolloutController, _NoRollouts()),
+        lambda name: SERVICE,
+        lambda: None,
+        node.client,
+    )
+
+
 class SimulatedNode:
     """The part of a gateway node that requests and grants slots.
 
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -13,7 +13,12 @@
 from hypothesis import strategies as st
 
 from gateway_doubles import make_item, make_route
-from simulated_slots import SimulatedEngines, SimulatedNetwork, SimulatedNode
+from simulated_slots import (
+    SimulatedEngines,
+    SimulatedNetwork,
+    SimulatedNode,
+    create_scheduler,
+)
 from tanagerport.clock import FakeClock
 from tanagerport.exceptions import RefusedError
 from tanagerport.gateway.coordination import CoordinationTransport
@@ -30,6 +35,7 @@
 )
 from tanagerport.gateway.table_readers import reader_rank
 from tanagerport.gateway.work_item import Placement
+from tanagerport.refusals import Refusal, RefusalReason
 
 
 def _run(scenario: Coroutine[Any, Any, None]) -> None:
@@ -431,6 +437,35 @@
         assert table.load("u").requests == 0
 
 
+class TestPlannedStop:
+    """A node that stops while its requests wait at a coordinator."""
+
+    def test_requests_that_wait_for_a_slot_get_an_answer(self) -> None:
+        """Guards against accepted requests that a planned stop cuts off."""
+
+        async def scenario() -> None:
+            network = SimulatedNetwork()
+            engines = SimulatedEngines(1, 1)
+            nodes = _create_nodes(network, engines, 2)
+            assert await nodes[0].acquire(make_item(time.monotonic()))
+            scheduler = create_scheduler(nodes[1])
+            waiting = asyncio.create_task(
+                scheduler.acquire(make_item(time.monotonic()))
+            )
+            await asyncio.sleep(0.02)
+            scheduler.refuse_waiting(
+                Refusal(RefusalReason.DRAINING, "stopping", retry_after_s=0.3)
+            )
+            with pytest.raises(RefusedError) as caught:
+                async with asyncio.timeout(0.1):
+                    await waiting
+            assert caught.value.refusal.reason is RefusalReason.DRAINING
+            await asyncio.sleep(0.01)
+            assert nodes[0].coordinator.waiting == {}
+
+        _run(scenario())
+
+
 class TestLeaseTable:
     """Leases after lost, repeated and reordered messages."""
 
