Forget what a coordinator knew of an upstream that restarted

An upstream that restarts under its id stayed ejected at the coordinator for up to 8 s for failures of its former run, as only the node's own health record was removed.

--- a/src/tanagerport/gateway/coordinator.py
+++ b/src/tanagerport/gateway/coordinator.py
@@ -246,6 +246,11 @@
             )
         self._admit_waiting(summary.service)
 
+    def remove_upstream(self, upstream_id: str) -> None:
+        """Removes what is known of an upstream that has ended or restarted."""
+        self._failure_reporters.pop(upstream_id, None)
+        self._health.remove_upstream(upstream_id)
+
     def update(self) -> None:
         """Ends the leases of lost nodes, admits waiting requests and reports.
 
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -17,6 +17,7 @@
 from tanagerport.gateway.client_server import ClientServer
 from tanagerport.gateway.coordination import CoordinationTransport
 from tanagerport.gateway.coordinator import START_DELAY_S, SlotCoordinator
+from tanagerport.gateway.coordinator_directory import CoordinatorDirectory
 from tanagerport.gateway.coordinator_ranking import rank_coordinators
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
@@ -50,7 +51,7 @@
 from tanagerport.gateway.route_table import RouteTable
 from tanagerport.gateway.scheduler import Scheduler
 from tanagerport.gateway.settings import GatewaySettings, parse_address
-from tanagerport.gateway.slot_client import CoordinatorDirectory, SlotClient
+from tanagerport.gateway.slot_client import SlotClient
 from tanagerport.gateway.store_watch import TableWatch
 from tanagerport.gateway.table_copy import TableCopy
 from tanagerport.gateway.table_exchange import TableClient, TableServer
@@ -747,6 +748,7 @@
     def _remove_upstream_state(self, record: UpstreamRecord) -> None:
         self._log.info("upstream_gone", upstream=record.upstream_id)
         self._health.remove_upstream(record.upstream_id)
+        self._coordinator.remove_upstream(record.upstream_id)
         self._latencies.remove_upstream(record.upstream_id)
         self._cache.remove_upstream(record.upstream_id)
         self._load_tracker.remove_upstream(record.upstream_id)
--- a/tests/simulated_slots.py
+++ b/tests/simulated_slots.py
@@ -8,11 +8,12 @@
 
 from gateway_doubles import NodeHarness, make_upstream
 from tanagerport.gateway.coordinator import SlotCoordinator
+from tanagerport.gateway.coordinator_directory import CoordinatorDirectory
 from tanagerport.gateway.domain import Service, UpstreamRecord
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
 from tanagerport.gateway.rollout import RolloutController
 from tanagerport.gateway.scheduler import Scheduler
-from tanagerport.gateway.slot_client import CoordinatorDirectory, SlotClient
+from tanagerport.gateway.slot_client import SlotClient
 from tanagerport.gateway.slot_messages import (
     LeaseReport,
     RegionSummary,
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -563,6 +563,26 @@
 
         _run(scenario())
 
+    def test_restarted_upstream_is_not_ejected_for_what_it_did_before(
+        self,
+    ) -> None:
+        """Guards against an upstream that restarts under the id it had."""
+
+        async def scenario() -> None:
+            network = SimulatedNetwork()
+            engines = SimulatedEngines(1, 4)
+            nodes = _create_nodes(network, engines, 3)
+            for node in nodes[1:]:
+                placement = await node.acquire(make_item(time.monotonic()))
+                assert placement is not None
+                node.release(placement, SlotOutcome.FAILED)
+                await asyncio.sleep(0.01)
+            assert nodes[0].health.is_ejected("zone-a-0")
+            nodes[0].coordinator.remove_upstream("zone-a-0")
+            assert await nodes[1].acquire(make_item(time.monotonic()))
+
+        _run(scenario())
+
 
 class TestMalformedMessages:
     """Datagrams that are no message of this build."""
