--- a/src/tanagerport/gateway/quota_checkpoint.py
+++ b/src/tanagerport/gateway/quota_checkpoint.py
@@ -18,8 +18,8 @@
 from tanagerport.gateway.table_store import RowWrite, TableStore
 
 TABLE = "tanagerport_quota"
-# If all nodes are killed, the usage since the last checkpoint is lost. Each
-# checkpoint contains an estimate of it.
+# If all nodes are killed, the usage since the last checkpoint is lost. The
+# tolerance of the quotas has to cover it.
 _WRITE_INTERVAL_S = 0.5
 _MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 0.5
@@ -88,7 +88,7 @@
                 )
         while True:
             await asyncio.sleep(_WRITE_INTERVAL_S)
-            usages = self._limiter.usage_near_quota(_WRITE_INTERVAL_S)
+            usages = self._limiter.usage_near_quota()
             if not usages or not self._is_writer():
                 continue
             try:
--- a/src/tanagerport/gateway/quotas.py
+++ b/src/tanagerport/gateway/quotas.py
@@ -200,34 +200,17 @@
         """
         self._is_history_known = True
 
-    def usage_near_quota(self, lifetime_s: float = 0.0) -> list[CustomerUsage]:
-        """Returns the usage of the customers that are near their quota.
-
-        The latest quarter contains an estimate of what other nodes have used
-        and not yet reported, and of what all nodes use while the result holds.
-
-        Args:
-            lifetime_s: Time for which the result holds, in seconds.
-        """
+    def usage_near_quota(self) -> list[CustomerUsage]:
+        """Returns the usage of the customers that are near their quota."""
         now = self._now()
-        missing_s = self._report_delay_s() + lifetime_s
-        usages = []
-        for known in self.report():
-            usage = known
-            customer = self._customers.get(usage.customer)
-            window = self._windows[usage.customer]
-            if customer is None or window.total(
-                now
-            ) <= _NEAR_QUOTA_FRACTION * self._allowance(customer):
-                continue
-            missing = round(missing_s * window.rate_per_s(now))
-            if usage.recent and missing:
-                latest, *earlier = usage.recent
-                usage = dataclasses.replace(
-                    usage, recent=(latest + missing, *earlier)
-                )
-            usages.append(usage)
-        return usages
+        return [
+            usage
+            for usage in self.report()
+            if usage.customer in self._customers
+            and self._windows[usage.customer].total(now)
+            > _NEAR_QUOTA_FRACTION
+            * self._allowance(self._customers[usage.customer])
+        ]
 
     def report(self) -> list[CustomerUsage]:
         """Returns the usage of all customers, for a whole report."""
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -255,29 +255,6 @@
         assert limiter.consume(CUSTOMER, ALLOWANCE) is None
 
 
-class TestCheckpointAtHighRates:
-    """Usage that a checkpoint misses when all nodes are killed."""
-
-    def test_checkpoint_covers_what_is_used_until_the_next_one(self) -> None:
-        """Guards against a quota exceeded after all nodes were killed.
-
-        2.72 million tokens of a customer ran in the 8 s around a kill of all
-        nodes, where 2.62 million were allowed: what other nodes had not
-        reported, and what was used after the last checkpoint, was lost.
-        """
-        clock = FakeClock(100.0)
-        limiter = QuotaLimiter(
-            QuotaSettings(8.0, 200.0), clock.monotonic, lambda: 0.9
-        )
-        limiter.mark_history_known()
-        for _ in range(80):
-            clock.advance(0.1)
-            limiter.consume(CUSTOMER, 10.0)
-        (usage,) = limiter.usage_near_quota(0.5)
-        # 100 units/s for 8 s, and for the 1.4 s that are missing.
-        assert sum(usage.recent) == pytest.approx(940, abs=20)
-
-
 class TestManyNodes:
     """A customer far above its quota at 70 nodes of two regions.
 
