Log what a lost upstream held, and which answers had begun

What callers saw: answers that broke off in every class of the engines, while nothing in the logs told whether requests crashed upstreams, upstreams crashed by load, or a place was cut off.

The line `upstream_lost` names the requests whose answers had not begun and the parts of their prompts; `dispatch_failed` says how many events had come. A loss is confirmed by a refused connection, since single connections break for other reasons. No decision changes.

--- a/src/tanagerport/gateway/dispatch.py
+++ b/src/tanagerport/gateway/dispatch.py
@@ -153,6 +153,9 @@
             context.has_open_dispatch = True
             exchange.call.send()
             yield exchange
+        except DispatchError as error:
+            error.has_lost_connection = not channel.is_open
+            raise
         finally:
             if exchange.is_reusable:
                 self._pool.release(upstream, channel, exchange.idle_timeout_s)
@@ -361,6 +364,7 @@
                         timing.longest_interval_s, now - last_event_at
                     )
                 timing.event_count += len(events)
+                placement.event_count += len(events)
                 timing.unreported_count += len(events)
                 # The first report is sent early to reveal a slow upstream.
                 if (
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -26,6 +26,11 @@
 from tanagerport.gateway.scheduler import Scheduler
 from tanagerport.gateway.slot_messages import SlotOutcome
 from tanagerport.gateway.upstream_health import UpstreamHealth
+from tanagerport.gateway.upstream_losses import (
+    HeldRequest,
+    LossDetector,
+    format_parts,
+)
 from tanagerport.gateway.upstream_pool import UpstreamPool
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
 from tanagerport.gateway.work_item import Placement, WorkItem
@@ -54,6 +59,7 @@
         registry: Known upstreams.
         pool: Connection pool for upstreams.
         health: Records failures of upstreams.
+        losses: Confirms losses of upstreams.
         budget: Limits retries.
         counters: Metrics of the process.
         log: Structured decision log.
@@ -70,6 +76,7 @@
         registry: UpstreamRegistry,
         pool: UpstreamPool,
         health: UpstreamHealth,
+        losses: LossDetector,
         budget: RetryBudget,
         counters: Counters,
         log: DecisionLog,
@@ -83,6 +90,7 @@
         self._registry = registry
         self._pool = pool
         self._health = health
+        self._losses = losses
         self._budget = budget
         self._counters = counters
         self._log = log
@@ -232,8 +240,16 @@
             message=str(error),
             has_run=error.may_have_run,
             dispatches=context.dispatches,
+            events=placement.event_count,
+            parts=format_parts(context.item),
+            customer="" if context.customer is None else context.customer.name,
             after_s=round(self._now() - placement.placed_at, 3),
         )
+        if error.has_lost_connection:
+            self._losses.record_break(
+                placement.upstream,
+                HeldRequest(context.item, placement.event_count),
+            )
 
     def _record_abandoned(self, placement: Placement) -> None:
         """Records a dispatch that the client or the deadline cancelled.
--- a/src/tanagerport/gateway/metrics_rendering.py
+++ b/src/tanagerport/gateway/metrics_rendering.py
@@ -27,6 +27,12 @@
             ("retries", "Repeated dispatches.", "reason", counters.retries),
             ("answers", "Answers of upstreams.", "outcome", counters.answers),
             ("store_calls", "Store calls.", "outcome", counters.store_calls),
+            (
+                "upstream_losses",
+                "Upstreams lost with requests in progress.",
+                "held",
+                counters.upstream_losses,
+            ),
         ):
             family = CounterMetricFamily(
                 f"tanagerport_gateway_{name}", help_text, labels=[label]
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -70,6 +70,7 @@
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_latency import LatencyEstimator
 from tanagerport.gateway.upstream_load import LoadTracker
+from tanagerport.gateway.upstream_losses import LossDetector
 from tanagerport.gateway.upstream_pool import UpstreamPool
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
 
@@ -291,6 +292,7 @@
             self._registry,
             self._pool,
             self._health,
+            LossDetector(self._pool, self._counters, log),
             self._retry_budget,
             self._counters,
             log,
--- a/src/tanagerport/gateway/request_context.py
+++ b/src/tanagerport/gateway/request_context.py
@@ -51,8 +51,11 @@
     Attributes:
         reason: Reason of the failure, as counted for retries.
         may_have_run: Whether the upstream may have run the request.
+        has_lost_connection: Whether the upstream ended the connection.
     """
 
+    has_lost_connection = False
+
     def __init__(
         self, reason: RetryReason, message: str, may_have_run: bool
     ) -> None:
--- a/src/tanagerport/gateway/work_item.py
+++ b/src/tanagerport/gateway/work_item.py
@@ -99,6 +99,7 @@
         placed_at: Monotonic time of the assignment.
         has_first_event: Whether the first event or a successful whole answer
             arrived.
+        event_count: Number of events of a stream that arrived.
         first_byte_s: Seconds from dispatch to the first byte; None until then.
         is_slow: Whether the answer was several times slower than those of the
             old version; only determined during a rollout.
@@ -116,6 +117,7 @@
     predicted_first_byte_s: float
     placed_at: float
     has_first_event: bool = False
+    event_count: int = 0
     first_byte_s: float | None = None
     is_slow: bool = False
     is_released: bool = False
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -125,6 +125,7 @@
             cast(Any, _FakeRegistry()),
             cast(Any, None),
             UpstreamHealth(clock.monotonic),
+            cast(Any, None),
             RetryBudget(0.0, 10.0, retry_slack, lambda: 1, clock.monotonic),
             self.counters,
             DecisionLog("n"),
