--- /dev/null
+++ b/tests/test_gateway_crashing_prompts.py
@@ -0,0 +1,119 @@
+"""Tests of prompts on which every upstream crashes."""
+
+import asyncio
+import pathlib
+
+import platform_standin as standin
+from platform_standin import LocalCluster, configuration
+from test_gateway_process import RESUMABLE_STREAM_ROUTE
+
+_DEADLY_PART = "bad0"
+# Limits of the service's operators: requests that may reach upstreams with a
+# part that crashes them, up to the fifth crash and after it.
+_MAX_CRASHES = 5
+_MAX_LATER_REQUESTS = 3
+_RESTART_S = 0.8
+
+
+class _CrashingUpstreams:
+    """Upstreams that crash when they begin to answer on one prompt part."""
+
+    def __init__(self) -> None:
+        self.crashes = 0
+        self._stopped: set[str] = set()
+        self._restarts: set[asyncio.Task[None]] = set()
+        self._answer = standin.stream(6, interval_s=0.02)
+
+    async def handle(
+        self,
+        upstream: standin.UpstreamStandin,
+        request: standin.HttpRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if f"{_DEADLY_PART}:" not in request.headers["prefix-hash"]:
+            await self._answer(upstream, request, writer)
+            return
+        await asyncio.sleep(0.02)
+        if upstream.upstream_id in self._stopped:
+            return
+        self._stopped.add(upstream.upstream_id)
+        self.crashes += 1
+        port = upstream.port
+        await upstream.stop()
+        restart = asyncio.create_task(self._restart(upstream, port))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart(
+        self, upstream: standin.UpstreamStandin, port: int
+    ) -> None:
+        await asyncio.sleep(_RESTART_S)
+        await upstream.start(port)
+        self._stopped.discard(upstream.upstream_id)
+
+
+async def _call(
+    cluster: LocalCluster, number: int, parts: str
+) -> standin.ClientResponse:
+    return await standin.fetch(
+        cluster.gateways[number % len(cluster.gateways)].port,
+        "POST",
+        "/talk/x",
+        b"prompt",
+        {
+            "Attempt-Id": f"a{number}",
+            "Deadline-Ms": "4000",
+            "Token-Usage": "100,60",
+            "Prefix-Hash": parts,
+        },
+    )
+
+
+class TestPromptThatCrashesUpstreams:
+    """A prompt part on which every upstream crashes is kept from them."""
+
+    def test_nodes_stop_sending_the_part_and_serve_other_prompts(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a prompt that crashes one upstream after the other."""
+        config = configuration(1, [RESUMABLE_STREAM_ROUTE])
+
+        async def run_cluster() -> None:
+            async with standin.local_cluster(tmp_path, config) as cluster:
+                upstreams = _CrashingUpstreams()
+                for number in range(8):
+                    await cluster.add_upstream(f"u-{number}", upstreams.handle)
+                first = await cluster.add_gateway(seeds=["127.0.0.2:1"])
+                second = await cluster.add_gateway(
+                    "node-2",
+                    peer_host="127.0.0.2",
+                    peer_port=first.settings["peer_port"],
+                    coordination_port=first.settings["coordination_port"],
+                )
+                await first.wait_ready()
+                await second.wait_ready()
+                await asyncio.sleep(0.5)
+                calls = []
+                for number in range(60):
+                    # Each third prompt holds the part. All share the first.
+                    middle = f"{_DEADLY_PART}:30," if number % 3 == 0 else ""
+                    parts = f"shared:10,{middle}own{number}:60"
+                    calls.append(
+                        asyncio.create_task(_call(cluster, number, parts))
+                    )
+                    await asyncio.sleep(0.1)
+                responses = await asyncio.gather(*calls)
+                assert upstreams.crashes <= _MAX_CRASHES + _MAX_LATER_REQUESTS
+                sound = [
+                    response
+                    for number, response in enumerate(responses)
+                    if number % 3
+                ]
+                served = [
+                    response
+                    for response in sound[len(sound) // 2 :]
+                    if response.status == 200 and response.is_complete
+                ]
+                assert len(served) == len(sound) - len(sound) // 2
+
+        asyncio.run(run_cluster())
