Quarantine prompt parts that crash upstreams

What callers saw: answers cut off and refusals in every class of the engines, as requests with one prompt part crashed engine after engine.

Cause: nothing linked a crash to the requests that the upstream held. A node sent the request that had crashed an upstream to the next one, its client sent it once more, and other nodes sent others with the same part.

Change: nodes record the parts of requests whose answers had not begun when their upstream was lost, and share them at once in their reports. A part that two independent crashes have in common, and on which no answer began, is quarantined: requests with it are refused as not run. After the first crash, requests with an accused part are sent one at a time, and a request that an upstream crashed on waits for that to be known before it is sent again. An answer clears a part everywhere. Trials of a quarantined part are made by one node, after 30 s and then ever more rarely.

--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -15,6 +15,7 @@
     Dispatcher,
 )
 from tanagerport.gateway.http_names import HttpNames
+from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.request_context import (
     DispatchError,
     RequestContext,
@@ -40,6 +41,9 @@
 # another upstream. They count neither as dispatches nor against the retry
 # budget.
 _MAX_CONNECT_RETRIES = 6
+# Upstreams that may crash under a request before its answer begins. One crash
+# may have another cause.
+_MAX_CRASHES = 2
 # Minimum Retry-After of refusals where an early retry may succeed, and the
 # maximum random jitter added to it, in seconds.
 _MIN_RETRY_AFTER_S = 0.3
@@ -60,6 +64,7 @@
         pool: Connection pool for upstreams.
         health: Records failures of upstreams.
         losses: Confirms losses of upstreams.
+        quarantine: Refuses requests that may crash upstreams.
         budget: Limits retries.
         counters: Metrics of the process.
         log: Structured decision log.
@@ -77,6 +82,7 @@
         pool: UpstreamPool,
         health: UpstreamHealth,
         losses: LossDetector,
+        quarantine: PromptQuarantine,
         budget: RetryBudget,
         counters: Counters,
         log: DecisionLog,
@@ -91,6 +97,7 @@
         self._pool = pool
         self._health = health
         self._losses = losses
+        self._quarantine = quarantine
         self._budget = budget
         self._counters = counters
         self._log = log
@@ -166,6 +173,15 @@
                 await self._dispatch_with_retries(context)
         except TimeoutError:
             raise self._deadline_refusal(context) from None
+        except RefusedError as error:
+            if error.refusal.ran is Ran.UNKNOWN or not context.may_have_run:
+                raise
+            raise refusal_error(
+                RefusalReason.UPSTREAM_ERROR,
+                "the request failed at an upstream and can't be repeated:"
+                f" {error.refusal.message}",
+                Ran.UNKNOWN,
+            ) from error
         finally:
             self._validator.refund_unused_quota(context)
 
@@ -176,41 +192,53 @@
             RefusedError: The request failed and may not be retried.
         """
         while True:
-            placement = await self._acquire_placement(context)
+            async with self._quarantine.admit(context.item):
+                if await self._dispatch_once(context):
+                    return
+            self._reset_excluded(context.item)
+
+    async def _dispatch_once(self, context: RequestContext) -> bool:
+        """Dispatches the request; returns whether a response was relayed.
+
+        Raises:
+            RefusedError: The request failed and may not be retried.
+        """
+        placement = await self._scheduler.acquire(context.item)
+        try:
+            self._quarantine.check(context.item)
             self._counters.wait.observe(
                 self._now() - context.request.received_at
             )
-            try:
-                await self._dispatcher.dispatch(context, placement)
-                return
-            except DispatchError as error:
-                self._record_failure(context, placement, error)
-                self._check_retry(context, error)
-            except asyncio.CancelledError:
-                self._record_abandoned(placement)
-                raise
-            finally:
-                self._scheduler.release(placement)
-            context.item.excluded.add(placement.upstream.upstream_id)
-            self._reset_excluded(context.item)
+            await self._dispatcher.dispatch(context, placement)
+        except DispatchError as error:
+            self._record_failure(context, placement, error)
+            if error.has_lost_connection:
+                await self._record_break(context, placement)
+            self._check_retry(context, error)
+        except asyncio.CancelledError:
+            self._record_abandoned(placement)
+            raise
+        else:
+            return True
+        finally:
+            self._scheduler.release(placement)
+        context.item.excluded.add(placement.upstream.upstream_id)
+        return False
 
-    async def _acquire_placement(self, context: RequestContext) -> Placement:
-        """Waits for an upstream.
+    async def _record_break(
+        self, context: RequestContext, placement: Placement
+    ) -> None:
+        """Records that the upstream ended the connection of a dispatch.
 
-        If an earlier dispatch may have run, a refusal by the scheduler becomes
-        one that says so.
+        A request whose answer had not begun may be what crashed the upstream.
+        It waits until that is known before it is sent to another one.
         """
-        try:
-            return await self._scheduler.acquire(context.item)
-        except RefusedError as error:
-            if not context.may_have_run:
-                raise
-            raise refusal_error(
-                RefusalReason.UPSTREAM_ERROR,
-                "the request failed at an upstream and can't be repeated:"
-                f" {error.refusal.message}",
-                Ran.UNKNOWN,
-            ) from error
+        is_lost = self._losses.record_break(
+            placement.upstream,
+            HeldRequest(context.item, placement.event_count),
+        )
+        if not placement.has_first_event and await asyncio.shield(is_lost):
+            context.crashes += 1
 
     def _record_failure(
         self,
@@ -245,11 +273,6 @@
             customer="" if context.customer is None else context.customer.name,
             after_s=round(self._now() - placement.placed_at, 3),
         )
-        if error.has_lost_connection:
-            self._losses.record_break(
-                placement.upstream,
-                HeldRequest(context.item, placement.event_count),
-            )
 
     def _record_abandoned(self, placement: Placement) -> None:
         """Records a dispatch that the client or the deadline cancelled.
@@ -286,7 +309,11 @@
             raise self._failure_refusal(context, error)
         route = context.item.route
         may_retry = not error.may_have_run or route.can_repeat
-        if not may_retry or context.dispatches >= route.max_dispatches:
+        if (
+            not may_retry
+            or context.dispatches >= route.max_dispatches
+            or context.crashes >= _MAX_CRASHES
+        ):
             raise self._failure_refusal(context, error)
         if not self._budget.try_spend(context.item.service):
             raise self._failure_refusal(
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
+import xxhash
+
 from tanagerport.exceptions import (
     DocumentError,
     PlatformError,
@@ -20,6 +22,7 @@
 from tanagerport.gateway.coordinator_directory import CoordinatorDirectory
 from tanagerport.gateway.coordinator_ranking import rank_coordinators
 from tanagerport.gateway.counters import Counters
+from tanagerport.gateway.crash_evidence import CrashLedger
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.dispatch import Dispatcher
 from tanagerport.gateway.domain import (
@@ -39,6 +42,7 @@
 )
 from tanagerport.gateway.placement import UpstreamSelector
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
+from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.quota_checkpoint import QuotaCheckpoint
 from tanagerport.gateway.quotas import QuotaLimiter, QuotaSettings
 from tanagerport.gateway.request_validation import RequestValidator
@@ -70,7 +74,7 @@
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_latency import LatencyEstimator
 from tanagerport.gateway.upstream_load import LoadTracker
-from tanagerport.gateway.upstream_losses import LossDetector
+from tanagerport.gateway.upstream_losses import HeldRequest, LossDetector
 from tanagerport.gateway.upstream_pool import UpstreamPool
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
 
@@ -177,6 +181,7 @@
         self._health = UpstreamHealth()
         self._latencies = LatencyEstimator()
         self._cache = PromptCacheIndex()
+        self._crashes = CrashLedger()
         self._pool = UpstreamPool(self._idle_connection_limit)
         self._registry = UpstreamRegistry()
         self._quotas = QuotaLimiter(
@@ -273,6 +278,7 @@
             self._find_service,
             self._peer_exchange.send_early_report,
             self._slots,
+            record_answer=self._crashes.record_answer,
         )
         dispatcher = Dispatcher(
             http_names,
@@ -292,7 +298,8 @@
             self._registry,
             self._pool,
             self._health,
-            LossDetector(self._pool, self._counters, log),
+            LossDetector(self._pool, self._counters, log, self._record_loss),
+            PromptQuarantine(self._crashes, self._is_trial_owner, log),
             self._retry_budget,
             self._counters,
             log,
@@ -569,6 +576,7 @@
             self._scheduler.admit_waiting()
             self._coordinator.update()
             self._slots.update()
+            self._crashes.expire()
             self._log.flush()
 
     def _log_load(self, loop_delay_s: float) -> None:
@@ -783,6 +791,7 @@
             ),
             link_mbps=round(self._settings.link_mbps),
             is_draining=self._is_draining,
+            crash_evidence=self._crashes.report(is_whole),
         )
 
     def _apply_report(self, report: NodeReport) -> None:
@@ -796,6 +805,8 @@
             self._peer_exchange.peer_timeout_s(report.zone),
         )
         self._latencies.apply_samples(report.speeds)
+        if report.crash_evidence is not None:
+            self._crashes.apply_report(report.crash_evidence)
         self._rollouts.apply_report(
             f"{report.node}/{report.start}", report.rollouts
         )
@@ -808,6 +819,28 @@
             f"{report.node}/{report.start}", report.uptime_s, report.uses
         )
 
+    def _record_loss(self, upstream: UpstreamRecord, held: HeldRequest) -> None:
+        """Records a request that a lost upstream held.
+
+        All nodes have to know the parts of its prompt before they send them to
+        further upstreams, so the next report is not awaited.
+        """
+        if held.has_begun or not held.item.part_keys:
+            return
+        self._crashes.record_crash(
+            f"{upstream.upstream_id}/{upstream.started_ms}",
+            held.item.part_keys,
+        )
+        self._peer_exchange.send_report()
+
+    def _is_trial_owner(self, part: int) -> bool:
+        """Returns whether this node tries a quarantined prompt part."""
+        hosts = [peer.host for peer in self._peer_exchange.live_peers()]
+        return self._settings.peer_host == max(
+            [*hosts, self._settings.peer_host],
+            key=lambda host: xxhash.xxh3_64_intdigest(f"{part} {host}"),
+        )
+
     def _is_first_node(self) -> bool:
         """Returns whether this node has the lowest name of all live nodes."""
         return all(
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -27,6 +27,7 @@
 
 import msgspec
 
+from tanagerport.gateway.crash_evidence import CrashEvidence
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.quotas import CustomerUsage
 from tanagerport.gateway.report_traffic import ReportTraffic
@@ -119,6 +120,7 @@
             node, for the same tables as `table_versions`.
         link_mbps: Bandwidth of the node's link, in Mbit/s.
         is_draining: Whether the node is stopping.
+        crash_evidence: Evidence on prompt parts that crash upstreams, if any.
     """
 
     node: str
@@ -140,6 +142,7 @@
     table_ages_ms: tuple[int, int] = (MAX_TABLE_AGE_MS, MAX_TABLE_AGE_MS)
     link_mbps: int = 0
     is_draining: bool = False
+    crash_evidence: CrashEvidence | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/tanagerport/gateway/request_context.py
+++ b/src/tanagerport/gateway/request_context.py
@@ -21,6 +21,7 @@
         units: Quota units charged to the customer.
         dispatches: Number of dispatches to upstreams.
         connect_failures: Number of failed connection attempts.
+        crashes: Number of upstreams that crashed before they began to answer.
         has_open_dispatch: Whether a dispatch was sent whose failure has not
             been recorded.
         may_have_run_before: Whether an upstream may have run an earlier
@@ -35,6 +36,7 @@
     units: float
     dispatches: int = 0
     connect_failures: int = 0
+    crashes: int = 0
     has_open_dispatch: bool = False
     may_have_run_before: bool = False
     last_event_id: int | None = None
--- a/src/tanagerport/gateway/request_validation.py
+++ b/src/tanagerport/gateway/request_validation.py
@@ -5,6 +5,7 @@
 from tanagerport.gateway import request_headers
 from tanagerport.gateway.attempt_age import AttemptAgeEstimator
 from tanagerport.gateway.client_server import ClientRequest, ClientResponse
+from tanagerport.gateway.crash_evidence import part_keys
 from tanagerport.gateway.domain import Customer, Route
 from tanagerport.gateway.http_names import HttpNames
 from tanagerport.gateway.quotas import QuotaLimiter
@@ -74,15 +75,17 @@
         tier = route.tier
         if customer is not None and customer.tier is not None:
             tier = customer.tier
+        service = _select_service(route, request_id)
         item = WorkItem(
             request_id.decode("latin-1"),
             route,
-            _select_service(route, request_id),
+            service,
             tier,
             request.received_at,
             request.received_at + timeout_s,
             age_s,
             work,
+            part_keys=part_keys(service, work.parts),
         )
         units = 0.0
         if customer is not None:
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -43,6 +43,8 @@
         slots: Gets slots from the coordinators; None to decide on the reports
             of other nodes alone.
         now: Monotonic clock, in seconds.
+        record_answer: Called with the keys of the prompt parts on which an
+            answer has begun.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         on_placed: Callable[[], None],
         slots: SlotClient | None = None,
         now: Callable[[], float] = time.monotonic,
+        record_answer: Callable[[tuple[int, ...]], None] | None = None,
     ) -> None:
         self._registry = registry
         self._selector = selector
@@ -70,6 +73,7 @@
         self._on_placed = on_placed
         self._slots = slots
         self._now = now
+        self._record_answer = record_answer
         self._queues: dict[str, AdmissionQueue] = {}
         # Requests that wait for a coordinator, and their refusal once the
         # process stops.
@@ -170,6 +174,8 @@
             return
         placement.has_first_event = True
         placement.first_byte_s = first_byte_s
+        if self._record_answer is not None and placement.item.part_keys:
+            self._record_answer(placement.item.part_keys)
         if self._slots is not None and placement.queued_prompt_tokens:
             self._slots.record_first_event(placement, first_byte_s)
         upstream = placement.upstream
--- a/src/tanagerport/gateway/work_item.py
+++ b/src/tanagerport/gateway/work_item.py
@@ -33,6 +33,8 @@
             without pending prefill; updated by each upstream selection.
         excluded: Ids of upstreams to avoid in further dispatches; cleared
             when no other upstream is usable.
+        part_keys: Keys of the prompt parts that other requests may share.
+        is_trial: Whether the request tries a quarantined part.
         origin_zone: Availability zone of the node that received the request;
             empty for the node that selects the upstream.
     """
@@ -47,6 +49,8 @@
     work: WorkEstimate = NO_WORK
     best_first_byte_s: float = 0.0
     excluded: set[str] = dataclasses.field(default_factory=set)
+    part_keys: tuple[int, ...] = ()
+    is_trial: bool = False
     origin_zone: str = ""
 
     @property
--- a/src/tanagerport/refusals.py
+++ b/src/tanagerport/refusals.py
@@ -46,6 +46,7 @@
     HEADERS_TOO_LARGE = "headers_too_large"
     REQUEST_TIMEOUT = "request_timeout"
     UPSTREAM_REJECTED = "upstream_rejected"
+    PROMPT_QUARANTINED = "prompt_quarantined"
 
 
 class RetryReason(enum.StrEnum):
@@ -94,6 +95,7 @@
     RefusalReason.HEADERS_TOO_LARGE: 431,
     RefusalReason.REQUEST_TIMEOUT: 408,
     RefusalReason.UPSTREAM_REJECTED: 503,
+    RefusalReason.PROMPT_QUARANTINED: 503,
 }
 
 
--- /dev/null
+++ b/tests/test_gateway_crash_evidence.py
@@ -0,0 +1,245 @@
+"""Tests of the evidence on prompt parts that crash upstreams."""
+
+from tanagerport.clock import FakeClock
+from tanagerport.gateway.crash_evidence import SOUND, CrashLedger, part_keys
+from tanagerport.gateway.domain import PromptPart
+
+_COMMON, _RARE, _DEADLY, _OTHER_DEADLY = 1, 2, 3, 4
+
+
+class _Nodes:
+    """Ledgers of nodes that exchange reports."""
+
+    def __init__(self, count: int = 1) -> None:
+        self.clock = FakeClock(1000.0)
+        self.ledgers = [CrashLedger(self.clock.monotonic) for _ in range(count)]
+        self._runs = 0
+
+    @property
+    def first(self) -> CrashLedger:
+        return self.ledgers[0]
+
+    def crash(self, *prompts: tuple[int, ...], node: int = 0) -> None:
+        """An upstream crashes while answers to these prompts had not begun."""
+        self._runs += 1
+        for parts in prompts:
+            self.ledgers[node].record_crash(f"run-{self._runs}", parts)
+
+    def exchange(self, is_whole: bool = False) -> None:
+        """Sends a report of each node to all others."""
+        for sender in self.ledgers:
+            report = sender.report(is_whole)
+            for receiver in self.ledgers:
+                if receiver is not sender and report is not None:
+                    receiver.apply_report(report)
+
+    def quarantined(self, node: int = 0) -> set[int]:
+        return {entry.part for entry in self.ledgers[node].quarantined}
+
+
+class TestPartKeys:
+    """Keys of the parts that several requests may share."""
+
+    def test_last_part_and_service_are_told_apart(self) -> None:
+        """Guards against a quarantine of another service's prompts."""
+        parts = [PromptPart("a", 1), PromptPart("b", 1), PromptPart("own", 1)]
+        keys = part_keys("models", parts)
+        assert len(keys) == 2
+        assert not set(keys) & set(part_keys("others", parts))
+        assert part_keys("models", parts[:1]) == ()
+
+
+class TestQuarantine:
+    """A part that independent crashes have in common is quarantined."""
+
+    def test_part_of_two_crashes_is_quarantined_and_others_are_not(
+        self,
+    ) -> None:
+        """Guards against a deadly part that is told from others too late."""
+        nodes = _Nodes()
+        nodes.first.record_answer([_COMMON])
+        nodes.clock.advance(1)
+        nodes.crash((_COMMON, _DEADLY), (_COMMON, _RARE))
+        assert nodes.first.judge([_COMMON, _RARE]).suspected == (_RARE,)
+        nodes.clock.advance(1)
+        nodes.crash((_COMMON, _DEADLY))
+        assert nodes.quarantined() == {_DEADLY}
+        assert nodes.first.judge([_COMMON, _DEADLY]).quarantined == (_DEADLY,)
+        assert nodes.first.judge([_COMMON, _RARE]) == SOUND
+
+    def test_two_deadly_parts_are_found(self) -> None:
+        """Guards against a second deadly part that hides behind the first."""
+        nodes = _Nodes()
+        for deadly in (_DEADLY, _OTHER_DEADLY, _DEADLY, _OTHER_DEADLY):
+            nodes.crash((10 + deadly, deadly))
+            nodes.first.record_answer([13, 14])
+            nodes.clock.advance(1)
+        assert nodes.quarantined() == {_DEADLY, _OTHER_DEADLY}
+
+    def test_rare_crashes_are_added_up(self) -> None:
+        """Guards against crashes that are forgotten before the next one."""
+        nodes = _Nodes()
+        for _ in range(2):
+            nodes.crash((_COMMON, _DEADLY))
+            nodes.clock.advance(1)
+            nodes.first.record_answer([_COMMON])
+            nodes.clock.advance(30)
+            nodes.first.expire()
+        assert nodes.quarantined() == {_DEADLY}
+
+    def test_loss_of_a_rack_accuses_no_part(self) -> None:
+        """Guards against parts that are refused as several upstreams end."""
+        nodes = _Nodes()
+        nodes.first.record_answer([_COMMON])
+        for _ in range(5):
+            nodes.crash((_COMMON, _RARE))
+            nodes.clock.advance(0.002)
+        assert nodes.quarantined() == set()
+        assert not nodes.first.judge([_COMMON]).suspected
+
+    def test_common_part_needs_more_crashes(self) -> None:
+        """Guards against a common part refused after chance crashes.
+
+        It is quarantined if no answer begins on it any more.
+        """
+        nodes = _Nodes()
+        nodes.first.record_answer([_COMMON])
+        for own in range(3):
+            assert nodes.quarantined() == set()
+            nodes.clock.advance(1)
+            nodes.crash((_COMMON, 100 + own))
+        assert nodes.quarantined() == {_COMMON}
+
+    def test_parts_that_only_came_together_are_tried_apart(self) -> None:
+        """Guards against a sound part refused along with a deadly one."""
+        nodes = _Nodes()
+        for _ in range(2):
+            nodes.crash((_RARE, _DEADLY))
+            nodes.clock.advance(1)
+        assert nodes.first.judge([_RARE, _DEADLY]).quarantined
+        assert nodes.first.judge([_RARE]).suspected == (_RARE,)
+        nodes.first.record_answer([_RARE])
+        assert nodes.quarantined() == {_DEADLY}
+        assert not nodes.first.judge([_RARE]).suspected
+
+
+class TestRelease:
+    """A quarantine ends when the part proves sound."""
+
+    def test_answer_ends_the_quarantine_at_all_nodes(self) -> None:
+        """Guards against a part that stays refused after it was cleared."""
+        nodes = _Nodes(3)
+        for _ in range(2):
+            nodes.crash((_RARE,))
+            nodes.clock.advance(1)
+        nodes.exchange()
+        assert nodes.quarantined(1) == {_RARE}
+        nodes.ledgers[1].record_answer([_RARE])
+        nodes.exchange()
+        nodes.exchange(is_whole=True)
+        assert [nodes.quarantined(node) for node in range(3)] == [set()] * 3
+
+    def test_trials_get_rarer_with_each_crash(self) -> None:
+        """Guards against trials that crash one upstream after the other."""
+        nodes = _Nodes()
+        for _ in range(2):
+            nodes.crash((_DEADLY,))
+            nodes.clock.advance(1)
+        intervals = []
+        for _ in range(4):
+            quarantine = nodes.first.get_quarantine(_DEADLY)
+            assert quarantine is not None
+            wait_s = quarantine.trial_at - nodes.clock.monotonic()
+            intervals.append(round(wait_s))
+            nodes.clock.advance(wait_s)
+            nodes.first.begin_trial(_DEADLY)
+            nodes.crash((_DEADLY,))
+        assert intervals == [29, 60, 120, 240]
+
+    def test_operator_releases_a_part_at_all_nodes(self) -> None:
+        """Guards against a quarantine that operators can't end."""
+        nodes = _Nodes(2)
+        for _ in range(2):
+            nodes.crash((_RARE,))
+            nodes.clock.advance(1)
+        nodes.exchange()
+        assert nodes.ledgers[1].release(_RARE)
+        nodes.exchange(is_whole=True)
+        nodes.exchange(is_whole=True)
+        assert [nodes.quarantined(node) for node in range(2)] == [set()] * 2
+        assert not nodes.first.release(_RARE)
+
+
+class TestExchange:
+    """Nodes add up the crashes that each of them saw."""
+
+    def test_crashes_of_different_nodes_are_added_up(self) -> None:
+        """Guards against a limit that each node applies on its own."""
+        nodes = _Nodes(3)
+        nodes.crash((_DEADLY,), node=0)
+        nodes.exchange()
+        nodes.clock.advance(1)
+        nodes.crash((_DEADLY,), node=1)
+        nodes.exchange()
+        assert nodes.quarantined(2) == {_DEADLY}
+
+    def test_crash_that_two_nodes_saw_counts_once(self) -> None:
+        """Guards against one crash that is taken for two."""
+        nodes = _Nodes(2)
+        for ledger in nodes.ledgers:
+            ledger.record_crash("run", (_RARE,))
+            nodes.clock.advance(0.3)
+        nodes.exchange()
+        nodes.exchange()
+        assert [nodes.quarantined(node) for node in range(2)] == [set()] * 2
+
+    def test_answers_known_to_another_node_protect_a_common_part(self) -> None:
+        """Guards against a part that is unknown only to the node of a crash."""
+        nodes = _Nodes(2)
+        nodes.ledgers[1].record_answer([_COMMON])
+        nodes.clock.advance(1)
+        nodes.crash((_COMMON, _DEADLY))
+        nodes.exchange()
+        assert nodes.first.judge([_COMMON, _DEADLY]).suspected == (_DEADLY,)
+
+    def test_restarted_node_learns_the_quarantine(self) -> None:
+        """Guards against a node that sends a quarantined part after a start."""
+        nodes = _Nodes(2)
+        for _ in range(2):
+            nodes.crash((_DEADLY,))
+            nodes.clock.advance(1)
+        nodes.exchange()
+        nodes.clock.advance(60)
+        nodes.ledgers[0] = CrashLedger(nodes.clock.monotonic)
+        nodes.ledgers[1].expire()
+        nodes.exchange(is_whole=True)
+        assert nodes.quarantined() == {_DEADLY}
+
+    def test_repeated_reports_do_not_postpone_the_trial(self) -> None:
+        """Guards against a delay that adds up while reports go round."""
+        nodes = _Nodes(2)
+        for _ in range(2):
+            nodes.crash((_DEADLY,))
+            nodes.clock.advance(1)
+        for _ in range(20):
+            report = nodes.first.report(is_whole=True)
+            nodes.clock.advance(0.5)
+            assert report is not None
+            nodes.ledgers[1].apply_report(report)
+            nodes.ledgers.reverse()
+        quarantine = nodes.first.get_quarantine(_DEADLY)
+        assert quarantine is not None
+        assert quarantine.trial_at <= 1001 + 30 + 1
+
+    def test_size_is_bounded(self) -> None:
+        """Guards against callers who invent prompt parts."""
+        nodes = _Nodes()
+        for number in range(500):
+            nodes.crash(tuple(range(number * 100, number * 100 + 100)))
+            nodes.first.record_answer(range(number * 100, number * 100 + 90))
+            nodes.clock.advance(0.2)
+        report = nodes.first.report(is_whole=True)
+        assert report is not None
+        assert len(report.crashes) <= 8
+        assert len(report.quarantined) <= 16
+        assert all(len(parts) <= 32 for _, _, parts in report.crashes)
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -8,10 +8,12 @@
 from tanagerport.exceptions import RefusedError
 from tanagerport.gateway.client_server import ClientRequest, ClientResponse
 from tanagerport.gateway.counters import Counters
+from tanagerport.gateway.crash_evidence import CrashLedger
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.dispatch import Dispatcher
 from tanagerport.gateway.domain import RequestKind
 from tanagerport.gateway.forwarding import RequestForwarder
+from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.request_context import DispatchError, RequestContext
 from tanagerport.gateway.retry_budget import RetryBudget
 from tanagerport.gateway.scheduler import Scheduler
@@ -126,6 +128,11 @@
             cast(Any, None),
             UpstreamHealth(clock.monotonic),
             cast(Any, None),
+            PromptQuarantine(
+                CrashLedger(clock.monotonic),
+                lambda part: True,
+                DecisionLog("n"),
+            ),
             RetryBudget(0.0, 10.0, retry_slack, lambda: 1, clock.monotonic),
             self.counters,
             DecisionLog("n"),
--- /dev/null
+++ b/tests/test_gateway_prompt_quarantine.py
@@ -0,0 +1,158 @@
+"""Tests of the admission of requests that may crash upstreams."""
+
+import asyncio
+
+import pytest
+
+import gateway_doubles
+from tanagerport.clock import FakeClock
+from tanagerport.exceptions import RefusedError
+from tanagerport.gateway.crash_evidence import CrashLedger
+from tanagerport.gateway.decision_log import DecisionLog
+from tanagerport.gateway.prompt_quarantine import PromptQuarantine
+from tanagerport.gateway.work_item import WorkItem
+from tanagerport.refusals import Ran, RefusalReason
+
+_DEADLY, _OTHER = 1, 2
+
+
+class _Admissions:
+    """A quarantine, and the order in which it admits requests."""
+
+    def __init__(self, is_trial_owner: bool = True) -> None:
+        self.clock = FakeClock(1000.0)
+        self.ledger = CrashLedger(self.clock.monotonic)
+        self.quarantine = PromptQuarantine(
+            self.ledger,
+            lambda part: is_trial_owner,
+            DecisionLog("n"),
+            self.clock.monotonic,
+        )
+        self.admitted: list[str] = []
+        self.may_end = asyncio.Event()
+
+    def crash(self, count: int) -> None:
+        for number in range(count):
+            self.clock.advance(1)
+            at = f"run-{number}-{self.clock.monotonic()}"
+            self.ledger.record_crash(at, (_DEADLY,))
+
+    def make_item(self, request_id: str, *parts: int) -> WorkItem:
+        item = gateway_doubles.make_item(
+            self.clock.monotonic(), request_id=request_id
+        )
+        item.part_keys = parts
+        return item
+
+    async def hold(self, item: WorkItem) -> None:
+        """Holds an admission until `may_end` is set."""
+        async with self.quarantine.admit(item):
+            self.admitted.append(item.request_id)
+            await self.may_end.wait()
+
+
+class TestSuspectedParts:
+    """After one crash, requests with its parts are sent one at a time."""
+
+    def test_one_request_tries_the_part_and_the_others_wait(self) -> None:
+        """Guards against several upstreams that one part crashes at once."""
+
+        async def run() -> None:
+            admissions = _Admissions()
+            admissions.crash(1)
+            tasks = [
+                asyncio.create_task(
+                    admissions.hold(admissions.make_item(name, part))
+                )
+                for name, part in (
+                    ("first", _DEADLY),
+                    ("second", _DEADLY),
+                    ("other", _OTHER),
+                )
+            ]
+            await gateway_doubles.run_pending_tasks()
+            assert admissions.admitted == ["first", "other"]
+            admissions.ledger.record_answer([_DEADLY])
+            admissions.may_end.set()
+            await asyncio.gather(*tasks)
+            assert admissions.admitted == ["first", "other", "second"]
+
+        asyncio.run(run())
+
+    def test_waiting_request_is_refused_after_the_second_crash(self) -> None:
+        """Guards against requests that wait for a part to crash upstreams."""
+
+        async def run() -> None:
+            admissions = _Admissions()
+            admissions.crash(1)
+            first, second = (
+                asyncio.create_task(
+                    admissions.hold(admissions.make_item(name, _DEADLY))
+                )
+                for name in ("first", "second")
+            )
+            await gateway_doubles.run_pending_tasks()
+            admissions.crash(1)
+            admissions.may_end.set()
+            await first
+            with pytest.raises(RefusedError):
+                await second
+            assert admissions.admitted == ["first"]
+
+        asyncio.run(run())
+
+
+class TestQuarantinedParts:
+    """Requests with a quarantined part are refused until a trial is due."""
+
+    def test_refusal_says_when_to_come_back(self) -> None:
+        """Guards against clients that return before anything can change."""
+
+        async def run() -> None:
+            admissions = _Admissions()
+            admissions.crash(2)
+            item = admissions.make_item("r", _OTHER, _DEADLY)
+            with pytest.raises(RefusedError) as raised:
+                await admissions.hold(item)
+            refusal = raised.value.refusal
+            assert refusal.reason is RefusalReason.PROMPT_QUARANTINED
+            assert refusal.ran is Ran.NO
+            assert refusal.retry_after_s == pytest.approx(30)
+
+        asyncio.run(run())
+
+    def test_request_that_waited_for_an_upstream_is_checked_again(self) -> None:
+        """Guards against queued requests sent after the quarantine began."""
+
+        async def run() -> None:
+            admissions = _Admissions()
+            item = admissions.make_item("r", _DEADLY)
+            async with admissions.quarantine.admit(item):
+                admissions.crash(2)
+                with pytest.raises(RefusedError):
+                    admissions.quarantine.check(item)
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize("is_owner", [True, False])
+    def test_one_request_of_one_node_makes_the_trial(
+        self, is_owner: bool
+    ) -> None:
+        """Guards against trials at all nodes at the same time."""
+
+        async def run() -> None:
+            admissions = _Admissions(is_owner)
+            admissions.crash(2)
+            admissions.clock.advance(31)
+            admissions.may_end.set()
+            refused = 0
+            for number in range(5):
+                item = admissions.make_item(f"r{number}", _DEADLY)
+                try:
+                    await admissions.hold(item)
+                except RefusedError:
+                    refused += 1
+            assert len(admissions.admitted) == int(is_owner)
+            assert refused == 5 - int(is_owner)
+
+        asyncio.run(run())
