Ignore refusals without an id on connections that were used before

What callers saw (reports of operators of similar systems): a faulty upstream wrote an earlier refusal once more on a kept connection, and the next request was reported as not run, or ran at a second upstream, while it ran.

Cause: an error answer without an id was taken to belong to the request, as an upstream may reject one before it has read the id. That holds only for a connection that carried no other request.

--- a/src/tanagerport/gateway/dispatch.py
+++ b/src/tanagerport/gateway/dispatch.py
@@ -122,6 +122,7 @@
     ) -> AsyncIterator["_Exchange"]:
         upstream = placement.upstream
         channel = self._pool.take_idle(upstream)
+        is_new_connection = channel is None
         if channel is None:
             try:
                 channel = await self._pool.open(upstream, _CONNECT_TIMEOUT_S)
@@ -130,7 +131,10 @@
                     RetryReason.CONNECT_FAILED, str(error), may_have_run=False
                 ) from error
         exchange = _Exchange(
-            channel, self._create_call(context, placement, channel), self._now()
+            channel,
+            self._create_call(context, placement, channel),
+            self._now(),
+            is_new_connection,
         )
         try:
             if context.dispatches == 0:
@@ -196,7 +200,7 @@
                 for _ in range(_MAX_RESPONSES_READ):
                     head = await exchange.call.read_head()
                     self._scheduler.record_received(placement)
-                    if self._matches_request(context, head):
+                    if self._matches_request(context, exchange, head):
                         return head
                     # A response to an earlier request arrived first.
                     self._log.warning(
@@ -223,12 +227,16 @@
         )
 
     def _matches_request(
-        self, context: RequestContext, head: ResponseHead
+        self,
+        context: RequestContext,
+        exchange: "_Exchange",
+        head: ResponseHead,
     ) -> bool:
         echoed_id = head.header_values.get(self._http_names.request_id)
         if echoed_id is None:
-            # An upstream may reject a request before it has read the id.
-            return head.status >= 400
+            # An upstream may reject a request before it has read the id. On a
+            # connection that carried other requests, it may repeat an answer.
+            return head.status >= 400 and exchange.is_new_connection
         return echoed_id.decode("latin-1") == context.item.request_id
 
     def _first_byte_timeout_s(
@@ -515,6 +523,7 @@
         channel: Connection to the upstream.
         call: Call whose response is read.
         started_at: Monotonic seconds at which the call was created.
+        is_new_connection: Whether the connection carried no other request.
         is_reusable: Whether the connection returns to the pool afterwards.
         idle_timeout_s: Idle timeout that the upstream announced, in seconds.
     """
@@ -522,5 +531,6 @@
     channel: Channel
     call: HttpCall
     started_at: float
+    is_new_connection: bool
     is_reusable: bool = False
     idle_timeout_s: float | None = None
