Keep answers that do not continue a stream out of it

What callers saw (reports of operators of similar systems): after a stream had broken off, the next upstream's error appeared in the middle of it.

Here the codec of the client's connection refused a second head, so no text got through, but the stream was cut where another upstream could have continued it. Such an answer is now a failed dispatch. The case of an answer with other content failed before: cut after 3 of 6 events with a sound third upstream.

--- a/src/tanagerport/gateway/dispatch.py
+++ b/src/tanagerport/gateway/dispatch.py
@@ -105,6 +105,13 @@
             if is_stream:
                 self._check_response_seal(head)
                 await self._relay_stream(context, placement, exchange, head)
+            elif context.response.is_started:
+                raise DispatchError(
+                    RetryReason.STREAM_BROKEN,
+                    f"the upstream answered {head.status} and did not continue"
+                    " the stream",
+                    may_have_run=True,
+                )
             else:
                 await self._relay_buffered(context, placement, exchange, head)
             if (
--- a/tests/test_gateway_faulty_answers.py
+++ b/tests/test_gateway_faulty_answers.py
@@ -6,7 +6,7 @@
 import pytest
 
 import platform_standin as standin
-from platform_standin import LocalCluster, route
+from platform_standin import LocalCluster, configuration, route
 from test_gateway_process import run_scenario
 
 _THREE_ATTEMPTS_ROUTE = route(
@@ -108,3 +108,78 @@
             assert len(set(connections)) == len(connections) == 2
 
         run_scenario(tmp_path, scenario)
+
+
+class TestAnswerToAResumedStream:
+    """An answer that does not continue a stream is kept out of it."""
+
+    @pytest.mark.parametrize("kind", ["error", "other content"])
+    @pytest.mark.parametrize("is_third_sound", [True, False])
+    def test_stream_is_continued_or_cut(
+        self, kind: str, is_third_sound: bool, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against an error's text within a stream, or a false end."""
+
+        async def answer_resumed(
+            upstream: standin.UpstreamStandin,
+            request: standin.HttpRequest,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            upstream.started_attempts.append(request.headers["attempt-id"])
+            seal = standin.seal_headers(request)
+            if kind == "error":
+                writer.write(standin.response_bytes(500, b"engine fault", seal))
+            elif kind == "other content":
+                writer.write(standin.response_bytes(200, b"engine fault", seal))
+            else:
+                lines = [f"{name}: {value}" for name, value in seal.items()]
+                head = [
+                    "HTTP/1.1 200 OK",
+                    "Content-Type: text/event-stream",
+                    *lines,
+                ]
+                writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
+                await writer.drain()
+                writer.close()
+
+        async def handle(
+            upstream: standin.UpstreamStandin,
+            request: standin.HttpRequest,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            resumed = sum(
+                "last-event-id" in received.headers
+                for other in cluster_upstreams
+                for received in other.received_requests
+            )
+            if "last-event-id" not in request.headers:
+                await standin.stream(6, 0.01, reset_after=3)(
+                    upstream, request, writer
+                )
+            elif resumed > 1 and is_third_sound:
+                await standin.stream(6, 0.01)(upstream, request, writer)
+            else:
+                await answer_resumed(upstream, request, writer)
+
+        cluster_upstreams: list[standin.UpstreamStandin] = []
+
+        async def scenario(cluster: LocalCluster) -> None:
+            for number in range(3):
+                cluster_upstreams.append(
+                    await cluster.add_upstream(f"u-{number}", handle)
+                )
+            await cluster.gateway.wait_ready()
+            response = await cluster.call("a1", "/talk/x", b"prompt")
+            assert response.status == 200
+            assert b"engine fault" not in response.body
+            assert b"HTTP/1.1" not in response.body
+            if is_third_sound:
+                assert response.is_complete
+                assert response.body.count(b"\n\n") == 6
+            else:
+                assert not response.is_complete
+                assert response.body.count(b"\n\n") == 3
+
+        run_scenario(
+            tmp_path, scenario, configuration(1, [_THREE_ATTEMPTS_ROUTE])
+        )
