Treat a stream without framing and events as broken off

What callers saw (reports of operators of similar systems): an upstream stopped in the middle of its answer and closed; clients got a 200 with an empty body, framed as whole. After a break, the same answer made the stream look complete.

Cause: an answer without a length and without chunks ends with its connection, and a stream that ended before its first event was taken as complete. A head that breaks off was an error before (tested for each line of it).

Three cases failed before: an empty stream as a first answer, and as the continuation of a stream with and without a sound third upstream.

--- a/src/tanagerport/gateway/dispatch.py
+++ b/src/tanagerport/gateway/dispatch.py
@@ -360,6 +360,13 @@
                     f"an event is above {_MAX_EVENT_BYTES} bytes",
                     may_have_run=True,
                 )
+            if not data and not timing.event_count and not head.is_framed:
+                # The connection may have ended before the answer did.
+                raise DispatchError(
+                    RetryReason.STREAM_BROKEN,
+                    "the connection ended before the first event",
+                    may_have_run=True,
+                )
             if not data and splitter.partial:
                 raise DispatchError(
                     RetryReason.STREAM_BROKEN,
--- a/src/tanagerport/gateway/http_call.py
+++ b/src/tanagerport/gateway/http_call.py
@@ -36,6 +36,14 @@
     headers: Headers
     header_values: dict[bytes, bytes]
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the end of the body shows without that of its connection."""
+        return (
+            b"content-length" in self.header_values
+            or b"transfer-encoding" in self.header_values
+        )
+
 
 class HttpCall:
     """One request and its response on a connection.
--- a/tests/test_gateway_faulty_answers.py
+++ b/tests/test_gateway_faulty_answers.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import pathlib
+import socket
+import struct
 
 import pytest
 
 import platform_standin as standin
 from platform_standin import LocalCluster, configuration, route
-from test_gateway_process import run_scenario
+from test_gateway_process import ROUTES, run_scenario
 
 _THREE_ATTEMPTS_ROUTE = route(
     "talk",
@@ -113,7 +115,7 @@
 class TestAnswerToAResumedStream:
     """An answer that does not continue a stream is kept out of it."""
 
-    @pytest.mark.parametrize("kind", ["error", "other content"])
+    @pytest.mark.parametrize("kind", ["error", "other content", "empty"])
     @pytest.mark.parametrize("is_third_sound", [True, False])
     def test_stream_is_continued_or_cut(
         self, kind: str, is_third_sound: bool, tmp_path: pathlib.Path
@@ -183,3 +185,96 @@
         run_scenario(
             tmp_path, scenario, configuration(1, [_THREE_ATTEMPTS_ROUTE])
         )
+
+
+class TestUnframedAnswer:
+    """Answers with neither a length nor chunks end with their connection."""
+
+    @pytest.mark.parametrize("path", ["/pay/x", "/call/x"])
+    @pytest.mark.parametrize("is_reset", [True, False])
+    @pytest.mark.parametrize(
+        "kept_lines", [1, 2, 3, 4], ids=lambda count: f"{count} lines"
+    )
+    def test_head_that_breaks_off_is_no_answer(
+        self,
+        path: str,
+        is_reset: bool,
+        kept_lines: int,
+        tmp_path: pathlib.Path,
+    ) -> None:
+        """Guards against a broken head delivered as a whole, empty answer."""
+
+        async def handle(
+            upstream: standin.UpstreamStandin,
+            request: standin.HttpRequest,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+            seal = standin.seal_headers(request)
+            lines += [f"{name}: {value}" for name, value in seal.items()]
+            writer.write("\r\n".join(lines[:kept_lines]).encode() + b"\r\n")
+            await _end(writer, is_reset)
+
+        async def scenario(cluster: LocalCluster) -> None:
+            await cluster.add_upstream("u-1", handle)
+            await cluster.gateway.wait_ready()
+            response = await cluster.call("a1", path, b"prompt")
+            assert response.status == 502
+
+        run_scenario(tmp_path, scenario)
+
+    @pytest.mark.parametrize(
+        ("path", "body", "is_reset", "is_whole"),
+        [
+            ("/pay/x", b"receipt", False, True),
+            ("/pay/x", b"receipt", True, False),
+            ("/call/x", b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", False, True),
+            ("/call/x", b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", True, False),
+            ("/call/x", b"id: 1\ndata: a\n\nid: 2\nda", False, False),
+            ("/call/x", b"", False, False),
+        ],
+    )
+    def test_answer_is_whole_if_its_connection_ended_in_order(
+        self,
+        path: str,
+        body: bytes,
+        is_reset: bool,
+        is_whole: bool,
+        tmp_path: pathlib.Path,
+    ) -> None:
+        """Guards against a cut answer that looks whole, and the reverse."""
+
+        async def handle(
+            upstream: standin.UpstreamStandin,
+            request: standin.HttpRequest,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            lines = ["HTTP/1.1 200 OK"]
+            if path == "/call/x":
+                lines.append("Content-Type: text/event-stream")
+            seal = standin.seal_headers(request)
+            lines += [f"{name}: {value}" for name, value in seal.items()]
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            await _end(writer, is_reset)
+
+        async def scenario(cluster: LocalCluster) -> None:
+            await cluster.add_upstream("u-1", handle)
+            await cluster.gateway.wait_ready()
+            response = await cluster.call("a1", path, b"prompt")
+            is_complete = response.status == 200 and response.is_complete
+            assert is_complete == is_whole
+            if is_whole:
+                assert response.body == body
+
+        run_scenario(tmp_path, scenario, configuration(1, ROUTES))
+
+
+async def _end(writer: asyncio.StreamWriter, is_reset: bool) -> None:
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    if is_reset:
+        # Without lingering, closing a socket resets its connection.
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    writer.close()
