Show quarantined prompt parts to operators, and let them release one

A refusal names the part and its key; `prompt_part_quarantined` names the upstreams that crashed, and `upstream_lost` the requests that they held. The internal address lists quarantined parts and releases one at all nodes; `tanagerport quarantine` does both. The admission keeps what it needs of the other nodes, so that the node only creates it.

--- a/src/tanagerport/cli.py
+++ b/src/tanagerport/cli.py
@@ -6,7 +6,7 @@
 
 from absl import flags
 
-from tanagerport import bench, commands
+from tanagerport import bench, commands, quarantine_command
 from tanagerport.exceptions import (
     DocumentError,
     OperatorConflictError,
@@ -131,6 +131,14 @@
         commands.explain_request,
         argument_count=1,
     ),
+    Command(
+        "quarantine",
+        "",
+        "Show or release prompt parts that crashed upstreams (gateway).",
+        "quarantine --node=10.1.0.25:7615 --release=9f86d081884c7d65",
+        quarantine_command.define_quarantine_flags,
+        quarantine_command.run_quarantine,
+    ),
     Command(
         "demo",
         "",
--- a/src/tanagerport/gateway/crash_evidence.py
+++ b/src/tanagerport/gateway/crash_evidence.py
@@ -18,6 +18,7 @@
 import msgspec
 import xxhash
 
+from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import PromptPart
 
 # Independent crashes after which a part is quarantined; more for a part on
@@ -122,14 +123,23 @@
     )
 
 
+def format_key(part: int) -> str:
+    """Returns the key of a part as operators see it."""
+    return f"{part:016x}"
+
+
 class CrashLedger:
     """Collects crashes and answers, and derives which parts crash upstreams.
 
     Args:
+        log: Decision log.
         now: Monotonic clock, in seconds.
     """
 
-    def __init__(self, now: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self, log: DecisionLog, now: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._log = log
         self._now = now
         self._crashes: collections.OrderedDict[str, _Crash] = (
             collections.OrderedDict()
@@ -339,6 +349,11 @@
         if quarantine is None:
             return
         self._released[part] = (quarantine.crashes, self._now())
+        self._log.warning(
+            "prompt_part_released",
+            part=format_key(part),
+            crashes=quarantine.crashes,
+        )
         for crash in self._crashes.values():
             crash.parts.discard(part)
         self._analyze()
@@ -358,6 +373,16 @@
         self._quarantine(part, crashes, last_at)
 
     def _quarantine(self, part: int, crashes: int, last_at: float) -> None:
+        self._log.warning(
+            "prompt_part_quarantined",
+            part=format_key(part),
+            crashes=crashes,
+            upstreams=[
+                run.rpartition("/")[0]
+                for run, crash in self._crashes.items()
+                if part in crash.parts
+            ],
+        )
         self._quarantined[part] = Quarantine(
             part, crashes, last_at, last_at + _quarantine_s(crashes)
         )
--- a/src/tanagerport/gateway/internal_server.py
+++ b/src/tanagerport/gateway/internal_server.py
@@ -4,23 +4,30 @@
 from collections.abc import Callable
 
 import h11
+import msgspec
 
 from tanagerport.gateway import table_exchange
 from tanagerport.gateway.channel import Channel
 from tanagerport.gateway.counters import Counters
+from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.table_exchange import TableServer
 
+# Path of the quarantined prompt parts, in all and one by one.
+QUARANTINE_PATH = b"/quarantine"
 _IDLE_TIMEOUT_S = 30.0
 
+_encode = msgspec.json.Encoder().encode
+
 
 class InternalServer:
-    """Serves the readiness check, the metrics and table copies.
+    """Serves the readiness check, metrics, table copies and quarantines.
 
     Args:
         ready_path: Path of the readiness check.
         is_ready: Returns whether the node accepts new connections.
         counters: Metrics of the process.
         tables: Serves table copies to other nodes.
+        quarantine: Shows and releases quarantined prompt parts.
     """
 
     def __init__(
@@ -29,11 +36,13 @@
         is_ready: Callable[[], bool],
         counters: Counters,
         tables: TableServer,
+        quarantine: PromptQuarantine,
     ) -> None:
         self._ready_path = ready_path
         self._is_ready = is_ready
         self._counters = counters
         self._tables = tables
+        self._quarantine = quarantine
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, host: str, port: int) -> None:
@@ -90,6 +99,18 @@
             status, body = self._tables.handle_request(
                 bytes(request.target).decode("latin-1")
             )
+        elif path == QUARANTINE_PATH and request.method == b"GET":
+            content_type = b"application/json"
+            body = _encode(self._quarantine.list_quarantined())
+            status = 200
+        elif (
+            path.startswith(QUARANTINE_PATH + b"/")
+            and request.method == b"DELETE"
+        ):
+            key = path.rpartition(b"/")[2].decode("latin-1")
+            status, body = (
+                (204, b"") if self._quarantine.release(key) else (404, b"")
+            )
         else:
             status, body = 404, b""
         headers = [
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -9,8 +9,6 @@
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
-import xxhash
-
 from tanagerport.exceptions import (
     DocumentError,
     PlatformError,
@@ -74,7 +72,7 @@
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_latency import LatencyEstimator
 from tanagerport.gateway.upstream_load import LoadTracker
-from tanagerport.gateway.upstream_losses import HeldRequest, LossDetector
+from tanagerport.gateway.upstream_losses import LossDetector
 from tanagerport.gateway.upstream_pool import UpstreamPool
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
 
@@ -181,7 +179,7 @@
         self._health = UpstreamHealth()
         self._latencies = LatencyEstimator()
         self._cache = PromptCacheIndex()
-        self._crashes = CrashLedger()
+        self._crashes = CrashLedger(log)
         self._pool = UpstreamPool(self._idle_connection_limit)
         self._registry = UpstreamRegistry()
         self._quotas = QuotaLimiter(
@@ -204,6 +202,13 @@
             self._remove_peer_state,
             log,
         )
+        self._quarantine = PromptQuarantine(
+            self._crashes,
+            settings.peer_host,
+            lambda: [peer.host for peer in self._peer_exchange.live_peers()],
+            self._peer_exchange.send_report,
+            log,
+        )
         self._load_tracker = LoadTracker(
             self._peer_exchange.count_live_nodes,
             lambda: self._peer_exchange.interval_s,
@@ -298,8 +303,10 @@
             self._registry,
             self._pool,
             self._health,
-            LossDetector(self._pool, self._counters, log, self._record_loss),
-            PromptQuarantine(self._crashes, self._is_trial_owner, log),
+            LossDetector(
+                self._pool, self._counters, log, self._quarantine.record_loss
+            ),
+            self._quarantine,
             self._retry_budget,
             self._counters,
             log,
@@ -316,6 +323,7 @@
             lambda: self.is_ready,
             self._counters,
             TableServer(self._table_copies, settings.link_mbps),
+            self._quarantine,
         )
         self._registry.add_removal_callback(self._remove_upstream_state)
         self._registry.add_change_callback(self._scheduler.admit_waiting)
@@ -410,6 +418,7 @@
         gauges["slot_requests_unanswered"] = lambda: (
             self._slots.unanswered_requests
         )
+        gauges["quarantined_parts"] = lambda: len(self._crashes.quarantined)
         gauges["own_decisions"] = lambda: self._slots.own_decisions
         gauges["coordinated_waiting"] = lambda: sum(
             self._coordinator.waiting.values()
@@ -819,28 +828,6 @@
             f"{report.node}/{report.start}", report.uptime_s, report.uses
         )
 
-    def _record_loss(self, upstream: UpstreamRecord, held: HeldRequest) -> None:
-        """Records a request that a lost upstream held.
-
-        All nodes have to know the parts of its prompt before they send them to
-        further upstreams, so the next report is not awaited.
-        """
-        if held.has_begun or not held.item.part_keys:
-            return
-        self._crashes.record_crash(
-            f"{upstream.upstream_id}/{upstream.started_ms}",
-            held.item.part_keys,
-        )
-        self._peer_exchange.send_report()
-
-    def _is_trial_owner(self, part: int) -> bool:
-        """Returns whether this node tries a quarantined prompt part."""
-        hosts = [peer.host for peer in self._peer_exchange.live_peers()]
-        return self._settings.peer_host == max(
-            [*hosts, self._settings.peer_host],
-            key=lambda host: xxhash.xxh3_64_intdigest(f"{part} {host}"),
-        )
-
     def _is_first_node(self) -> bool:
         """Returns whether this node has the lowest name of all live nodes."""
         return all(
--- a/src/tanagerport/gateway/prompt_quarantine.py
+++ b/src/tanagerport/gateway/prompt_quarantine.py
@@ -3,11 +3,20 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 
-from tanagerport.gateway.crash_evidence import CrashLedger, Judgement
+import xxhash
+
+from tanagerport.exceptions import RefusedError
+from tanagerport.gateway.crash_evidence import (
+    CrashLedger,
+    Judgement,
+    format_key,
+)
 from tanagerport.gateway.decision_log import DecisionLog
+from tanagerport.gateway.domain import UpstreamRecord
 from tanagerport.gateway.request_context import refusal_error
+from tanagerport.gateway.upstream_losses import HeldRequest
 from tanagerport.gateway.work_item import WorkItem
 from tanagerport.refusals import RefusalReason
 
@@ -26,7 +35,9 @@
 
     Args:
         ledger: Evidence on prompt parts.
-        is_trial_owner: Returns whether this node may try a quarantined part.
+        host: IP address of this node.
+        get_live_hosts: Returns the IP addresses of the other live nodes.
+        send_report: Sends the evidence to the other nodes.
         log: Decision log.
         now: Monotonic clock, in seconds.
     """
@@ -34,18 +45,64 @@
     def __init__(
         self,
         ledger: CrashLedger,
-        is_trial_owner: Callable[[int], bool],
+        host: str,
+        get_live_hosts: Callable[[], Iterable[str]],
+        send_report: Callable[[], object],
         log: DecisionLog,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self._ledger = ledger
-        self._is_trial_owner = is_trial_owner
+        self._host = host
+        self._get_live_hosts = get_live_hosts
+        self._send_report = send_report
         self._log = log
         self._now = now
         # Start of the trial of each suspected part.
         self._trials: dict[int, float] = {}
         self._trial_ended = asyncio.Event()
 
+    def record_loss(self, upstream: UpstreamRecord, held: HeldRequest) -> None:
+        """Records a request that a lost upstream held.
+
+        All nodes have to know the parts of its prompt before they send them to
+        further upstreams, so the next report is not awaited.
+        """
+        if not held.has_begun and held.item.part_keys:
+            self._ledger.record_crash(
+                f"{upstream.upstream_id}/{upstream.started_ms}",
+                held.item.part_keys,
+            )
+            self._send_report()
+
+    def list_quarantined(self) -> list[dict[str, object]]:
+        """Returns the quarantined parts for operators."""
+        now = self._now()
+        return [
+            {
+                "part": format_key(entry.part),
+                "crashes": entry.crashes,
+                "last_crash_s_ago": round(now - entry.last_crash_at, 1),
+                "trial_in_s": round(max(entry.trial_at - now, 0), 1),
+            }
+            for entry in self._ledger.quarantined
+        ]
+
+    def release(self, key: str) -> bool:
+        """Ends the quarantine of a part at all nodes.
+
+        Args:
+            key: The key that `list_quarantined` names.
+
+        Returns:
+            Whether the part was quarantined.
+        """
+        for entry in self._ledger.quarantined:
+            if format_key(entry.part) == key:
+                self._ledger.release(entry.part)
+                self._send_report()
+                return True
+        return False
+
     @contextlib.asynccontextmanager
     async def admit(self, item: WorkItem) -> AsyncIterator[None]:
         """Admits a request for one dispatch.
@@ -77,7 +134,7 @@
             return
         judgement = self._ledger.judge(item.part_keys)
         if judgement.quarantined:
-            raise self._refusal(judgement)
+            raise self._refusal(item, judgement)
 
     async def _wait_for_trials(self, item: WorkItem) -> tuple[int, ...]:
         """Returns the parts that the request tries, when it is its turn."""
@@ -111,17 +168,24 @@
                 or self._now() < quarantine.trial_at
                 or not self._is_trial_owner(part)
             ):
-                raise self._refusal(judgement)
+                raise self._refusal(item, judgement)
         for part in judgement.quarantined:
             self._ledger.begin_trial(part)
         item.is_trial = True
         self._log.warning(
             "quarantine_trial",
             request=item.request_id,
-            parts=[f"{part:x}" for part in judgement.quarantined],
+            parts=[format_key(part) for part in judgement.quarantined],
+        )
+
+    def _is_trial_owner(self, part: int) -> bool:
+        """Returns whether this node tries a quarantined part."""
+        return self._host == max(
+            [self._host, *self._get_live_hosts()],
+            key=lambda host: xxhash.xxh3_64_intdigest(f"{part} {host}"),
         )
 
-    def _refusal(self, judgement: Judgement) -> Exception:
+    def _refusal(self, item: WorkItem, judgement: Judgement) -> RefusedError:
         trial_at = self._now()
         crashes = 0
         for part in judgement.quarantined:
@@ -129,10 +193,14 @@
             if quarantine is not None:
                 trial_at = max(trial_at, quarantine.trial_at)
                 crashes = max(crashes, quarantine.crashes)
-        names = ", ".join(f"{part:x}" for part in judgement.quarantined)
+        names = ", ".join(
+            f"{part.part_id} ({format_key(key)})"
+            for part, key in zip(item.work.parts, item.part_keys, strict=False)
+            if key in judgement.quarantined
+        )
         return refusal_error(
             RefusalReason.PROMPT_QUARANTINED,
-            f"upstreams crashed on the prompt part {names} ({crashes} times)",
+            f"{crashes} upstreams crashed on the prompt part {names}",
             retry_after_s=max(trial_at - self._now(), _MIN_RETRY_AFTER_S),
         )
 
--- a/src/tanagerport/gateway/upstream_losses.py
+++ b/src/tanagerport/gateway/upstream_losses.py
@@ -11,6 +11,7 @@
 
 from tanagerport.gateway.channel import Channel
 from tanagerport.gateway.counters import Counters
+from tanagerport.gateway.crash_evidence import format_key
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import UpstreamRecord
 from tanagerport.gateway.upstream_pool import UpstreamPool
@@ -143,6 +144,7 @@
                 {
                     "request": held.item.request_id,
                     "parts": format_parts(held.item),
+                    "keys": [format_key(key) for key in held.item.part_keys],
                 }
                 for held in waiting[:_MAX_LOGGED_REQUESTS]
             ],
--- a/tests/test_gateway_crash_evidence.py
+++ b/tests/test_gateway_crash_evidence.py
@@ -2,6 +2,7 @@
 
 from tanagerport.clock import FakeClock
 from tanagerport.gateway.crash_evidence import SOUND, CrashLedger, part_keys
+from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import PromptPart
 
 _COMMON, _RARE, _DEADLY, _OTHER_DEADLY = 1, 2, 3, 4
@@ -12,7 +13,10 @@
 
     def __init__(self, count: int = 1) -> None:
         self.clock = FakeClock(1000.0)
-        self.ledgers = [CrashLedger(self.clock.monotonic) for _ in range(count)]
+        self.ledgers = [
+            CrashLedger(DecisionLog("n"), self.clock.monotonic)
+            for _ in range(count)
+        ]
         self._runs = 0
 
     @property
@@ -210,7 +214,7 @@
             nodes.clock.advance(1)
         nodes.exchange()
         nodes.clock.advance(60)
-        nodes.ledgers[0] = CrashLedger(nodes.clock.monotonic)
+        nodes.ledgers[0] = CrashLedger(DecisionLog("n"), nodes.clock.monotonic)
         nodes.ledgers[1].expire()
         nodes.exchange(is_whole=True)
         assert nodes.quarantined() == {_DEADLY}
--- a/tests/test_gateway_crashing_prompts.py
+++ b/tests/test_gateway_crashing_prompts.py
@@ -1,10 +1,12 @@
 """Tests of prompts on which every upstream crashes."""
 
 import asyncio
+import json
 import pathlib
 
 import platform_standin as standin
 from platform_standin import LocalCluster, configuration
+from tanagerport import cli
 from test_gateway_process import RESUMABLE_STREAM_ROUTE
 
 _DEADLY_PART = "bad0"
@@ -69,6 +71,25 @@
     )
 
 
+async def _release_by_command(gateway: standin.GatewayProcess) -> None:
+    """Lists the quarantined part and releases it, once."""
+    node = f"127.0.0.1:{gateway.metrics_port}"
+    response = await standin.fetch(gateway.metrics_port, "GET", "/quarantine")
+    (entry,) = json.loads(response.body)
+    assert entry["crashes"] >= 2
+    for exit_code in (0, 1):
+        arguments = [f"--node={node}", f"--release={entry['part']}"]
+        assert exit_code == await asyncio.to_thread(
+            cli.main, ["tanagerport", "quarantine", *arguments]
+        )
+    assert (
+        await asyncio.to_thread(
+            cli.main, ["tanagerport", "quarantine", f"--node={node}"]
+        )
+        == 0
+    )
+
+
 class TestPromptThatCrashesUpstreams:
     """A prompt part on which every upstream crashes is kept from them."""
 
@@ -115,5 +136,6 @@
                     if response.status == 200 and response.is_complete
                 ]
                 assert len(served) == len(sound) - len(sound) // 2
+                await _release_by_command(first)
 
         asyncio.run(run_cluster())
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -129,8 +129,10 @@
             UpstreamHealth(clock.monotonic),
             cast(Any, None),
             PromptQuarantine(
-                CrashLedger(clock.monotonic),
-                lambda part: True,
+                CrashLedger(DecisionLog("n"), clock.monotonic),
+                "127.0.0.1",
+                list,
+                lambda: None,
                 DecisionLog("n"),
             ),
             RetryBudget(0.0, 10.0, retry_slack, lambda: 1, clock.monotonic),
--- a/tests/test_gateway_prompt_quarantine.py
+++ b/tests/test_gateway_prompt_quarantine.py
@@ -1,6 +1,7 @@
 """Tests of the admission of requests that may crash upstreams."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -19,18 +20,24 @@
 class _Admissions:
     """A quarantine, and the order in which it admits requests."""
 
-    def __init__(self, is_trial_owner: bool = True) -> None:
+    def __init__(self, host: str = "h-1", *other_hosts: str) -> None:
         self.clock = FakeClock(1000.0)
-        self.ledger = CrashLedger(self.clock.monotonic)
+        self.ledger = CrashLedger(DecisionLog("n"), self.clock.monotonic)
+        self.reports = 0
         self.quarantine = PromptQuarantine(
             self.ledger,
-            lambda part: is_trial_owner,
+            host,
+            lambda: other_hosts,
+            self._count_report,
             DecisionLog("n"),
             self.clock.monotonic,
         )
         self.admitted: list[str] = []
         self.may_end = asyncio.Event()
 
+    def _count_report(self) -> None:
+        self.reports += 1
+
     def crash(self, count: int) -> None:
         for number in range(count):
             self.clock.advance(1)
@@ -134,25 +141,45 @@
 
         asyncio.run(run())
 
-    @pytest.mark.parametrize("is_owner", [True, False])
-    def test_one_request_of_one_node_makes_the_trial(
-        self, is_owner: bool
-    ) -> None:
+    def test_one_request_of_one_node_makes_the_trial(self) -> None:
         """Guards against trials at all nodes at the same time."""
 
         async def run() -> None:
-            admissions = _Admissions(is_owner)
+            hosts = [f"h-{number}" for number in range(8)]
+            admitted: list[str] = []
+            for host in hosts:
+                others = [other for other in hosts if other != host]
+                admissions = _Admissions(host, *others)
+                admissions.crash(2)
+                admissions.clock.advance(31)
+                admissions.may_end.set()
+                for number in range(5):
+                    item = admissions.make_item(f"r{number}", _DEADLY)
+                    with contextlib.suppress(RefusedError):
+                        await admissions.hold(item)
+                admitted += admissions.admitted
+            assert admitted == ["r0"]
+
+        asyncio.run(run())
+
+
+class TestOperators:
+    """Operators see quarantined parts and may release them."""
+
+    def test_released_part_is_sent_again(self) -> None:
+        """Guards against a quarantine that operators can't see or end."""
+
+        async def run() -> None:
+            admissions = _Admissions()
             admissions.crash(2)
-            admissions.clock.advance(31)
+            (entry,) = admissions.quarantine.list_quarantined()
+            assert entry["crashes"] == 2
+            assert entry["trial_in_s"] == pytest.approx(30)
+            assert not admissions.quarantine.release("unknown")
+            assert admissions.quarantine.release(str(entry["part"]))
+            assert admissions.reports == 1
             admissions.may_end.set()
-            refused = 0
-            for number in range(5):
-                item = admissions.make_item(f"r{number}", _DEADLY)
-                try:
-                    await admissions.hold(item)
-                except RefusedError:
-                    refused += 1
-            assert len(admissions.admitted) == int(is_owner)
-            assert refused == 5 - int(is_owner)
+            await admissions.hold(admissions.make_item("r", _DEADLY))
+            assert admissions.admitted == ["r"]
 
         asyncio.run(run())
