Quarantine plain requests that crash upstreams

The same cause without a prompt: a request to a plain service that ends its upstream was sent to the next one, and again when its client or another one came back. A request without prompt parts now counts as one part, made of its service, target and body.

--- a/src/tanagerport/gateway/crash_evidence.py
+++ b/src/tanagerport/gateway/crash_evidence.py
@@ -112,11 +112,21 @@
     is_own: bool
 
 
-def part_keys(service: str, parts: Sequence[PromptPart]) -> tuple[int, ...]:
-    """Returns the keys of the parts that other requests may share.
-
-    The last part of a prompt belongs to the request or its session.
+def request_keys(
+    service: str, parts: Sequence[PromptPart], target: bytes, body: bytes
+) -> tuple[int, ...]:
+    """Returns the keys of what other requests may share with a request.
+
+    These are the parts of its prompt but for the last one, which belongs to the
+    request or its session. A request without a prompt has one key for all of
+    it.
     """
+    if not parts:
+        return (
+            xxhash.xxh3_64_intdigest(
+                b"%s\0%s\0%s" % (service.encode(), target, body)
+            ),
+        )
     return tuple(
         xxhash.xxh3_64_intdigest(f"{service}\0{part.part_id}")
         for part in parts[:-1]
--- a/src/tanagerport/gateway/prompt_quarantine.py
+++ b/src/tanagerport/gateway/prompt_quarantine.py
@@ -193,14 +193,14 @@
             if quarantine is not None:
                 trial_at = max(trial_at, quarantine.trial_at)
                 crashes = max(crashes, quarantine.crashes)
-        names = ", ".join(
+        names = [
             f"{part.part_id} ({format_key(key)})"
             for part, key in zip(item.work.parts, item.part_keys, strict=False)
             if key in judgement.quarantined
-        )
+        ] or [format_key(key) for key in judgement.quarantined]
         return refusal_error(
             RefusalReason.PROMPT_QUARANTINED,
-            f"{crashes} upstreams crashed on the prompt part {names}",
+            f"{crashes} upstreams crashed on {', '.join(names)}",
             retry_after_s=max(trial_at - self._now(), _MIN_RETRY_AFTER_S),
         )
 
--- a/src/tanagerport/gateway/work_item.py
+++ b/src/tanagerport/gateway/work_item.py
@@ -33,7 +33,8 @@
             without pending prefill; updated by each upstream selection.
         excluded: Ids of upstreams to avoid in further dispatches; cleared
             when no other upstream is usable.
-        part_keys: Keys of the prompt parts that other requests may share.
+        part_keys: Keys of the prompt parts that other requests may share, or
+            of the whole request if it has no prompt.
         is_trial: Whether the request tries a quarantined part.
         origin_zone: Availability zone of the node that received the request;
             empty for the node that selects the upstream.
--- a/tests/test_gateway_crash_evidence.py
+++ b/tests/test_gateway_crash_evidence.py
@@ -1,7 +1,7 @@
 """Tests of the evidence on prompt parts that crash upstreams."""
 
 from tanagerport.clock import FakeClock
-from tanagerport.gateway.crash_evidence import SOUND, CrashLedger, part_keys
+from tanagerport.gateway.crash_evidence import SOUND, CrashLedger, request_keys
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import PromptPart
 
@@ -41,16 +41,26 @@
         return {entry.part for entry in self.ledgers[node].quarantined}
 
 
-class TestPartKeys:
-    """Keys of the parts that several requests may share."""
+class TestRequestKeys:
+    """Keys of what several requests may share."""
 
     def test_last_part_and_service_are_told_apart(self) -> None:
         """Guards against a quarantine of another service's prompts."""
         parts = [PromptPart("a", 1), PromptPart("b", 1), PromptPart("own", 1)]
-        keys = part_keys("models", parts)
+        keys = request_keys("models", parts, b"/x", b"one")
         assert len(keys) == 2
-        assert not set(keys) & set(part_keys("others", parts))
-        assert part_keys("models", parts[:1]) == ()
+        assert keys == request_keys("models", parts, b"/x", b"two")
+        assert not set(keys) & set(request_keys("others", parts, b"/x", b""))
+        assert request_keys("models", parts[:1], b"/x", b"") == ()
+
+    def test_request_without_a_prompt_is_one_part(self) -> None:
+        """Guards against a quarantine of all requests of a plain service."""
+        keys = {
+            request_keys("bookings", (), target, body)
+            for target in (b"/x", b"/y")
+            for body in (b"one", b"two")
+        }
+        assert len(keys) == 4
 
 
 class TestQuarantine:
--- a/tests/test_gateway_crashing_prompts.py
+++ b/tests/test_gateway_crashing_prompts.py
@@ -7,9 +7,10 @@
 import platform_standin as standin
 from platform_standin import LocalCluster, configuration
 from tanagerport import cli
-from test_gateway_process import RESUMABLE_STREAM_ROUTE
+from test_gateway_process import ROUTES, run_scenario
 
 _DEADLY_PART = "bad0"
+_DEADLY_TARGET = "/read/bad"
 # Limits of the service's operators: requests that may reach upstreams with a
 # part that crashes them, up to the fifth crash and after it.
 _MAX_CRASHES = 5
@@ -32,8 +33,10 @@
         request: standin.HttpRequest,
         writer: asyncio.StreamWriter,
     ) -> None:
-        if f"{_DEADLY_PART}:" not in request.headers["prefix-hash"]:
-            await self._answer(upstream, request, writer)
+        parts = request.headers.get("prefix-hash", "")
+        if f"{_DEADLY_PART}:" not in parts and request.target != _DEADLY_TARGET:
+            answer = self._answer if parts else standin.echo
+            await answer(upstream, request, writer)
             return
         await asyncio.sleep(0.02)
         if upstream.upstream_id in self._stopped:
@@ -97,7 +100,7 @@
         self, tmp_path: pathlib.Path
     ) -> None:
         """Guards against a prompt that crashes one upstream after the other."""
-        config = configuration(1, [RESUMABLE_STREAM_ROUTE])
+        config = configuration(1, ROUTES)
 
         async def run_cluster() -> None:
             async with standin.local_cluster(tmp_path, config) as cluster:
@@ -139,3 +142,24 @@
                 await _release_by_command(first)
 
         asyncio.run(run_cluster())
+
+    def test_node_stops_sending_a_plain_request_that_crashes_upstreams(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a request without a prompt that does the same."""
+
+        async def scenario(cluster: LocalCluster) -> None:
+            upstreams = _CrashingUpstreams()
+            for number in range(6):
+                await cluster.add_upstream(f"u-{number}", upstreams.handle)
+            await cluster.gateway.wait_ready()
+            statuses = []
+            for number in range(12):
+                await cluster.call(f"bad{number}", _DEADLY_TARGET)
+                other = await cluster.call(f"other{number}", "/read/other")
+                statuses.append(other.status)
+                await asyncio.sleep(0.1)
+            assert upstreams.crashes <= _MAX_CRASHES + _MAX_LATER_REQUESTS
+            assert statuses[len(statuses) // 2 :] == [200] * 6
+
+        run_scenario(tmp_path, scenario)
