Withdraw requests with a part that was just quarantined

What callers saw: after a part was known to crash upstreams, requests with it that waited in a queue were refused only at their turn, and those that an upstream was still reading crashed one more.

Both are now withdrawn at once, unless their answers have begun; a refusal says whether the request may have run. The check after the queue goes out with its test, which the test of withdrawal replaces. Evidence found within 10 ms is sent in one report: a lost rack made one report for each request that it held, to all nodes.

Both tests failed before: a request stayed at its upstream, and 20 reports were sent for the loss of one upstream.

--- a/src/tanagerport/gateway/crash_evidence.py
+++ b/src/tanagerport/gateway/crash_evidence.py
@@ -151,6 +151,7 @@
     ) -> None:
         self._log = log
         self._now = now
+        self._on_quarantine: Callable[[int], object] = lambda part: None
         self._crashes: collections.OrderedDict[str, _Crash] = (
             collections.OrderedDict()
         )
@@ -170,6 +171,12 @@
         self._releases_to_report: dict[int, float] = {}
         self._quarantined_at: dict[int, float] = {}
 
+    def set_quarantine_callback(
+        self, callback: Callable[[int], object]
+    ) -> None:
+        """Sets the callback for each part that is quarantined."""
+        self._on_quarantine = callback
+
     @property
     def is_empty(self) -> bool:
         """Whether no part is suspected or quarantined."""
@@ -397,6 +404,7 @@
             part, crashes, last_at, last_at + _quarantine_s(crashes)
         )
         self._quarantined_at[part] = self._now()
+        self._on_quarantine(part)
         while len(self._quarantined) > _MAX_QUARANTINED:
             del self._quarantined[
                 min(
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -205,7 +205,6 @@
         """
         placement = await self._scheduler.acquire(context.item)
         try:
-            self._quarantine.check(context.item)
             self._counters.wait.observe(
                 self._now() - context.request.received_at
             )
--- a/src/tanagerport/gateway/prompt_quarantine.py
+++ b/src/tanagerport/gateway/prompt_quarantine.py
@@ -23,6 +23,8 @@
 # Time after which a request that tries a suspected part no longer holds up
 # others, in seconds. Most answers begin within it.
 _MAX_TRIAL_S = 1.0
+# Time in which evidence is collected for a report, in seconds.
+_REPORT_DELAY_S = 0.01
 # Minimum Retry-After of a request with a quarantined part, in seconds.
 _MIN_RETRY_AFTER_S = 1.0
 
@@ -60,6 +62,10 @@
         # Start of the trial of each suspected part.
         self._trials: dict[int, float] = {}
         self._trial_ended = asyncio.Event()
+        # Admitted requests with a prompt, and what withdraws them.
+        self._admitted: dict[asyncio.Timeout, WorkItem] = {}
+        self._has_planned_report = False
+        ledger.set_quarantine_callback(self._withdraw)
 
     def record_loss(self, upstream: UpstreamRecord, held: HeldRequest) -> None:
         """Records a request that a lost upstream held.
@@ -72,7 +78,7 @@
                 f"{upstream.upstream_id}/{upstream.started_ms}",
                 held.item.part_keys,
             )
-            self._send_report()
+            self._plan_report()
 
     def list_quarantined(self) -> list[dict[str, object]]:
         """Returns the quarantined parts for operators."""
@@ -99,7 +105,7 @@
         for entry in self._ledger.quarantined:
             if format_key(entry.part) == key:
                 self._ledger.release(entry.part)
-                self._send_report()
+                self._plan_report()
                 return True
         return False
 
@@ -107,34 +113,59 @@
     async def admit(self, item: WorkItem) -> AsyncIterator[None]:
         """Admits a request for one dispatch.
 
+        It is withdrawn if a part of its prompt is quarantined before its answer
+        has begun.
+
         Raises:
             RefusedError: A part of its prompt is quarantined.
         """
-        if self._ledger.is_empty or not item.part_keys:
+        if not item.part_keys:
             yield
             return
-        tried = await self._wait_for_trials(item)
+        tried: tuple[int, ...] = ()
+        if not self._ledger.is_empty:
+            tried = await self._wait_for_trials(item)
         for part in tried:
             self._trials[part] = self._now()
         try:
-            yield
+            async with asyncio.timeout(None) as withdrawal:
+                self._admitted[withdrawal] = item
+                yield
+        except TimeoutError:
+            if not withdrawal.expired():
+                raise
+            raise self._refusal(
+                item, self._ledger.judge(item.part_keys)
+            ) from None
         finally:
+            self._admitted.pop(withdrawal, None)
             for part in tried:
                 self._trials.pop(part, None)
             if tried:
                 self._notify()
 
-    def check(self, item: WorkItem) -> None:
-        """Checks a request again that has waited for an upstream.
+    def _withdraw(self, part: int) -> None:
+        """Withdraws the requests with a part whose answers have not begun."""
+        now = asyncio.get_running_loop().time()
+        for withdrawal, item in list(self._admitted.items()):
+            if (
+                part in item.part_keys
+                and item.work.parts
+                and not (item.has_begun or item.is_trial)
+            ):
+                withdrawal.reschedule(now)
+
+    def _plan_report(self) -> None:
+        """Sends one report soon for all evidence that is found until then."""
+        if not self._has_planned_report:
+            self._has_planned_report = True
+            asyncio.get_running_loop().call_later(
+                _REPORT_DELAY_S, self._send_planned_report
+            )
 
-        Raises:
-            RefusedError: A part of its prompt is quarantined.
-        """
-        if item.is_trial or self._ledger.is_empty:
-            return
-        judgement = self._ledger.judge(item.part_keys)
-        if judgement.quarantined:
-            raise self._refusal(item, judgement)
+    def _send_planned_report(self) -> None:
+        self._has_planned_report = False
+        self._send_report()
 
     async def _wait_for_trials(self, item: WorkItem) -> tuple[int, ...]:
         """Returns the parts that the request tries, when it is its turn."""
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -173,6 +173,7 @@
         if placement.has_first_event:
             return
         placement.has_first_event = True
+        placement.item.has_begun = True
         placement.first_byte_s = first_byte_s
         if self._record_answer is not None and placement.item.part_keys:
             self._record_answer(placement.item.part_keys)
--- a/src/tanagerport/gateway/work_item.py
+++ b/src/tanagerport/gateway/work_item.py
@@ -35,6 +35,7 @@
             when no other upstream is usable.
         part_keys: Keys of the prompt parts that other requests may share, or
             of the whole request if it has no prompt.
+        has_begun: Whether an upstream has begun to answer.
         is_trial: Whether the request tries a quarantined part.
         origin_zone: Availability zone of the node that received the request;
             empty for the node that selects the upstream.
@@ -51,6 +52,7 @@
     best_first_byte_s: float = 0.0
     excluded: set[str] = dataclasses.field(default_factory=set)
     part_keys: tuple[int, ...] = ()
+    has_begun: bool = False
     is_trial: bool = False
     origin_zone: str = ""
 
--- a/tests/test_gateway_prompt_quarantine.py
+++ b/tests/test_gateway_prompt_quarantine.py
@@ -10,7 +10,9 @@
 from tanagerport.exceptions import RefusedError
 from tanagerport.gateway.crash_evidence import CrashLedger
 from tanagerport.gateway.decision_log import DecisionLog
+from tanagerport.gateway.domain import PromptPart, WorkEstimate
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
+from tanagerport.gateway.upstream_losses import HeldRequest
 from tanagerport.gateway.work_item import WorkItem
 from tanagerport.refusals import Ran, RefusalReason
 
@@ -49,6 +51,8 @@
             self.clock.monotonic(), request_id=request_id
         )
         item.part_keys = parts
+        prompt = tuple(PromptPart(f"{part}", 10) for part in (*parts, 0))
+        item.work = WorkEstimate(500, 480, 120, prompt)
         return item
 
     async def hold(self, item: WorkItem) -> None:
@@ -100,10 +104,9 @@
             )
             await gateway_doubles.run_pending_tasks()
             admissions.crash(1)
-            admissions.may_end.set()
-            await first
-            with pytest.raises(RefusedError):
-                await second
+            for task in (first, second):
+                with pytest.raises(RefusedError):
+                    await task
             assert admissions.admitted == ["first"]
 
         asyncio.run(run())
@@ -128,19 +131,6 @@
 
         asyncio.run(run())
 
-    def test_request_that_waited_for_an_upstream_is_checked_again(self) -> None:
-        """Guards against queued requests sent after the quarantine began."""
-
-        async def run() -> None:
-            admissions = _Admissions()
-            item = admissions.make_item("r", _DEADLY)
-            async with admissions.quarantine.admit(item):
-                admissions.crash(2)
-                with pytest.raises(RefusedError):
-                    admissions.quarantine.check(item)
-
-        asyncio.run(run())
-
     def test_one_request_of_one_node_makes_the_trial(self) -> None:
         """Guards against trials at all nodes at the same time."""
 
@@ -163,6 +153,62 @@
         asyncio.run(run())
 
 
+class TestRequestsInProgress:
+    """A quarantine also ends the wait and the prefill of earlier requests."""
+
+    @pytest.mark.parametrize("has_begun", [False, True])
+    def test_request_is_withdrawn_unless_its_answer_has_begun(
+        self, has_begun: bool
+    ) -> None:
+        """Guards against upstreams that crash after the quarantine began.
+
+        An answer that has begun is no danger, and is not cut.
+        """
+
+        async def run() -> None:
+            admissions = _Admissions()
+            item = admissions.make_item("r", _DEADLY)
+            other = admissions.make_item("other", _OTHER)
+            task, other_task = (
+                asyncio.create_task(admissions.hold(held))
+                for held in (item, other)
+            )
+            await gateway_doubles.run_pending_tasks()
+            item.has_begun = has_begun
+            admissions.crash(2)
+            await gateway_doubles.run_pending_tasks()
+            assert task.done() != has_begun
+            admissions.may_end.set()
+            await other_task
+            if has_begun:
+                await task
+            else:
+                with pytest.raises(RefusedError):
+                    await task
+
+        asyncio.run(run())
+
+
+class TestReports:
+    """New evidence is sent at once, but not once for each request."""
+
+    def test_loss_of_many_requests_is_one_report(self) -> None:
+        """Guards against reports that fill the links as upstreams end."""
+
+        async def run() -> None:
+            admissions = _Admissions()
+            upstream = gateway_doubles.make_upstream("u")
+            for number in range(20):
+                item = admissions.make_item(f"r{number}", number)
+                admissions.quarantine.record_loss(
+                    upstream, HeldRequest(item, 0)
+                )
+            await asyncio.sleep(0.05)
+            assert admissions.reports == 1
+
+        asyncio.run(run())
+
+
 class TestOperators:
     """Operators see quarantined parts and may release them."""
 
@@ -177,6 +223,7 @@
             assert entry["trial_in_s"] == pytest.approx(30)
             assert not admissions.quarantine.release("unknown")
             assert admissions.quarantine.release(str(entry["part"]))
+            await asyncio.sleep(0.05)
             assert admissions.reports == 1
             admissions.may_end.set()
             await admissions.hold(admissions.make_item("r", _DEADLY))
