Bound the processor time of the analysis of crashes

The parts are now grouped in one pass, once for each answer. A connection that refutes a loss goes to the pool, as opening one is not free. A test of forty nodes, with reports that are late and lost, guards the limits over all nodes.

--- a/src/tanagerport/gateway/crash_evidence.py
+++ b/src/tanagerport/gateway/crash_evidence.py
@@ -105,7 +105,7 @@
 SOUND = Judgement()
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class _Crash:
     at: float
     parts: set[int]
@@ -228,12 +228,15 @@
     def record_answer(self, parts: Iterable[int]) -> None:
         """Records that an upstream began to answer on these parts."""
         now = self._now()
+        was_accused = False
         for part in parts:
             self._answered[part] = now
             self._answered.move_to_end(part)
             if not self.is_empty and self._apply_answer(part, now):
                 self._answers_to_report[part] = now
-                self._analyze()
+                was_accused = True
+        if was_accused:
+            self._analyze()
         while len(self._answered) > _MAX_ANSWERED_PARTS:
             self._answered.popitem(last=False)
 
@@ -433,7 +436,10 @@
             at = max(crash.at for crash in unexplained if best <= crash.parts)
             if len(best) == 1:
                 (part,) = best
-                count = len(_times(unexplained, part))
+                accusing = [
+                    crash for crash in unexplained if part in crash.parts
+                ]
+                count = len(_independent_times(accusing))
                 self._quarantine(part, count, at)
             else:
                 self._alternatives.append(frozenset(best))
@@ -454,9 +460,15 @@
 
     def _find_best_parts(self, crashes: list[_Crash]) -> set[int]:
         """Returns the parts that explain most crashes, if they are enough."""
+        accusing: dict[int, list[_Crash]] = {}
+        for crash in crashes:
+            for part in crash.parts:
+                accusing.setdefault(part, []).append(crash)
         ranks: dict[int, tuple[int, bool]] = {}
-        for part in {part for crash in crashes for part in crash.parts}:
-            times = _times(crashes, part)
+        for part, accusing_crashes in accusing.items():
+            if len(accusing_crashes) < _CRASHES:
+                continue
+            times = _independent_times(accusing_crashes)
             has_answered = self._has_answered_before(part, times[0])
             required = _CRASHES_AFTER_ANSWERS if has_answered else _CRASHES
             if len(times) >= required:
@@ -466,18 +478,13 @@
         best_rank = max(ranks.values())
         best = sorted(part for part, rank in ranks.items() if rank == best_rank)
         # Only parts of the same crashes are alternatives.
-        accused_by = {
-            part: [part in crash.parts for crash in crashes] for part in best
-        }
-        return {
-            part for part in best if accused_by[part] == accused_by[best[0]]
-        }
+        return {part for part in best if accusing[part] == accusing[best[0]]}
 
 
-def _times(crashes: list[_Crash], part: int) -> list[float]:
-    """Returns the times of the independent crashes that accuse a part."""
+def _independent_times(crashes: list[_Crash]) -> list[float]:
+    """Returns the times of those crashes that have no common cause."""
     times: list[float] = []
-    for at in sorted(crash.at for crash in crashes if part in crash.parts):
+    for at in sorted(crash.at for crash in crashes):
         if not times or at - times[-1] > _COMMON_CAUSE_S:
             times.append(at)
     return times
--- a/src/tanagerport/gateway/upstream_losses.py
+++ b/src/tanagerport/gateway/upstream_losses.py
@@ -102,7 +102,7 @@
             channel = await self._open_connection(upstream)
             is_lost = channel is None
             if channel is not None:
-                channel.close()
+                self._pool.release(upstream, channel, None)
             if is_lost:
                 for held in suspicion.held:
                     self._report(upstream, held)
--- a/tests/test_gateway_crash_evidence.py
+++ b/tests/test_gateway_crash_evidence.py
@@ -1,5 +1,9 @@
 """Tests of the evidence on prompt parts that crash upstreams."""
 
+import random
+
+import pytest
+
 from tanagerport.clock import FakeClock
 from tanagerport.gateway.crash_evidence import SOUND, CrashLedger, request_keys
 from tanagerport.gateway.decision_log import DecisionLog
@@ -257,3 +261,65 @@
         assert len(report.crashes) <= 8
         assert len(report.quarantined) <= 16
         assert all(len(parts) <= 32 for _, _, parts in report.crashes)
+
+
+class TestManyNodes:
+    """The limits hold over all nodes while requests with a part keep coming."""
+
+    @pytest.mark.parametrize("seed", range(4))
+    @pytest.mark.parametrize(
+        ("deadly_per_s", "duration_s"), [(60.0, 12.0), (6.0, 12.0), (0.2, 60.0)]
+    )
+    def test_crashes_end_soon_and_sound_requests_are_served(
+        self, deadly_per_s: float, duration_s: float, seed: int
+    ) -> None:
+        """Guards against limits that hold at one node and not at forty.
+
+        Reports arrive up to 0.7 s late, one in ten is lost, and racks fail.
+        """
+        random_source = random.Random(seed)
+        nodes = _Nodes(40)
+        crashes: list[float] = []
+        served, refused = 0, 0
+        step_s = 0.05
+        for step in range(round(duration_s / step_s)):
+            if step % 14 == 0:
+                _exchange_with_losses(nodes, random_source)
+            for _ in range(_count(random_source, deadly_per_s * step_s)):
+                node = random_source.randrange(40)
+                judgement = nodes.ledgers[node].judge([_COMMON, _DEADLY])
+                if not judgement.quarantined:
+                    crashes.append(nodes.clock.monotonic())
+                    nodes.crash((_COMMON, _DEADLY), (_COMMON, _RARE), node=node)
+            for _ in range(_count(random_source, 40 * step_s)):
+                ledger = random_source.choice(nodes.ledgers)
+                parts = [_COMMON, 100 + random_source.randrange(50)]
+                if ledger.judge(parts).quarantined:
+                    refused += 1
+                else:
+                    served += 1
+                    ledger.record_answer(parts)
+            if random_source.random() < 0.02:
+                part = 100 + random_source.randrange(50)
+                for _ in range(3):
+                    nodes.crash((_COMMON, part))
+            nodes.clock.advance(step_s)
+        if len(crashes) >= 5:
+            late = [at for at in crashes if at > crashes[4] + 4]
+            assert len(late) <= 3
+        assert refused <= served / 50
+
+
+def _count(random_source: random.Random, mean: float) -> int:
+    """Returns a number of arrivals with the given mean."""
+    return int(mean) + (random_source.random() < mean % 1)
+
+
+def _exchange_with_losses(nodes: _Nodes, random_source: random.Random) -> None:
+    for sender in nodes.ledgers:
+        sender.expire()
+        report = sender.report(is_whole=random_source.random() < 0.2)
+        for receiver in nodes.ledgers:
+            is_lost = random_source.random() < 0.1
+            if report is not None and receiver is not sender and not is_lost:
+                receiver.apply_report(report)
--- a/tests/test_gateway_upstream_losses.py
+++ b/tests/test_gateway_upstream_losses.py
@@ -11,24 +11,23 @@
 from tanagerport.gateway.upstream_pool import UpstreamPool
 
 
-class _FakeChannel:
-    def close(self) -> None:
-        pass
-
-
 class _FakePool:
     """Opens connections, or refuses them."""
 
     def __init__(self, is_refusing: bool) -> None:
         self._is_refusing = is_refusing
         self.attempts = 0
+        self.released: list[tuple[object, ...]] = []
 
     async def open(self, upstream: UpstreamRecord, timeout_s: float) -> Any:
         del upstream, timeout_s
         self.attempts += 1
         if self._is_refusing:
             raise ConnectionRefusedError("refused")
-        return _FakeChannel()
+        return object()
+
+    def release(self, *arguments: object) -> None:
+        self.released.append(arguments)
 
 
 def _record_two_breaks(is_refusing: bool) -> tuple[Counters, list[str], int]:
