--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -11,13 +11,14 @@
 from tanagerport.gateway.crash_evidence import CrashLedger
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.dispatch import Dispatcher
-from tanagerport.gateway.domain import RequestKind
+from tanagerport.gateway.domain import RequestKind, UpstreamRecord
 from tanagerport.gateway.forwarding import RequestForwarder
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.request_context import DispatchError, RequestContext
 from tanagerport.gateway.retry_budget import RetryBudget
 from tanagerport.gateway.scheduler import Scheduler
 from tanagerport.gateway.upstream_health import UpstreamHealth
+from tanagerport.gateway.upstream_losses import HeldRequest, LossDetector
 from tanagerport.gateway.work_item import Placement, WorkItem
 from tanagerport.refusals import Ran, Refusal, RefusalReason, RetryReason
 
@@ -75,15 +76,18 @@
 class _FailingDispatcher:
     """Fails every dispatch."""
 
-    def __init__(self, may_have_run: bool) -> None:
+    def __init__(self, may_have_run: bool, has_lost_connection: bool) -> None:
         self._may_have_run = may_have_run
+        self._has_lost_connection = has_lost_connection
 
     async def dispatch(
         self, context: RequestContext, placement: Placement
     ) -> None:
         del placement
         context.dispatches += 1
-        raise DispatchError(RetryReason.BROKEN, "cut off", self._may_have_run)
+        error = DispatchError(RetryReason.BROKEN, "cut off", self._may_have_run)
+        error.has_lost_connection = self._has_lost_connection
+        raise error
 
 
 class _FakeValidator:
@@ -106,6 +110,18 @@
         return []
 
 
+class _ConfirmingLossDetector:
+    """Confirms each loss at once."""
+
+    def record_break(
+        self, upstream: UpstreamRecord, held: HeldRequest
+    ) -> asyncio.Future[bool]:
+        del upstream, held
+        is_lost = asyncio.get_running_loop().create_future()
+        is_lost.set_result(True)
+        return is_lost
+
+
 class _ForwarderFixture:
     """A forwarder with fake collaborators."""
 
@@ -114,6 +130,7 @@
         scheduler: _FakeScheduler,
         may_have_run: bool = False,
         retry_slack: float = 10,
+        are_upstreams_lost: bool = False,
     ) -> None:
         clock = FakeClock(100.0)
         self.clock = clock
@@ -122,12 +139,14 @@
             cast(Any, _FakeHttpNames()),
             self._get_routes,
             cast(Any, _FakeValidator()),
-            cast(Dispatcher, _FailingDispatcher(may_have_run)),
+            cast(
+                Dispatcher, _FailingDispatcher(may_have_run, are_upstreams_lost)
+            ),
             cast(Scheduler, scheduler),
             cast(Any, _FakeRegistry()),
             cast(Any, None),
             UpstreamHealth(clock.monotonic),
-            cast(Any, None),
+            cast(LossDetector, _ConfirmingLossDetector()),
             PromptQuarantine(
                 CrashLedger(DecisionLog("n"), clock.monotonic),
                 "127.0.0.1",
@@ -175,6 +194,21 @@
         assert refusal == _NO_CAPACITY
 
 
+class TestCrashes:
+    """A request that upstreams crash on is not sent to one after the other."""
+
+    def test_request_is_not_sent_to_a_third_upstream(self) -> None:
+        """Guards against a request that crashes every upstream by itself."""
+        scheduler = _FakeScheduler(slots=3)
+        fixture = _ForwarderFixture(
+            scheduler, may_have_run=True, are_upstreams_lost=True
+        )
+        refusal = asyncio.run(fixture.send_request())
+        assert refusal.reason is RefusalReason.UPSTREAM_ERROR
+        assert refusal.ran is Ran.UNKNOWN
+        assert scheduler.slots == 1
+
+
 class TestShutdown:
     """Guards against requests that stay queued until their node is killed."""
 
