--- a/tests/test_gateway_crashing_prompts.py
+++ b/tests/test_gateway_crashing_prompts.py
@@ -4,6 +4,8 @@
 import json
 import pathlib
 
+import pytest
+
 import platform_standin as standin
 from platform_standin import LocalCluster, configuration
 from tanagerport import cli
@@ -163,3 +165,39 @@
             assert statuses[len(statuses) // 2 :] == [200] * 6
 
         run_scenario(tmp_path, scenario)
+
+
+class TestOtherBreaks:
+    """Requests that end for other reasons accuse no prompt part."""
+
+    @pytest.mark.parametrize("who", ["client", "upstream"])
+    def test_broken_connections_quarantine_nothing(
+        self, who: str, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against callers who get the prompts of others refused."""
+        handler = standin.hang if who == "client" else standin.reset_connection
+
+        async def scenario(cluster: LocalCluster) -> None:
+            upstreams = [
+                await cluster.add_upstream(f"u-{number}", handler)
+                for number in range(3)
+            ]
+            await cluster.gateway.wait_ready()
+            for number in range(8):
+                call = asyncio.create_task(
+                    _call(cluster, number, f"shared:10,own{number}:60")
+                )
+                await asyncio.sleep(0.1)
+                call.cancel()
+                await asyncio.gather(call, return_exceptions=True)
+            assert sum(len(u.started_attempts) for u in upstreams) >= 8
+            for upstream in upstreams:
+                upstream.handler = standin.stream(6, interval_s=0.02)
+            response = await _call(cluster, 9, "shared:10,own:60")
+            assert response.status == 200
+            listing = await standin.fetch(
+                cluster.gateway.metrics_port, "GET", "/quarantine"
+            )
+            assert json.loads(listing.body) == []
+
+        run_scenario(tmp_path, scenario)
--- a/tests/test_gateway_faulty_answers.py
+++ b/tests/test_gateway_faulty_answers.py
@@ -134,12 +134,7 @@
             elif kind == "other content":
                 writer.write(standin.response_bytes(200, b"engine fault", seal))
             else:
-                lines = [f"{name}: {value}" for name, value in seal.items()]
-                head = [
-                    "HTTP/1.1 200 OK",
-                    "Content-Type: text/event-stream",
-                    *lines,
-                ]
+                head = _unframed_head(request, is_stream=True)
                 writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
                 await writer.drain()
                 writer.close()
@@ -209,9 +204,7 @@
             request: standin.HttpRequest,
             writer: asyncio.StreamWriter,
         ) -> None:
-            lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
-            seal = standin.seal_headers(request)
-            lines += [f"{name}: {value}" for name, value in seal.items()]
+            lines = _unframed_head(request, is_stream=True)
             writer.write("\r\n".join(lines[:kept_lines]).encode() + b"\r\n")
             await _end(writer, is_reset)
 
@@ -249,11 +242,7 @@
             request: standin.HttpRequest,
             writer: asyncio.StreamWriter,
         ) -> None:
-            lines = ["HTTP/1.1 200 OK"]
-            if path == "/call/x":
-                lines.append("Content-Type: text/event-stream")
-            seal = standin.seal_headers(request)
-            lines += [f"{name}: {value}" for name, value in seal.items()]
+            lines = _unframed_head(request, is_stream=path == "/call/x")
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
             await _end(writer, is_reset)
 
@@ -269,6 +258,15 @@
         run_scenario(tmp_path, scenario, configuration(1, ROUTES))
 
 
+def _unframed_head(request: standin.HttpRequest, is_stream: bool) -> list[str]:
+    """Returns the lines of a head with neither a length nor chunks."""
+    lines = ["HTTP/1.1 200 OK"]
+    if is_stream:
+        lines.append("Content-Type: text/event-stream")
+    seal = standin.seal_headers(request)
+    return lines + [f"{name}: {value}" for name, value in seal.items()]
+
+
 async def _end(writer: asyncio.StreamWriter, is_reset: bool) -> None:
     await writer.drain()
     await asyncio.sleep(0.05)
