Name the crashes in refusals of parts that only came together

The refusal said that no upstream had crashed, as neither part had a quarantine of its own. The test failed before with "0 upstreams crashed".

--- a/src/tanagerport/gateway/crash_evidence.py
+++ b/src/tanagerport/gateway/crash_evidence.py
@@ -179,7 +179,7 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether no part is suspected or quarantined."""
+        """Whether no crash is known and no part is quarantined."""
         return not self._crashes and not self._quarantined
 
     @property
@@ -206,6 +206,13 @@
         """Returns the quarantine of a part, if it has one."""
         return self._quarantined.get(part)
 
+    def count_crashes(self, part: int) -> int:
+        """Returns the number of crashes that accuse a part."""
+        quarantine = self._quarantined.get(part)
+        if quarantine is not None:
+            return quarantine.crashes
+        return sum(1 for crash in self._crashes.values() if part in crash.parts)
+
     def begin_trial(self, part: int) -> None:
         """Records that one request tries a quarantined part."""
         quarantine = self._quarantined.get(part)
--- a/src/tanagerport/gateway/prompt_quarantine.py
+++ b/src/tanagerport/gateway/prompt_quarantine.py
@@ -217,13 +217,22 @@
         )
 
     def _refusal(self, item: WorkItem, judgement: Judgement) -> RefusedError:
-        trial_at = self._now()
-        crashes = 0
-        for part in judgement.quarantined:
-            quarantine = self._ledger.get_quarantine(part)
-            if quarantine is not None:
-                trial_at = max(trial_at, quarantine.trial_at)
-                crashes = max(crashes, quarantine.crashes)
+        quarantines = [
+            quarantine
+            for part in judgement.quarantined
+            if (quarantine := self._ledger.get_quarantine(part)) is not None
+        ]
+        trial_at = max(
+            (quarantine.trial_at for quarantine in quarantines),
+            default=self._now(),
+        )
+        crashes = max(
+            (
+                self._ledger.count_crashes(part)
+                for part in judgement.quarantined
+            ),
+            default=0,
+        )
         names = [
             f"{part.part_id} ({format_key(key)})"
             for part, key in zip(item.work.parts, item.part_keys, strict=False)
--- a/tests/test_gateway_prompt_quarantine.py
+++ b/tests/test_gateway_prompt_quarantine.py
@@ -131,6 +131,24 @@
 
         asyncio.run(run())
 
+    def test_parts_that_only_came_together_are_refused_with_their_crashes(
+        self,
+    ) -> None:
+        """Guards against a refusal that names no crash."""
+
+        async def run() -> None:
+            admissions = _Admissions()
+            for number in range(2):
+                admissions.clock.advance(1)
+                admissions.ledger.record_crash(f"{number}", (_DEADLY, _OTHER))
+            with pytest.raises(RefusedError) as raised:
+                await admissions.hold(
+                    admissions.make_item("r", _DEADLY, _OTHER)
+                )
+            assert "2 upstreams crashed" in raised.value.refusal.message
+
+        asyncio.run(run())
+
     def test_one_request_of_one_node_makes_the_trial(self) -> None:
         """Guards against trials at all nodes at the same time."""
 
