Answer at once if a request that broke off may not be repeated

A request whose connection its upstream had ended waited until the loss was known, up to 0.4 s, also where no other upstream could be tried. The test failed before: no answer within 1 s.

--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -230,15 +230,28 @@
         """Records that the upstream ended the connection of a dispatch.
 
         A request whose answer had not begun may be what crashed the upstream.
-        It waits until that is known before it is sent to another one.
+        It waits until that is known before it is sent to another one, if it may
+        be.
         """
         is_lost = self._losses.record_break(
             placement.upstream,
             HeldRequest(context.item, placement.event_count),
         )
-        if not placement.has_first_event and await asyncio.shield(is_lost):
+        may_retry = self._may_retry(context, may_have_run=True)
+        if (
+            may_retry
+            and not placement.has_first_event
+            and await asyncio.shield(is_lost)
+        ):
             context.crashes += 1
 
+    def _may_retry(self, context: RequestContext, may_have_run: bool) -> bool:
+        """Returns whether its route lets the request be sent once more."""
+        route = context.item.route
+        return (
+            not may_have_run or route.can_repeat
+        ) and context.dispatches < route.max_dispatches
+
     def _record_failure(
         self,
         context: RequestContext,
@@ -306,11 +319,8 @@
                 self._counters.retries[error.reason.value] += 1
                 return
             raise self._failure_refusal(context, error)
-        route = context.item.route
-        may_retry = not error.may_have_run or route.can_repeat
         if (
-            not may_retry
-            or context.dispatches >= route.max_dispatches
+            not self._may_retry(context, error.may_have_run)
             or context.crashes >= _MAX_CRASHES
         ):
             raise self._failure_refusal(context, error)
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -11,7 +11,7 @@
 from tanagerport.gateway.crash_evidence import CrashLedger
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.dispatch import Dispatcher
-from tanagerport.gateway.domain import RequestKind, UpstreamRecord
+from tanagerport.gateway.domain import RequestKind, Route, UpstreamRecord
 from tanagerport.gateway.forwarding import RequestForwarder
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.request_context import DispatchError, RequestContext
@@ -93,11 +93,14 @@
 class _FakeValidator:
     """Accepts every request."""
 
+    def __init__(self, route: Route) -> None:
+        self._route = route
+
     def create_context(
         self, routes: object, request: ClientRequest, response: ClientResponse
     ) -> RequestContext:
         del routes
-        item = gateway_doubles.make_item(request.received_at, _ROUTE)
+        item = gateway_doubles.make_item(request.received_at, self._route)
         return RequestContext(request, response, item, None, 0.0)
 
     def refund_unused_quota(self, context: RequestContext) -> None:
@@ -110,15 +113,19 @@
         return []
 
 
-class _ConfirmingLossDetector:
-    """Confirms each loss at once."""
+class _FakeLossDetector:
+    """Confirms each loss at once, or never."""
+
+    def __init__(self, confirms: bool) -> None:
+        self._confirms = confirms
 
     def record_break(
         self, upstream: UpstreamRecord, held: HeldRequest
     ) -> asyncio.Future[bool]:
         del upstream, held
         is_lost = asyncio.get_running_loop().create_future()
-        is_lost.set_result(True)
+        if self._confirms:
+            is_lost.set_result(True)
         return is_lost
 
 
@@ -131,6 +138,8 @@
         may_have_run: bool = False,
         retry_slack: float = 10,
         are_upstreams_lost: bool = False,
+        confirms_losses: bool = True,
+        route: Route = _ROUTE,
     ) -> None:
         clock = FakeClock(100.0)
         self.clock = clock
@@ -138,7 +147,7 @@
         self.forwarder = RequestForwarder(
             cast(Any, _FakeHttpNames()),
             self._get_routes,
-            cast(Any, _FakeValidator()),
+            cast(Any, _FakeValidator(route)),
             cast(
                 Dispatcher, _FailingDispatcher(may_have_run, are_upstreams_lost)
             ),
@@ -146,7 +155,7 @@
             cast(Any, _FakeRegistry()),
             cast(Any, None),
             UpstreamHealth(clock.monotonic),
-            cast(LossDetector, _ConfirmingLossDetector()),
+            cast(LossDetector, _FakeLossDetector(confirms_losses)),
             PromptQuarantine(
                 CrashLedger(DecisionLog("n"), clock.monotonic),
                 "127.0.0.1",
@@ -208,6 +217,19 @@
         assert refusal.ran is Ran.UNKNOWN
         assert scheduler.slots == 1
 
+    def test_request_that_may_not_be_repeated_is_answered_at_once(self) -> None:
+        """Guards against a final answer that waits for a connection."""
+        route = gateway_doubles.make_route(kind=RequestKind.NON_IDEMPOTENT)
+        fixture = _ForwarderFixture(
+            _FakeScheduler(slots=1),
+            may_have_run=True,
+            are_upstreams_lost=True,
+            confirms_losses=False,
+            route=route,
+        )
+        refusal = asyncio.run(asyncio.wait_for(fixture.send_request(), 1))
+        assert refusal.ran is Ran.UNKNOWN
+
 
 class TestShutdown:
     """Guards against requests that stay queued until their node is killed."""
