--- a/src/tanagerport/gateway/crash_evidence.py
+++ b/src/tanagerport/gateway/crash_evidence.py
@@ -23,8 +23,8 @@
 
 # Independent crashes after which a part is quarantined; more for a part on
 # which answers began shortly before the first of them.
-_CRASHES = 2
-_CRASHES_AFTER_ANSWERS = 3
+_REQUIRED_CRASHES = 2
+_REQUIRED_CRASHES_AFTER_ANSWERS = 3
 # Upstreams lost within this time of each other may have a common cause, such as
 # the loss of a rack, and count as one crash.
 _COMMON_CAUSE_S = 0.05
@@ -47,7 +47,7 @@
 _REPORT_S = 3.0
 # Bounds of the memory and the reports.
 _MAX_ANSWERED_PARTS = 4096
-_MAX_CRASHES = 64
+_MAX_STORED_CRASHES = 64
 _MAX_PARTS_PER_CRASH = 32
 _MAX_QUARANTINED = 64
 _MAX_REPORTED_CRASHES = 8
@@ -331,7 +331,7 @@
             if self._now() - at > _CRASH_LIFETIME_S:
                 return
             crash = self._crashes[run] = _Crash(at, set(), is_own)
-            while len(self._crashes) > _MAX_CRASHES:
+            while len(self._crashes) > _MAX_STORED_CRASHES:
                 self._crashes.popitem(last=False)
         # A report is delayed, so the earliest time is the most exact.
         crash.at = min(crash.at, at)
@@ -362,7 +362,7 @@
             quarantine.last_crash_at < at
             # The answer of another node became known after the quarantine.
             or (
-                quarantine.crashes < _CRASHES_AFTER_ANSWERS
+                quarantine.crashes < _REQUIRED_CRASHES_AFTER_ANSWERS
                 and quarantine.last_crash_at - _ANSWER_LIFETIME_S < at
             )
         ):
@@ -473,11 +473,15 @@
                 accusing.setdefault(part, []).append(crash)
         ranks: dict[int, tuple[int, bool]] = {}
         for part, accusing_crashes in accusing.items():
-            if len(accusing_crashes) < _CRASHES:
+            if len(accusing_crashes) < _REQUIRED_CRASHES:
                 continue
             times = _independent_times(accusing_crashes)
             has_answered = self._has_answered_before(part, times[0])
-            required = _CRASHES_AFTER_ANSWERS if has_answered else _CRASHES
+            required = (
+                _REQUIRED_CRASHES_AFTER_ANSWERS
+                if has_answered
+                else _REQUIRED_CRASHES
+            )
             if len(times) >= required:
                 ranks[part] = (len(times), not has_answered)
         if not ranks:
@@ -498,7 +502,7 @@
 
 
 def _quarantine_s(crashes: int) -> float:
-    doublings = min(max(crashes - _CRASHES, 0), _MAX_DOUBLINGS)
+    doublings = min(max(crashes - _REQUIRED_CRASHES, 0), _MAX_DOUBLINGS)
     return min(_MIN_QUARANTINE_S * 2**doublings, _MAX_QUARANTINE_S)
 
 
--- a/tests/test_gateway_crash_evidence.py
+++ b/tests/test_gateway_crash_evidence.py
@@ -9,7 +9,7 @@
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import PromptPart
 
-_COMMON, _RARE, _DEADLY, _OTHER_DEADLY = 1, 2, 3, 4
+_COMMON, _RARE, _CRASHING, _OTHER_CRASHING = 1, 2, 3, 4
 
 
 class _Nodes:
@@ -73,37 +73,44 @@
     def test_part_of_two_crashes_is_quarantined_and_others_are_not(
         self,
     ) -> None:
-        """Guards against a deadly part that is told from others too late."""
+        """Guards against a crashing part that is told from others too late."""
         nodes = _Nodes()
         nodes.first.record_answer([_COMMON])
         nodes.clock.advance(1)
-        nodes.crash((_COMMON, _DEADLY), (_COMMON, _RARE))
+        nodes.crash((_COMMON, _CRASHING), (_COMMON, _RARE))
         assert nodes.first.judge([_COMMON, _RARE]).suspected == (_RARE,)
         nodes.clock.advance(1)
-        nodes.crash((_COMMON, _DEADLY))
-        assert nodes.quarantined() == {_DEADLY}
-        assert nodes.first.judge([_COMMON, _DEADLY]).quarantined == (_DEADLY,)
+        nodes.crash((_COMMON, _CRASHING))
+        assert nodes.quarantined() == {_CRASHING}
+        assert nodes.first.judge([_COMMON, _CRASHING]).quarantined == (
+            _CRASHING,
+        )
         assert nodes.first.judge([_COMMON, _RARE]) == SOUND
 
-    def test_two_deadly_parts_are_found(self) -> None:
-        """Guards against a second deadly part that hides behind the first."""
+    def test_two_crashing_parts_are_found(self) -> None:
+        """Guards against a second crashing part that hides behind the first."""
         nodes = _Nodes()
-        for deadly in (_DEADLY, _OTHER_DEADLY, _DEADLY, _OTHER_DEADLY):
-            nodes.crash((10 + deadly, deadly))
+        for crashing in (
+            _CRASHING,
+            _OTHER_CRASHING,
+            _CRASHING,
+            _OTHER_CRASHING,
+        ):
+            nodes.crash((10 + crashing, crashing))
             nodes.first.record_answer([13, 14])
             nodes.clock.advance(1)
-        assert nodes.quarantined() == {_DEADLY, _OTHER_DEADLY}
+        assert nodes.quarantined() == {_CRASHING, _OTHER_CRASHING}
 
     def test_rare_crashes_are_added_up(self) -> None:
         """Guards against crashes that are forgotten before the next one."""
         nodes = _Nodes()
         for _ in range(2):
-            nodes.crash((_COMMON, _DEADLY))
+            nodes.crash((_COMMON, _CRASHING))
             nodes.clock.advance(1)
             nodes.first.record_answer([_COMMON])
             nodes.clock.advance(30)
             nodes.first.expire()
-        assert nodes.quarantined() == {_DEADLY}
+        assert nodes.quarantined() == {_CRASHING}
 
     def test_loss_of_a_rack_accuses_no_part(self) -> None:
         """Guards against parts that are refused as several upstreams end."""
@@ -129,15 +136,15 @@
         assert nodes.quarantined() == {_COMMON}
 
     def test_parts_that_only_came_together_are_tried_apart(self) -> None:
-        """Guards against a sound part refused along with a deadly one."""
+        """Guards against a sound part refused along with a crashing one."""
         nodes = _Nodes()
         for _ in range(2):
-            nodes.crash((_RARE, _DEADLY))
+            nodes.crash((_RARE, _CRASHING))
             nodes.clock.advance(1)
-        assert nodes.first.judge([_RARE, _DEADLY]).quarantined
+        assert nodes.first.judge([_RARE, _CRASHING]).quarantined
         assert nodes.first.judge([_RARE]).suspected == (_RARE,)
         nodes.first.record_answer([_RARE])
-        assert nodes.quarantined() == {_DEADLY}
+        assert nodes.quarantined() == {_CRASHING}
         assert not nodes.first.judge([_RARE]).suspected
 
 
@@ -161,17 +168,17 @@
         """Guards against trials that crash one upstream after the other."""
         nodes = _Nodes()
         for _ in range(2):
-            nodes.crash((_DEADLY,))
+            nodes.crash((_CRASHING,))
             nodes.clock.advance(1)
         intervals = []
         for _ in range(4):
-            quarantine = nodes.first.get_quarantine(_DEADLY)
+            quarantine = nodes.first.get_quarantine(_CRASHING)
             assert quarantine is not None
             wait_s = quarantine.trial_at - nodes.clock.monotonic()
             intervals.append(round(wait_s))
             nodes.clock.advance(wait_s)
-            nodes.first.begin_trial(_DEADLY)
-            nodes.crash((_DEADLY,))
+            nodes.first.begin_trial(_CRASHING)
+            nodes.crash((_CRASHING,))
         assert intervals == [29, 60, 120, 240]
 
     def test_operator_releases_a_part_at_all_nodes(self) -> None:
@@ -194,12 +201,12 @@
     def test_crashes_of_different_nodes_are_added_up(self) -> None:
         """Guards against a limit that each node applies on its own."""
         nodes = _Nodes(3)
-        nodes.crash((_DEADLY,), node=0)
+        nodes.crash((_CRASHING,), node=0)
         nodes.exchange()
         nodes.clock.advance(1)
-        nodes.crash((_DEADLY,), node=1)
+        nodes.crash((_CRASHING,), node=1)
         nodes.exchange()
-        assert nodes.quarantined(2) == {_DEADLY}
+        assert nodes.quarantined(2) == {_CRASHING}
 
     def test_crash_that_two_nodes_saw_counts_once(self) -> None:
         """Guards against one crash that is taken for two."""
@@ -216,28 +223,28 @@
         nodes = _Nodes(2)
         nodes.ledgers[1].record_answer([_COMMON])
         nodes.clock.advance(1)
-        nodes.crash((_COMMON, _DEADLY))
+        nodes.crash((_COMMON, _CRASHING))
         nodes.exchange()
-        assert nodes.first.judge([_COMMON, _DEADLY]).suspected == (_DEADLY,)
+        assert nodes.first.judge([_COMMON, _CRASHING]).suspected == (_CRASHING,)
 
     def test_restarted_node_learns_the_quarantine(self) -> None:
         """Guards against a node that sends a quarantined part after a start."""
         nodes = _Nodes(2)
         for _ in range(2):
-            nodes.crash((_DEADLY,))
+            nodes.crash((_CRASHING,))
             nodes.clock.advance(1)
         nodes.exchange()
         nodes.clock.advance(60)
         nodes.ledgers[0] = CrashLedger(DecisionLog("n"), nodes.clock.monotonic)
         nodes.ledgers[1].expire()
         nodes.exchange(is_whole=True)
-        assert nodes.quarantined() == {_DEADLY}
+        assert nodes.quarantined() == {_CRASHING}
 
     def test_repeated_reports_do_not_postpone_the_trial(self) -> None:
         """Guards against a delay that adds up while reports go round."""
         nodes = _Nodes(2)
         for _ in range(2):
-            nodes.crash((_DEADLY,))
+            nodes.crash((_CRASHING,))
             nodes.clock.advance(1)
         for _ in range(20):
             report = nodes.first.report(is_whole=True)
@@ -245,7 +252,7 @@
             assert report is not None
             nodes.ledgers[1].apply_report(report)
             nodes.ledgers.reverse()
-        quarantine = nodes.first.get_quarantine(_DEADLY)
+        quarantine = nodes.first.get_quarantine(_CRASHING)
         assert quarantine is not None
         assert quarantine.trial_at <= 1001 + 30 + 1
 
@@ -268,10 +275,11 @@
 
     @pytest.mark.parametrize("seed", range(4))
     @pytest.mark.parametrize(
-        ("deadly_per_s", "duration_s"), [(60.0, 12.0), (6.0, 12.0), (0.2, 60.0)]
+        ("crashing_per_s", "duration_s"),
+        [(60.0, 12.0), (6.0, 12.0), (0.2, 60.0)],
     )
     def test_crashes_end_soon_and_sound_requests_are_served(
-        self, deadly_per_s: float, duration_s: float, seed: int
+        self, crashing_per_s: float, duration_s: float, seed: int
     ) -> None:
         """Guards against limits that hold at one node and not at forty.
 
@@ -285,12 +293,14 @@
         for step in range(round(duration_s / step_s)):
             if step % 14 == 0:
                 _exchange_with_losses(nodes, random_source)
-            for _ in range(_count(random_source, deadly_per_s * step_s)):
+            for _ in range(_count(random_source, crashing_per_s * step_s)):
                 node = random_source.randrange(40)
-                judgement = nodes.ledgers[node].judge([_COMMON, _DEADLY])
+                judgement = nodes.ledgers[node].judge([_COMMON, _CRASHING])
                 if not judgement.quarantined:
                     crashes.append(nodes.clock.monotonic())
-                    nodes.crash((_COMMON, _DEADLY), (_COMMON, _RARE), node=node)
+                    nodes.crash(
+                        (_COMMON, _CRASHING), (_COMMON, _RARE), node=node
+                    )
             for _ in range(_count(random_source, 40 * step_s)):
                 ledger = random_source.choice(nodes.ledgers)
                 parts = [_COMMON, 100 + random_source.randrange(50)]
--- a/tests/test_gateway_crashing_prompts.py
+++ b/tests/test_gateway_crashing_prompts.py
@@ -11,8 +11,8 @@
 from tanagerport import cli
 from test_gateway_process import ROUTES, run_scenario
 
-_DEADLY_PART = "bad0"
-_DEADLY_TARGET = "/read/bad"
+_CRASHING_PART = "bad0"
+_CRASHING_TARGET = "/read/bad"
 # Limits of the service's operators: requests that may reach upstreams with a
 # part that crashes them, up to the fifth crash and after it.
 _MAX_CRASHES = 5
@@ -36,7 +36,10 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         parts = request.headers.get("prefix-hash", "")
-        if f"{_DEADLY_PART}:" not in parts and request.target != _DEADLY_TARGET:
+        if (
+            f"{_CRASHING_PART}:" not in parts
+            and request.target != _CRASHING_TARGET
+        ):
             answer = self._answer if parts else standin.echo
             await answer(upstream, request, writer)
             return
@@ -122,7 +125,7 @@
                 calls = []
                 for number in range(60):
                     # Each third prompt holds the part. All share the first.
-                    middle = f"{_DEADLY_PART}:30," if number % 3 == 0 else ""
+                    middle = f"{_CRASHING_PART}:30," if number % 3 == 0 else ""
                     parts = f"shared:10,{middle}own{number}:60"
                     calls.append(
                         asyncio.create_task(_call(cluster, number, parts))
@@ -157,7 +160,7 @@
             await cluster.gateway.wait_ready()
             statuses = []
             for number in range(12):
-                await cluster.call(f"bad{number}", _DEADLY_TARGET)
+                await cluster.call(f"bad{number}", _CRASHING_TARGET)
                 other = await cluster.call(f"other{number}", "/read/other")
                 statuses.append(other.status)
                 await asyncio.sleep(0.1)
--- a/tests/test_gateway_prompt_quarantine.py
+++ b/tests/test_gateway_prompt_quarantine.py
@@ -16,7 +16,7 @@
 from tanagerport.gateway.work_item import WorkItem
 from tanagerport.refusals import Ran, RefusalReason
 
-_DEADLY, _OTHER = 1, 2
+_CRASHING, _OTHER = 1, 2
 
 
 class _Admissions:
@@ -44,7 +44,7 @@
         for number in range(count):
             self.clock.advance(1)
             at = f"run-{number}-{self.clock.monotonic()}"
-            self.ledger.record_crash(at, (_DEADLY,))
+            self.ledger.record_crash(at, (_CRASHING,))
 
     def make_item(self, request_id: str, *parts: int) -> WorkItem:
         item = gateway_doubles.make_item(
@@ -76,14 +76,14 @@
                     admissions.hold(admissions.make_item(name, part))
                 )
                 for name, part in (
-                    ("first", _DEADLY),
-                    ("second", _DEADLY),
+                    ("first", _CRASHING),
+                    ("second", _CRASHING),
                     ("other", _OTHER),
                 )
             ]
             await gateway_doubles.run_pending_tasks()
             assert admissions.admitted == ["first", "other"]
-            admissions.ledger.record_answer([_DEADLY])
+            admissions.ledger.record_answer([_CRASHING])
             admissions.may_end.set()
             await asyncio.gather(*tasks)
             assert admissions.admitted == ["first", "other", "second"]
@@ -98,7 +98,7 @@
             admissions.crash(1)
             first, second = (
                 asyncio.create_task(
-                    admissions.hold(admissions.make_item(name, _DEADLY))
+                    admissions.hold(admissions.make_item(name, _CRASHING))
                 )
                 for name in ("first", "second")
             )
@@ -121,7 +121,7 @@
         async def run() -> None:
             admissions = _Admissions()
             admissions.crash(2)
-            item = admissions.make_item("r", _OTHER, _DEADLY)
+            item = admissions.make_item("r", _OTHER, _CRASHING)
             with pytest.raises(RefusedError) as raised:
                 await admissions.hold(item)
             refusal = raised.value.refusal
@@ -140,10 +140,10 @@
             admissions = _Admissions()
             for number in range(2):
                 admissions.clock.advance(1)
-                admissions.ledger.record_crash(f"{number}", (_DEADLY, _OTHER))
+                admissions.ledger.record_crash(f"{number}", (_CRASHING, _OTHER))
             with pytest.raises(RefusedError) as raised:
                 await admissions.hold(
-                    admissions.make_item("r", _DEADLY, _OTHER)
+                    admissions.make_item("r", _CRASHING, _OTHER)
                 )
             assert "2 upstreams crashed" in raised.value.refusal.message
 
@@ -162,7 +162,7 @@
                 admissions.clock.advance(31)
                 admissions.may_end.set()
                 for number in range(5):
-                    item = admissions.make_item(f"r{number}", _DEADLY)
+                    item = admissions.make_item(f"r{number}", _CRASHING)
                     with contextlib.suppress(RefusedError):
                         await admissions.hold(item)
                 admitted += admissions.admitted
@@ -185,7 +185,7 @@
 
         async def run() -> None:
             admissions = _Admissions()
-            item = admissions.make_item("r", _DEADLY)
+            item = admissions.make_item("r", _CRASHING)
             other = admissions.make_item("other", _OTHER)
             task, other_task = (
                 asyncio.create_task(admissions.hold(held))
@@ -244,7 +244,7 @@
             await asyncio.sleep(0.05)
             assert admissions.reports == 1
             admissions.may_end.set()
-            await admissions.hold(admissions.make_item("r", _DEADLY))
+            await admissions.hold(admissions.make_item("r", _CRASHING))
             assert admissions.admitted == ["r"]
 
         asyncio.run(run())
