--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -m compileall -q .
-python3 -c "import standins.deployment, standins.worker"
+python3 -c "import standins.quota, standins.worker"
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -264,9 +264,16 @@
 
 
 def configuration(
-    version: int, routes: list[dict[str, Any]], keys: list[str]
+    version: int, routes: list[dict[str, Any]], keys: list[str], **quota: int
 ) -> dict[str, Any]:
-    """Returns a configuration with one tenant."""
+    """Returns a configuration with one tenant.
+
+    Args:
+        version: Number of the configuration.
+        routes: All routes.
+        keys: Keys of the tenant.
+        quota: `rate_per_s` and `burst_size` of the tenant; no limit without.
+    """
     return {
         "version": version,
         "routes": routes,
@@ -304,6 +311,7 @@
                 "priority_class": 1,
                 "billing_unit": "tokens",
                 "uncached_tokens": 200,
+                **quota,
             }
         ],
     }
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -53,6 +53,10 @@
         """Writes a row as an operator or a worker does."""
         await self._write([(table, key, json.dumps(document).encode())])
 
+    async def remove(self, table: str, key: str) -> None:
+        """Removes a row."""
+        await self._write([(table, key, None)])
+
     async def _write(self, writes: list[tuple[str, str, bytes | None]]) -> None:
         async with self._changed:
             self._version += 1
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -10,6 +10,8 @@
 from standins.store import HOST, Store
 
 _HEARTBEAT_S = 1.2
+# Heartbeats after which the store removes the row of a silent worker.
+_MISSED_HEARTBEATS = 3
 _EVENTS = 8
 _EVENT_INTERVAL_S = 0.02
 _PLAIN_WORK_S = 0.05
@@ -48,9 +50,12 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._heartbeat: asyncio.Task[None] | None = None
+        self._expiry: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Listens, and registers in the store with each heartbeat."""
+        if self._expiry is not None:
+            self._expiry.cancel()
         self._server = await asyncio.start_server(self._serve, HOST, self._port)
         self._born = int(time.time() * 1000)
         self._sequence = 0
@@ -67,6 +72,15 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def crash(self) -> None:
+        """Ends at once; its row expires unless it starts again before."""
+        self.stop()
+        self._expiry = asyncio.create_task(self._expire())
+
+    async def _expire(self) -> None:
+        await asyncio.sleep(_MISSED_HEARTBEATS * _HEARTBEAT_S)
+        await self._store.remove("servers", self.worker_id)
+
     @property
     def is_running(self) -> bool:
         """Whether it accepts connections."""
