--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -49,6 +49,10 @@
         """Lets the open connections go silent for good; new ones work."""
         self._silencings += 1
 
+    def get(self, table: str, key: str) -> bytes | None:
+        """Returns the data of a row; None if it does not exist."""
+        return self._rows.get((table, key), (0, None))[1]
+
     async def put(self, table: str, key: str, document: Any) -> None:
         """Writes a row as an operator or a worker does."""
         await self._write([(table, key, json.dumps(document).encode())])
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -27,6 +27,7 @@
         record: Receives what it runs.
         zone: Its zone.
         slots: Requests that it runs at once.
+        version: Version of its software.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         record: Record,
         zone: str = "zone-a",
         slots: int = 10,
+        version: str = "v1",
     ) -> None:
         self.worker_id = worker_id
         self.record = record
@@ -44,6 +46,7 @@
         self._store = store
         self._zone = zone
         self._slots = slots
+        self._version = version
         (self._port,) = ports.take_free([HOST], 1)
         self._born = 0
         self._sequence = 0
@@ -97,7 +100,7 @@
             "service": self._service,
             "address": f"{HOST}:{self._port}",
             "zone": self._zone,
-            "version": "v1",
+            "version": self._version,
             "slot_count": self._slots,
             "state": "available",
             "cold_remaining_ms": 0,
