Give other tasks a turn while an answer never ends

Cause: the splitter of events copied and searched the unfinished event again for each part, so its time grew with the square of the number of parts. And no read gave other tasks a turn while received bytes were left, so no timer and no other connection was served. Line feeds alone made one event of every two bytes.

Why it works: the time between two iterations of the event loop no longer depends on what one peer sends, nor on how many such peers there are.

--- a/src/tanagerport/gateway/channel.py
+++ b/src/tanagerport/gateway/channel.py
@@ -8,7 +8,10 @@
 
 # Reading from the socket pauses above this many unread bytes, to bound the
 # memory used for a peer that sends faster than its data is consumed.
-_READ_BUFFER_LIMIT_BYTES = 256 * 1024
+_READ_BUFFER_LIMIT_BYTES = 64 * 1024
+# Maximum number of bytes that one read returns, so that a parser has bounded
+# work to do before it gives other tasks a turn.
+_MAX_READ_BYTES = 16 * 1024
 # TCP keep-alive detects connections whose state a device on the path dropped.
 _KEEPALIVE_IDLE_S = 2
 _KEEPALIVE_INTERVAL_S = 1
@@ -65,7 +68,7 @@
         self._on_close = callback
 
     async def read(self) -> bytes:
-        """Waits for received bytes and returns them; empty at end of stream.
+        """Waits for received bytes; returns some, or none at end of stream.
 
         Raises:
             ConnectionError: The connection was lost.
@@ -128,7 +131,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Implements `asyncio.Protocol`."""
-        self._unread.append(data)
+        self._unread.extend(
+            data[start : start + _MAX_READ_BYTES]
+            for start in range(0, len(data), _MAX_READ_BYTES)
+        )
         self._unread_bytes += len(data)
         if self._unread_bytes > _READ_BUFFER_LIMIT_BYTES and self._transport:
             self._transport.pause_reading()
--- a/src/tanagerport/gateway/client_server.py
+++ b/src/tanagerport/gateway/client_server.py
@@ -13,6 +13,7 @@
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import ClientLimits
 from tanagerport.gateway.http_call import Headers
+from tanagerport.gateway.time_slices import TimeSlice
 from tanagerport.refusals import Refusal, RefusalReason
 
 # Header fields that a proxy must not forward (RFC 9110, section 7.6.1).
@@ -272,6 +273,7 @@
         self._log = log
         self._is_draining = is_draining
         self._is_idle = True
+        self._time_slice = TimeSlice()
         self._request_expected_until = time.monotonic() + _FIRST_REQUEST_S
         self._codec = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
@@ -292,6 +294,8 @@
         try:
             while await self._handle_request():
                 self._codec.start_next_cycle()
+                # A client may send many requests without waiting.
+                await self._time_slice.pause_if_over()
             await self._channel.flush()
         except asyncio.CancelledError:
             # The client disconnected, or the server is closing.
@@ -385,7 +389,7 @@
         try:
             async with asyncio.timeout(self._limits.header_timeout_s):
                 while event is h11.NEED_DATA:
-                    data = await self._channel.read()
+                    data = await self._read_channel()
                     if not data:
                         return None
                     self._codec.receive_data(data)
@@ -400,18 +404,24 @@
             ) from None
         return event if isinstance(event, h11.Request) else None
 
+    async def _read_channel(self) -> bytes:
+        has_to_wait = not self._channel.has_unread
+        data = await self._channel.read()
+        if has_to_wait:
+            self._time_slice.restart()
+        return data
+
     async def _wait_for_first_bytes(self) -> bool:
         try:
             async with asyncio.timeout(self._limits.idle_timeout_s):
-                data = await self._channel.read()
+                data = await self._read_channel()
         except TimeoutError:
             return False
         self._codec.receive_data(data)
         return bool(data)
 
     async def _read_body(self) -> bytes:
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
         if self._codec.they_are_waiting_for_100_continue:
             self._channel.write(
                 self._codec.send(
@@ -420,12 +430,13 @@
                 or b""
             )
         while True:
+            await self._time_slice.pause_if_over()
             event = self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(chunks)
+                return bytes(body)
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self._limits.body_bytes:
+                body += event.data
+                if len(body) > self._limits.body_bytes:
                     raise RequestReadError(
                         Refusal(
                             RefusalReason.BODY_TOO_LARGE,
@@ -433,9 +444,8 @@
                             f" {self._limits.body_bytes} bytes",
                         )
                     )
-                chunks.append(bytes(event.data))
                 continue
-            data = await self._channel.read()
+            data = await self._read_channel()
             if not data:
                 raise ConnectionResetError(
                     "the client closed the connection before the body ended"
--- a/src/tanagerport/gateway/dispatch.py
+++ b/src/tanagerport/gateway/dispatch.py
@@ -366,7 +366,7 @@
             data = await self._read_stream_data(context, placement, exchange)
             self._scheduler.record_received(placement)
             events = splitter.feed(data)
-            if len(splitter.partial) > _MAX_EVENT_BYTES:
+            if splitter.partial_length > _MAX_EVENT_BYTES:
                 raise DispatchError(
                     RetryReason.STREAM_BROKEN,
                     f"an event is above {_MAX_EVENT_BYTES} bytes",
@@ -379,7 +379,7 @@
                     "the connection ended before the first event",
                     may_have_run=True,
                 )
-            if not data and splitter.partial:
+            if not data and splitter.is_within_event:
                 raise DispatchError(
                     RetryReason.STREAM_BROKEN,
                     "the stream ended within an event",
@@ -417,6 +417,8 @@
                 break
         if not context.response.is_started:
             self._start_stream(context, head)
+        if splitter.partial:
+            context.response.send(splitter.partial)
         context.response.finish()
         self._scheduler.record_outcome(placement, has_failed=False)
         self._record_response(
@@ -470,23 +472,31 @@
         head: ResponseHead,
         events: list[StreamEvent],
     ) -> None:
-        for event in events:
-            expected = (
-                None
-                if context.last_event_id is None
-                else context.last_event_id + 1
+        valid = bytearray()
+        try:
+            for event in events:
+                self._check_sequence(context, event)
+                valid += event.raw
+        finally:
+            if valid:
+                if not context.response.is_started:
+                    self._start_stream(context, head)
+                context.response.send(bytes(valid))
+
+    def _check_sequence(
+        self, context: RequestContext, event: StreamEvent
+    ) -> None:
+        """Raises DispatchError if events are missing before this one."""
+        if event.event_id is None:
+            return
+        last_id = context.last_event_id
+        if last_id is not None and event.event_id != last_id + 1:
+            raise DispatchError(
+                RetryReason.STREAM_BROKEN,
+                f"event {event.event_id} came in place of {last_id + 1}",
+                may_have_run=True,
             )
-            if event.event_id is not None:
-                if expected is not None and event.event_id != expected:
-                    raise DispatchError(
-                        RetryReason.STREAM_BROKEN,
-                        f"event {event.event_id} came in place of {expected}",
-                        may_have_run=True,
-                    )
-                context.last_event_id = event.event_id
-            if not context.response.is_started:
-                self._start_stream(context, head)
-            context.response.send(event.raw)
+        context.last_event_id = event.event_id
 
     def _start_stream(
         self, context: RequestContext, head: ResponseHead
--- a/src/tanagerport/gateway/http_call.py
+++ b/src/tanagerport/gateway/http_call.py
@@ -7,12 +7,16 @@
 
 from tanagerport.exceptions import TanagerportError
 from tanagerport.gateway.channel import Channel
+from tanagerport.gateway.time_slices import TimeSlice
 
 # Limit of interim (1xx) responses before the final one; a faulty upstream may
 # send an endless sequence of them.
 _MAX_INTERIM_RESPONSES = 8
+# Chunks of a body that are returned as one part if they were received together.
+_MAX_JOINED_CHUNKS = 64
 
 Headers = list[tuple[bytes, bytes]]
+_CodecEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
 class CallError(TanagerportError):
@@ -73,6 +77,9 @@
         if received:
             self._codec.receive_data(received)
         self._complete = False
+        self._time_slice = TimeSlice()
+        # Event that was parsed after the last part of the body.
+        self._parsed_event: _CodecEvent | None = None
 
     @property
     def trailing_bytes(self) -> bytes:
@@ -133,7 +140,7 @@
         """
         event = await self._next_event()
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            return self._join_chunks(event)
         if isinstance(event, h11.EndOfMessage):
             self._complete = True
             return b""
@@ -151,27 +158,49 @@
         Raises:
             CallError: The body is incomplete or above `max_bytes`.
         """
-        chunks = []
-        size = 0
+        # A list of the parts would take many times the memory of the body if
+        # they are a few bytes each.
+        body = bytearray()
         while data := await self.read_body_part():
-            size += len(data)
-            if size > max_bytes:
+            body += data
+            if len(body) > max_bytes:
                 raise CallError(f"the answer is above {max_bytes} bytes")
-            chunks.append(data)
             if on_progress is not None:
                 on_progress()
-        return b"".join(chunks)
+        return bytes(body)
 
-    async def _next_event(
-        self,
-    ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+    def _join_chunks(self, first: h11.Data) -> bytes:
+        """Returns the data of a chunk and of those received with it."""
+        data = bytearray(first.data)
+        for _ in range(_MAX_JOINED_CHUNKS):
+            try:
+                event = self._codec.next_event()
+            except h11.RemoteProtocolError:
+                # The codec raises it again when the next part is read.
+                break
+            if event is h11.NEED_DATA:
+                break
+            if not isinstance(event, h11.Data):
+                self._parsed_event = event
+                break
+            data += event.data
+        return bytes(data)
+
+    async def _next_event(self) -> _CodecEvent:
+        if self._parsed_event is not None:
+            event, self._parsed_event = self._parsed_event, None
+            return event
+        await self._time_slice.pause_if_over()
         try:
             while True:
                 event = self._codec.next_event()
-                if event is h11.NEED_DATA:
-                    self._codec.receive_data(await self._channel.read())
-                else:
+                if event is not h11.NEED_DATA:
                     return event
+                has_to_wait = not self._channel.has_unread
+                data = await self._channel.read()
+                if has_to_wait:
+                    self._time_slice.restart()
+                self._codec.receive_data(data)
         except h11.RemoteProtocolError as error:
             raise CallError(f"invalid answer: {error}") from error
         except ConnectionError as error:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -516,6 +516,11 @@
         }
         self._process: asyncio.subprocess.Process | None = None
 
+    @property
+    def pid(self) -> int:
+        assert self._process is not None
+        return self._process.pid
+
     async def start(self) -> None:
         self.settings_path.write_text(json.dumps(self.settings))
         environment = {
