Write expected usage to the checkpoint before it can be lost

Cause: only customers above 60 percent of their quota were written to the checkpoint, usage after a checkpoint was lost however fast it grew, and imported usage was spread over 2 s, so that it left the window too early.

Change: a checkpoint tells what customers will have used by the time of the next one, and is written once they exceed that by a quarter of the tolerance. Windows are reported in eighths, and the age of a checkpoint is taken off.

Why it works: what a crash can lose is bounded in units, by the tolerance, whatever the rate of the customer.

--- a/src/tanagerport/gateway/quota_checkpoint.py
+++ b/src/tanagerport/gateway/quota_checkpoint.py
@@ -2,13 +2,14 @@
 
 Nodes report usage to each other, so no usage is lost when one node restarts.
 Without a checkpoint it would be lost when all nodes are killed at once, and a
-customer could use its quota twice. Only customers near their quota are
-written, so most of the time there is nothing to write.
+customer could use its quota twice. A checkpoint therefore counts what customers
+will have used by the time of the next one, and the next one is written early if
+they use more.
 """
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -20,9 +21,11 @@
 from tanagerport.gateway.untrusted_data import Seconds
 
 TABLE = "tanagerport_quota"
-# If all nodes are killed, the usage since the last checkpoint is lost. The
-# tolerance of the quotas has to cover it.
-_WRITE_INTERVAL_S = 0.5
+# Time for which the usage after a checkpoint is estimated, in seconds: until
+# the next one is due, and written.
+_HORIZON_S = 0.3
+# Interval at which the usage is compared with the estimate, in seconds.
+_CHECK_INTERVAL_S = 0.1
 _MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 0.5
 
@@ -31,8 +34,9 @@
     """Content of a checkpoint row.
 
     Attributes:
-        store_time_s: Time of the checkpoint on the store's clock, in seconds.
-        usages: Usage of the customers near their quota.
+        store_time_s: Time for which it is written, on the store's clock, in
+            seconds. It is the end of the window that `usages` tells of.
+        usages: Usage of the customers that the tolerance doesn't cover.
     """
 
     store_time_s: Seconds
@@ -44,7 +48,7 @@
 
 
 class QuotaCheckpoint:
-    """Reads and writes the usage of customers that are near their quota.
+    """Reads and writes the usage of customers.
 
     Args:
         store: Client of the store.
@@ -76,9 +80,10 @@
         return self._is_loaded
 
     async def run(self) -> None:
-        """Reads the stored checkpoints, then writes one at regular intervals.
+        """Reads the stored checkpoints, then writes one whenever it is due.
 
-        Nothing is written while no customer is near its quota.
+        Nothing is written while no customer uses more than the last checkpoint
+        counts.
         """
         while not self._is_loaded:
             try:
@@ -88,15 +93,23 @@
                 await asyncio.sleep(
                     random.uniform(_MIN_BACKOFF_S, _MAX_BACKOFF_S)
                 )
+        written: dict[str, CustomerUsage] = {}
         while True:
-            await asyncio.sleep(_WRITE_INTERVAL_S)
-            usages = self._limiter.usage_near_quota()
-            if not usages or not self._is_writer():
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+            if not self._is_writer():
+                # The next writer's checkpoints don't update this node's.
+                written = {}
                 continue
+            if not self._limiter.exceeds(written):
+                continue
+            usages = self._limiter.expected_usage(_HORIZON_S)
             try:
-                await self._write(usages)
+                await self._write(usages.values())
             except PlatformError as error:
                 self._log.debug("checkpoint_unwritten", error=str(error))
+                await asyncio.sleep(_MAX_BACKOFF_S)
+            else:
+                written = usages
 
     async def _load(self) -> None:
         rows = await self._store.read(TABLE)
@@ -109,17 +122,23 @@
                     "checkpoint_unreadable", key=row.key, error=str(error)
                 )
                 continue
-            if now_s - checkpoint.store_time_s < self._limiter.window_s:
-                self._limiter.import_usage(checkpoint.usages)
+            age_s = now_s - checkpoint.store_time_s
+            if age_s < self._limiter.window_s:
+                # An age far below zero shows a clock that was set back.
+                self._limiter.import_usage(
+                    checkpoint.usages, max(age_s, -_HORIZON_S)
+                )
                 self._log.info(
                     "checkpoint_loaded",
                     writer=row.key,
-                    age_s=round(now_s - checkpoint.store_time_s, 3),
+                    age_s=round(age_s, 3),
                     customers=len(checkpoint.usages),
                 )
         self._limiter.mark_history_known()
         self._is_loaded = True
 
-    async def _write(self, usages: list[CustomerUsage]) -> None:
-        value = _encode(_Checkpoint(self._store.time_s(), usages))
+    async def _write(self, usages: Iterable[CustomerUsage]) -> None:
+        value = _encode(
+            _Checkpoint(self._store.time_s() + _HORIZON_S, list(usages))
+        )
         await self._store.transact([RowWrite(TABLE, self._node, value)])
--- a/src/tanagerport/gateway/quotas.py
+++ b/src/tanagerport/gateway/quotas.py
@@ -8,20 +8,20 @@
 from the checkpoint.
 """
 
-import collections
 import dataclasses
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from tanagerport.gateway.domain import Customer, WorkEstimate
+from tanagerport.gateway.sliding_window import SlidingWindow
 from tanagerport.gateway.untrusted_data import Integer
 
 # Fraction of the tolerance that customers may use, so that late reports do not
 # cause refusals within the quota. The rest covers usage that reports miss.
 _USABLE_TOLERANCE = 0.5
-# Customers that used more than this fraction of their quota are written to the
-# checkpoint.
-_NEAR_QUOTA_FRACTION = 0.6
+# Fraction of the tolerance that may be lost of each customer's usage when all
+# nodes are killed.
+_LOSABLE_TOLERANCE = 0.25
 # A node that was silent for this long is assumed to be gone, and its clients
 # to have moved to other nodes.
 _PEER_EXPIRY_S = 8.0
@@ -32,14 +32,13 @@
 # A change of usage is reported for this long. Even the farthest nodes then get
 # it in two reports, so that one of them may be lost.
 _CHANGE_REPORT_PERIOD_S = 1.5
-# Usage is counted in buckets of this length.
-_BUCKET_S = 0.1
+# A customer's rate is that of the last quarter of a window or, if higher, that
+# of this time, in seconds.
+_SHORT_RATE_S = 0.3
 _QUARTERS = 4
 # Weight of the latest request in the exponential moving average of units per
 # request.
 _AVERAGE_WEIGHT = 0.05
-# Shortest wait that a refusal reports.
-_MIN_RETRY_AFTER_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,9 +62,9 @@
     Attributes:
         customer: Name of the customer.
         total: Units that the customer used at the node since the node started.
-        recent: Units that the customer used at all nodes in each quarter of
-            the last window, as far as the node knows, the latest quarter
-            first; empty if there were none, and in reports of changes.
+        recent: Units that the customer used at all nodes in each eighth of
+            the last window, as far as the node knows, the latest one first;
+            empty if there were none, and in reports of changes.
     """
 
     customer: str
@@ -73,81 +72,6 @@
     recent: tuple[Integer, ...] = ()
 
 
-class _SlidingWindow:
-    """Units used within the last window, in buckets by time."""
-
-    def __init__(self, window_s: float) -> None:
-        self._window_s = window_s
-        self._buckets: collections.deque[list[float]] = collections.deque()
-        self._total = 0.0
-
-    def add(self, now: float, units: float) -> None:
-        """Adds units; a negative number refunds them."""
-        self._total += units
-        if self._buckets and now - self._buckets[-1][0] < _BUCKET_S:
-            self._buckets[-1][1] += units
-        else:
-            self._buckets.append([now, units])
-
-    def total(self, now: float) -> float:
-        """Returns the units in the window that ends now."""
-        while self._buckets and self._buckets[0][0] <= now - self._window_s:
-            self._total -= self._buckets.popleft()[1]
-        return self._total
-
-    def by_quarter(self, now: float) -> tuple[int, ...]:
-        """Returns the units in each quarter of the window, latest first."""
-        quarters = [0.0] * _QUARTERS
-        self.total(now)
-        for added_at, units in self._buckets:
-            age = (now - added_at) / self._window_s
-            quarters[min(int(age * _QUARTERS), _QUARTERS - 1)] += units
-        recent = tuple(round(units) for units in quarters)
-        return recent if any(recent) else ()
-
-    def rate_per_s(self, now: float) -> float:
-        """Returns the units used in a second of the latest quarter."""
-        length_s = self._window_s / _QUARTERS
-        units = 0.0
-        for added_at, added in reversed(self._buckets):
-            if added_at <= now - length_s:
-                break
-            units += added
-        return max(units, 0.0) / length_s
-
-    def merge(self, now: float, recent: Sequence[int]) -> None:
-        """Raises the units of each quarter to at least the given number."""
-        known = self.by_quarter(now) or (0,) * _QUARTERS
-        for quarter, units in enumerate(recent[:_QUARTERS]):
-            missing = units - known[quarter]
-            if missing > 0:
-                self._add_evenly(now, quarter, missing)
-        self._buckets = collections.deque(sorted(self._buckets))
-
-    def _add_evenly(self, now: float, quarter: int, units: float) -> None:
-        """Adds units, spread evenly over a quarter.
-
-        If they all left the window at the same moment, every node would grant
-        them before it received the reports of the others.
-        """
-        length_s = self._window_s / _QUARTERS
-        count = max(round(length_s / _BUCKET_S), 1)
-        latest = now - quarter * length_s
-        for index in range(count):
-            added_at = latest - index * length_s / count
-            self._buckets.append([added_at, units / count])
-        self._total += units
-
-    def time_until_expired_s(self, now: float, units: float) -> float:
-        """Returns the seconds until that many units have left the window."""
-        remaining = units
-        for added_at, added in self._buckets:
-            remaining -= added
-            if remaining <= 0:
-                return max(added_at + self._window_s - now, _MIN_RETRY_AFTER_S)
-        return self._window_s
-
-
 @dataclasses.dataclass(slots=True)
 class _PeerUsage:
     """Latest totals by customer that another node reported."""
@@ -175,14 +99,15 @@
         self._settings = settings
         self._report_delay_s = report_delay_s
         self._now = now
-        self._windows: dict[str, _SlidingWindow] = {}
+        self._windows: dict[str, SlidingWindow] = {}
         self._own_totals: dict[str, float] = {}
+        # Units used at all nodes since the start, as far as they were heard of.
+        self._seen_totals: dict[str, float] = {}
         self._changed_at: dict[str, float] = {}
         self._peers: dict[str, _PeerUsage] = {}
         self._mean_request_units = 0.0
         self._started_at = now()
         self._is_history_known = False
-        self._customers: dict[str, Customer] = {}
 
     @property
     def uptime_s(self) -> float:
@@ -201,17 +126,45 @@
         """
         self._is_history_known = True
 
-    def usage_near_quota(self) -> list[CustomerUsage]:
-        """Returns the usage of the customers that are near their quota."""
+    def expected_usage(self, horizon_s: float) -> dict[str, CustomerUsage]:
+        """Returns what the customers will have used in a while, by name.
+
+        What they use from now on, or have used at other nodes since their last
+        reports, is estimated by their rates. Customers are left out if the
+        tolerance covers their usage.
+
+        Args:
+            horizon_s: Seconds from now.
+        """
         now = self._now()
-        return [
-            usage
-            for usage in self.report()
-            if usage.customer in self._customers
-            and self._windows[usage.customer].total(now)
-            > _NEAR_QUOTA_FRACTION
-            * self._allowance(self._customers[usage.customer])
-        ]
+        delay_s = self._report_delay_s()
+        usages = {}
+        for name, window in self._windows.items():
+            if window.total(now) <= self._losable_units:
+                continue
+            more = self._rate_per_s(window, now) * (horizon_s + delay_s)
+            recent = window.by_slot(now + horizon_s) or (0,)
+            usages[name] = CustomerUsage(
+                name,
+                round(self._seen_totals.get(name, 0.0) + more),
+                (recent[0] + round(more), *recent[1:]),
+            )
+        return usages
+
+    def exceeds(self, expected: Mapping[str, CustomerUsage]) -> bool:
+        """Returns whether customers used more than `expected_usage` returned.
+
+        What the tolerance covers doesn't count.
+        """
+        now = self._now()
+        return any(
+            min(
+                total - (expected[name].total if name in expected else 0),
+                self._windows[name].total(now),
+            )
+            > self._losable_units
+            for name, total in self._seen_totals.items()
+        )
 
     def report(self) -> list[CustomerUsage]:
         """Returns the usage of all customers, for a whole report."""
@@ -220,7 +173,7 @@
             CustomerUsage(
                 name,
                 round(self._own_totals.get(name, 0.0)),
-                window.by_quarter(now),
+                window.by_slot(now),
             )
             for name, window in self._windows.items()
         ]
@@ -252,7 +205,6 @@
         if customer.rate_per_s <= 0:
             return None
         now = self._now()
-        self._customers[customer.name] = customer
         used = self._window(customer.name).total(now)
         excess = used + units - self._allowance(customer)
         # A request above the whole quota is admitted while the window is empty;
@@ -319,16 +271,23 @@
         for usage in usages:
             change = usage.total - known_totals.get(usage.customer, 0)
             if change:
-                self._window(usage.customer).add(now, change)
+                self._count(usage.customer, now, change)
 
-    def import_usage(self, usages: Sequence[CustomerUsage]) -> None:
+    def import_usage(
+        self, usages: Iterable[CustomerUsage], age_s: float = 0.0
+    ) -> None:
         """Merges usage of the last window from another node or a checkpoint.
 
         The usage before the start counts as known from then on.
+
+        Args:
+            usages: Usage by customer.
+            age_s: Seconds since the end of the window that they tell of;
+                negative if it has not ended.
         """
-        now = self._now()
+        ended_at = self._now() - age_s
         for usage in usages:
-            self._window(usage.customer).merge(now, usage.recent)
+            self._window(usage.customer).merge(ended_at, usage.recent)
         self._is_history_known = True
 
     def _unreported_units(self) -> float:
@@ -337,14 +296,30 @@
 
     def _add_usage(self, name: str, units: float) -> None:
         now = self._now()
-        self._window(name).add(now, units)
+        self._count(name, now, units)
         self._changed_at[name] = now
         self._own_totals[name] = self._own_totals.get(name, 0.0) + units
 
-    def _window(self, name: str) -> _SlidingWindow:
+    def _count(self, name: str, at: float, units: float) -> None:
+        """Counts units used at this node or at another one."""
+        self._window(name).add(at, units)
+        self._seen_totals[name] = self._seen_totals.get(name, 0.0) + units
+
+    def _rate_per_s(self, window: SlidingWindow, now: float) -> float:
+        """Returns the recent rate of a customer, in units per second."""
+        return max(
+            window.rate_per_s(now, self._settings.window_s / _QUARTERS),
+            window.rate_per_s(now, _SHORT_RATE_S),
+        )
+
+    @property
+    def _losable_units(self) -> float:
+        return _LOSABLE_TOLERANCE * self._settings.tolerance
+
+    def _window(self, name: str) -> SlidingWindow:
         window = self._windows.get(name)
         if window is None:
-            window = self._windows[name] = _SlidingWindow(
+            window = self._windows[name] = SlidingWindow(
                 self._settings.window_s
             )
         return window
@@ -367,7 +342,7 @@
         # more than the tolerance.
         unheard = self._report_delay_s() * self._window(
             customer.name
-        ).rate_per_s(self._now())
+        ).rate_per_s(self._now(), settings.window_s / _QUARTERS)
         allowed = quota + min(max(extra, 0.0), settings.tolerance - unheard)
         return max(allowed, 0.0) * (
             1 - self._count_silent_peers() / (len(self._peers) + 1)
