Take refunds off the time at which their units were consumed

Cause: a refund was counted at its own time and stayed in the window after the units that it takes back. Other nodes got one total in which refunds and later requests cancel out, so they had the same fault.

Change: a refund is dated by its charge. Nodes report refunds as sums by the interval of 0.2 s in which the units were consumed, and receivers take them off no later than they counted the units.

Why it works: the units of a request and their refund enter and leave the window together, at each node.

--- a/src/tanagerport/gateway/quotas.py
+++ b/src/tanagerport/gateway/quotas.py
@@ -22,6 +22,9 @@
 # Fraction of the tolerance that may be lost of each customer's usage when all
 # nodes are killed.
 _LOSABLE_TOLERANCE = 0.25
+# Refunds are reported by intervals of this length, in seconds, in which their
+# units were consumed.
+_REFUND_INTERVAL_S = 0.2
 # A node that was silent for this long is assumed to be gone, and its clients
 # to have moved to other nodes.
 _PEER_EXPIRY_S = 8.0
@@ -65,19 +68,42 @@
         recent: Units that the customer used at all nodes in each eighth of
             the last window, as far as the node knows, the latest one first;
             empty if there were none, and in reports of changes.
+        refunds: Intervals of `_REFUND_INTERVAL_S`, counted from the start of
+            the node, and the units that were consumed in each of them and
+            refunded later. All of the last window, or the changed ones in
+            reports of changes.
     """
 
     customer: str
     total: Integer
     recent: tuple[Integer, ...] = ()
+    refunds: tuple[tuple[Integer, Integer], ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class _Refund:
+    """Units refunded for one interval, and when that changed last."""
+
+    units: float = 0.0
+    changed_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
 class _PeerUsage:
-    """Latest totals by customer that another node reported."""
+    """What another node reported.
+
+    Attributes:
+        reported_at: Monotonic time of its latest report, in seconds.
+        started_at: Monotonic time at which the node started, in seconds, by
+            its report with the shortest delay.
+        totals: Latest totals by customer.
+        refunds: Latest refunds by customer and interval since its start.
+    """
 
     reported_at: float
+    started_at: float
     totals: dict[str, int]
+    refunds: dict[tuple[str, int], int]
 
 
 class QuotaLimiter:
@@ -104,6 +130,8 @@
         # Units used at all nodes since the start, as far as they were heard of.
         self._seen_totals: dict[str, float] = {}
         self._changed_at: dict[str, float] = {}
+        # By customer and the interval in which the units were consumed.
+        self._refunds: dict[str, dict[int, _Refund]] = {}
         self._peers: dict[str, _PeerUsage] = {}
         self._mean_request_units = 0.0
         self._started_at = now()
@@ -174,6 +202,7 @@
                 name,
                 round(self._own_totals.get(name, 0.0)),
                 window.by_slot(now),
+                self._recent_refunds(name),
             )
             for name, window in self._windows.items()
         ]
@@ -185,7 +214,11 @@
             if changed_at < oldest:
                 del self._changed_at[name]
         return [
-            CustomerUsage(name, round(self._own_totals[name]))
+            CustomerUsage(
+                name,
+                round(self._own_totals[name]),
+                refunds=self._recent_refunds(name, oldest),
+            )
             for name in self._changed_at
         ]
 
@@ -214,13 +247,56 @@
         self._mean_request_units += _AVERAGE_WEIGHT * (
             units - self._mean_request_units
         )
-        self._add_usage(customer.name, units)
+        self._add_usage(customer.name, units, now)
         return None
 
-    def refund(self, customer: Customer, units: float) -> None:
-        """Refunds the units of a request that did not run."""
-        if customer.rate_per_s > 0:
-            self._add_usage(customer.name, -units)
+    def refund(
+        self, customer: Customer, units: float, consumed_at_s: float
+    ) -> None:
+        """Refunds the units of a request that did not run.
+
+        They are taken off the time at which they were consumed: a refund that
+        stays in the window after them would raise the quota.
+
+        Args:
+            customer: The customer.
+            units: Units that were consumed.
+            consumed_at_s: `uptime_s` at that time.
+        """
+        if customer.rate_per_s <= 0 or (
+            self.uptime_s - consumed_at_s >= self.window_s
+        ):
+            return
+        self._add_usage(customer.name, -units, self._started_at + consumed_at_s)
+        refunds = self._refunds.setdefault(customer.name, {})
+        interval = int(consumed_at_s / _REFUND_INTERVAL_S)
+        refund = refunds.setdefault(interval, _Refund())
+        refund.units += units
+        refund.changed_at = self._now()
+
+    def _recent_refunds(
+        self, name: str, changed_after: float = float("-inf")
+    ) -> tuple[tuple[int, int], ...]:
+        """Returns the refunds of a customer within the last window.
+
+        Args:
+            name: Name of the customer.
+            changed_after: Monotonic seconds; refunds that have not changed
+                since are left out.
+        """
+        refunds = self._refunds.get(name)
+        if refunds is None:
+            return ()
+        # Other nodes may get the last change that long after it.
+        oldest_s = self.uptime_s - self.window_s - _CHANGE_REPORT_PERIOD_S
+        oldest = int(oldest_s / _REFUND_INTERVAL_S) - 1
+        for interval in [entry for entry in refunds if entry < oldest]:
+            del refunds[interval]
+        return tuple(
+            (interval, round(refund.units))
+            for interval, refund in refunds.items()
+            if refund.changed_at >= changed_after
+        )
 
     def apply_report(
         self, node: str, uptime_s: float, usages: Sequence[CustomerUsage]
@@ -235,8 +311,16 @@
         """
         if node not in self._peers and uptime_s >= self._settings.window_s:
             self.import_usage(usages)
+            now = self._now()
             self._peers[node] = _PeerUsage(
-                self._now(), {usage.customer: usage.total for usage in usages}
+                now,
+                now - uptime_s,
+                {usage.customer: usage.total for usage in usages},
+                {
+                    (usage.customer, interval): units
+                    for usage in usages
+                    for interval, units in usage.refunds
+                },
             )
         else:
             self.apply_changes(node, uptime_s, usages)
@@ -255,23 +339,44 @@
             uptime_s: Seconds since the start of that node.
             usages: Its totals for some customers.
         """
+        now = self._now()
         peer = self._peers.get(node)
         if peer is None:
             if uptime_s >= self._settings.window_s:
                 return
-            peer = self._peers[node] = _PeerUsage(self._now(), {})
-        self._add_changes(peer.totals, usages)
-        peer.reported_at = self._now()
-        peer.totals.update((usage.customer, usage.total) for usage in usages)
-
-    def _add_changes(
-        self, known_totals: dict[str, int], usages: Sequence[CustomerUsage]
-    ) -> None:
-        now = self._now()
+            peer = self._peers[node] = _PeerUsage(now, now - uptime_s, {}, {})
+        peer.reported_at = now
+        peer.started_at = min(peer.started_at, now - uptime_s)
         for usage in usages:
-            change = usage.total - known_totals.get(usage.customer, 0)
-            if change:
-                self._count(usage.customer, now, change)
+            refunded = self._apply_refunds(peer, usage)
+            known_total = peer.totals.get(usage.customer, 0)
+            consumed = usage.total - known_total + refunded
+            if consumed > 0:
+                self._count(usage.customer, now, consumed)
+            peer.totals[usage.customer] = usage.total
+        self._drop_old_refunds(peer, uptime_s)
+
+    def _apply_refunds(self, peer: _PeerUsage, usage: CustomerUsage) -> int:
+        """Takes off what another node refunded; returns its new refunds."""
+        now = self._now()
+        refunded = 0
+        for interval, units in usage.refunds:
+            key = usage.customer, interval
+            new_units = units - peer.refunds.get(key, 0)
+            if new_units <= 0:
+                continue
+            peer.refunds[key] = units
+            refunded += new_units
+            # Not later than the units were counted here.
+            consumed_at = peer.started_at + interval * _REFUND_INTERVAL_S
+            if now - self.window_s < consumed_at <= now:
+                self._count(usage.customer, consumed_at, -new_units)
+        return refunded
+
+    def _drop_old_refunds(self, peer: _PeerUsage, uptime_s: float) -> None:
+        oldest = (uptime_s - 2 * self.window_s) / _REFUND_INTERVAL_S
+        for key in [entry for entry in peer.refunds if entry[1] < oldest]:
+            del peer.refunds[key]
 
     def import_usage(
         self, usages: Iterable[CustomerUsage], age_s: float = 0.0
@@ -294,10 +399,9 @@
         """Estimates the units that other nodes used but have not reported."""
         return self._mean_request_units * len(self._peers)
 
-    def _add_usage(self, name: str, units: float) -> None:
-        now = self._now()
-        self._count(name, now, units)
-        self._changed_at[name] = now
+    def _add_usage(self, name: str, units: float, at: float) -> None:
+        self._count(name, at, units)
+        self._changed_at[name] = self._now()
         self._own_totals[name] = self._own_totals.get(name, 0.0) + units
 
     def _count(self, name: str, at: float, units: float) -> None:
--- a/src/tanagerport/gateway/request_context.py
+++ b/src/tanagerport/gateway/request_context.py
@@ -19,6 +19,7 @@
         item: The request as seen by admission and placement.
         customer: Customer that owns the API key; None without one.
         units: Quota units charged to the customer.
+        charged_at_s: Uptime of the quota limiter at that time, in seconds.
         dispatches: Number of dispatches to upstreams.
         connect_failures: Number of failed connection attempts.
         crashes: Number of upstreams that crashed before they began to answer.
@@ -34,6 +35,7 @@
     item: WorkItem
     customer: Customer | None
     units: float
+    charged_at_s: float = 0.0
     dispatches: int = 0
     connect_failures: int = 0
     crashes: int = 0
--- a/src/tanagerport/gateway/request_validation.py
+++ b/src/tanagerport/gateway/request_validation.py
@@ -101,14 +101,18 @@
                     f" and {customer.burst:g} at once",
                     retry_after_s=quota_wait_s + _QUOTA_RETRY_MARGIN_S,
                 )
-        return RequestContext(request, response, item, customer, units)
+        return RequestContext(
+            request, response, item, customer, units, self._quotas.uptime_s
+        )
 
     def refund_unused_quota(self, context: RequestContext) -> None:
         """Refunds the quota units of a request that certainly did not run."""
         if context.customer is not None and not (
             context.may_have_run or context.response.is_started
         ):
-            self._quotas.refund(context.customer, context.units)
+            self._quotas.refund(
+                context.customer, context.units, context.charged_at_s
+            )
 
     def _find_customer(
         self,
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -64,7 +64,7 @@
     def test_units_of_requests_that_did_not_run_are_refunded(self) -> None:
         limiter = _limiter(FakeClock(100.0))
         limiter.consume(CUSTOMER, ALLOWANCE)
-        limiter.refund(CUSTOMER, ALLOWANCE)
+        limiter.refund(CUSTOMER, ALLOWANCE, limiter.uptime_s)
         assert limiter.consume(CUSTOMER, ALLOWANCE) is None
 
     def test_request_above_the_whole_quota_is_admitted_alone(self) -> None:
@@ -323,6 +323,73 @@
         assert [sum(usage.recent) for usage in new.report()] == [100]
 
 
+class TestRefunds:
+    """Refunds of requests that waited and did not run."""
+
+    @pytest.mark.parametrize("nodes", [1, 3])
+    def test_refund_leaves_the_window_with_its_units(self, nodes: int) -> None:
+        """Guards against a quota that is raised by refunds.
+
+        While upstreams were away, requests waited for 2 s and were refunded.
+        8 s after they had been sent, the customer got their units once more.
+        """
+        clock = FakeClock(100.0)
+        limiters = {f"n{index}": _limiter(clock) for index in range(nodes)}
+        _exchange(clock, limiters)
+        waiting: list[tuple[float, QuotaLimiter, float]] = []
+        ran: list[tuple[float, int]] = []
+        units = 40
+        for step in range(250):
+            clock.advance(0.1)
+            now = clock.monotonic()
+            while waiting and waiting[0][0] <= now - 2.0:
+                _, limiter, consumed_at_s = waiting.pop(0)
+                limiter.refund(CUSTOMER, units, consumed_at_s)
+            limiter = limiters[f"n{step % nodes}"]
+            if limiter.consume(CUSTOMER, units) is None:
+                if step < 45:
+                    waiting.append((now, limiter, limiter.uptime_s))
+                else:
+                    ran.append((now, units))
+            for name, sender in limiters.items():
+                for other, receiver in limiters.items():
+                    if other != name:
+                        receiver.apply_changes(
+                            name, sender.uptime_s, sender.changes()
+                        )
+        for start, _ in ran:
+            used = sum(at_units for at, at_units in ran if at < start + 8.0)
+            used -= sum(at_units for at, at_units in ran if at < start)
+            assert used <= ALLOWANCE + units * nodes
+        # Refunded units are given out again.
+        assert len(ran) > 60
+
+    def test_refund_is_counted_once_by_other_nodes(self) -> None:
+        """Guards against repeated reports that take the same units off."""
+        clock = FakeClock(100.0)
+        sender, receiver = _limiter(clock), _limiter(clock)
+        sender.consume(CUSTOMER, 500)
+        consumed_at_s = sender.uptime_s
+        receiver.apply_changes("old", sender.uptime_s, sender.changes())
+        clock.advance(1.5)
+        sender.consume(CUSTOMER, 100)
+        sender.refund(CUSTOMER, 500, consumed_at_s)
+        for _ in range(3):
+            receiver.apply_changes("old", sender.uptime_s, sender.changes())
+            receiver.apply_report("old", sender.uptime_s, sender.report())
+        assert [sum(usage.recent) for usage in receiver.report()] == [100]
+
+    def test_refund_after_the_window_is_ignored(self) -> None:
+        """Guards against refunds of units that left the window long ago."""
+        clock = FakeClock(100.0)
+        limiter = _limiter(clock)
+        limiter.consume(CUSTOMER, ALLOWANCE)
+        clock.advance(8.2)
+        limiter.consume(CUSTOMER, ALLOWANCE)
+        limiter.refund(CUSTOMER, ALLOWANCE, 0.0)
+        assert limiter.consume(CUSTOMER, 100) is not None
+
+
 class TestSilentNodes:
     """Nodes that stop reporting."""
 
