Leave a silent upstream only for a place that is taken

What callers saw: streams were cut, and requests got a 502, when a sound upstream fell silent for a second and went on; around the stop of a node and apart from it.

Cause: leaving and finding a place were two decisions. After a stream had left, it could be refused: by the time since its arrival in place of that since its last data, by the retry budget, by the check of the time before a stop, or by the quarantine.

Change: UpstreamSwitch gets the slot and passes all checks while the request goes on reading; only then the request leaves. The client's patience counts from the last data. A stream whose upstream broke asks for a slot as long as its client waits.

Why it works: nothing is given up before its replacement is certain.

--- a/src/tanagerport/gateway/dispatch.py
+++ b/src/tanagerport/gateway/dispatch.py
@@ -1,7 +1,6 @@
 """Dispatch of a request to an upstream and relay of its response."""
 
 import contextlib
-import dataclasses
 import time
 from collections.abc import AsyncIterator, Callable
 
@@ -13,6 +12,7 @@
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import RequestKind
 from tanagerport.gateway.event_stream import EventSplitter, StreamEvent
+from tanagerport.gateway.exchange import Exchange, StreamTiming
 from tanagerport.gateway.http_call import CallError, HttpCall, ResponseHead
 from tanagerport.gateway.http_names import HttpNames
 from tanagerport.gateway.request_context import DispatchError, RequestContext
@@ -22,6 +22,7 @@
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_notices import UpstreamNotices
 from tanagerport.gateway.upstream_pool import UpstreamPool
+from tanagerport.gateway.upstream_switch import UpstreamSwitch
 from tanagerport.gateway.work_item import Placement
 from tanagerport.refusals import RetryReason
 
@@ -61,6 +62,7 @@
         health: Records failures of upstreams.
         notices: Reads what upstreams announce in their answers.
         budget: Limits retries.
+        switch: Moves requests from silent upstreams to others.
         counters: Metrics of the process.
         log: Structured decision log.
         now: Monotonic clock, in seconds.
@@ -74,6 +76,7 @@
         health: UpstreamHealth,
         notices: UpstreamNotices,
         budget: RetryBudget,
+        switch: UpstreamSwitch,
         counters: Counters,
         log: DecisionLog,
         now: Callable[[], float] = time.monotonic,
@@ -84,6 +87,7 @@
         self._health = health
         self._notices = notices
         self._budget = budget
+        self._switch = switch
         self._counters = counters
         self._log = log
         self._now = now
@@ -130,7 +134,7 @@
     @contextlib.asynccontextmanager
     async def _open_exchange(
         self, context: RequestContext, placement: Placement
-    ) -> AsyncIterator["_Exchange"]:
+    ) -> AsyncIterator[Exchange]:
         upstream = placement.upstream
         channel = self._pool.take_idle(upstream)
         is_new_connection = channel is None
@@ -141,7 +145,7 @@
                 raise DispatchError(
                     RetryReason.CONNECT_FAILED, str(error), may_have_run=False
                 ) from error
-        exchange = _Exchange(
+        exchange = Exchange(
             channel,
             self._create_call(context, placement, channel),
             self._now(),
@@ -201,19 +205,20 @@
         self,
         context: RequestContext,
         placement: Placement,
-        exchange: "_Exchange",
+        exchange: Exchange,
     ) -> ResponseHead:
         """Waits for the status line and headers of this request's response."""
         try:
             async with silence_timeout(
                 self._first_byte_timeout_s(context, placement),
-                lambda: self._may_leave(context, placement),
+                lambda: self._switch.find_place(context, placement),
             ):
                 for _ in range(_MAX_RESPONSES_READ):
                     head = await exchange.call.read_head()
                     self._scheduler.record_received(placement)
                     self._notices.record_answer(placement.upstream, head)
                     if self._matches_request(context, exchange, head):
+                        self._switch.stay(context)
                         return head
                     # A response to an earlier request arrived first.
                     self._log.warning(
@@ -242,7 +247,7 @@
     def _matches_request(
         self,
         context: RequestContext,
-        exchange: "_Exchange",
+        exchange: Exchange,
         head: ResponseHead,
     ) -> bool:
         echoed_id = head.header_values.get(self._http_names.request_id)
@@ -265,12 +270,6 @@
             MIN_FIRST_BYTE_TIMEOUT_S,
         )
 
-    def _may_leave(self, context: RequestContext, placement: Placement) -> bool:
-        """Whether a request may leave a silent upstream for another one."""
-        return self._budget.can_retry(
-            context.item.service
-        ) and self._scheduler.has_alternative(placement)
-
     def _check_rejection(self, head: ResponseHead) -> None:
         if head.status == 421 or self._http_names.not_run in head.header_values:
             raise DispatchError(
@@ -292,7 +291,7 @@
         self,
         context: RequestContext,
         placement: Placement,
-        exchange: "_Exchange",
+        exchange: Exchange,
         head: ResponseHead,
     ) -> None:
         """Relays a response that is not a stream after buffering all of it."""
@@ -355,13 +354,13 @@
         self,
         context: RequestContext,
         placement: Placement,
-        exchange: "_Exchange",
+        exchange: Exchange,
         head: ResponseHead,
     ) -> None:
         """Relays the events of a stream as they arrive."""
         splitter = EventSplitter()
         last_event_at = self._now()
-        timing = _StreamTiming()
+        timing = StreamTiming()
         while True:
             data = await self._read_stream_data(context, placement, exchange)
             self._scheduler.record_received(placement)
@@ -439,7 +438,7 @@
         self,
         context: RequestContext,
         placement: Placement,
-        exchange: "_Exchange",
+        exchange: Exchange,
     ) -> bytes:
         route = context.item.route
         timeout_s = None
@@ -452,9 +451,9 @@
             )
         try:
             async with silence_timeout(
-                timeout_s, lambda: self._may_leave(context, placement)
+                timeout_s, lambda: self._switch.find_place(context, placement)
             ):
-                return await exchange.call.read_body_part()
+                data = await exchange.call.read_body_part()
         except TimeoutError:
             raise DispatchError(
                 RetryReason.SILENT,
@@ -465,6 +464,8 @@
             raise DispatchError(
                 RetryReason.STREAM_BROKEN, str(error), may_have_run=True
             ) from error
+        self._switch.stay(context)
+        return data
 
     def _send_events(
         self,
@@ -482,6 +483,7 @@
                 if not context.response.is_started:
                     self._start_stream(context, head)
                 context.response.send(bytes(valid))
+                context.item.last_data_at = self._now()
 
     def _check_sequence(
         self, context: RequestContext, event: StreamEvent
@@ -530,45 +532,3 @@
             pause_target_s=context.item.route.event_interval_target_s,
             **fields,
         )
-
-
-@dataclasses.dataclass(slots=True)
-class _StreamTiming:
-    """Timing of the events of one stream.
-
-    Attributes:
-        first_at: Monotonic seconds at which the first event arrived.
-        longest_interval_s: Longest time between two reads with events.
-        event_count: Number of events received.
-        unreported_count: Number of events not yet reported to the scheduler.
-    """
-
-    first_at: float = 0.0
-    longest_interval_s: float = 0.0
-    event_count: int = 0
-    unreported_count: int = 0
-
-    def mean_interval_s(self, last_at: float) -> float:
-        """Returns the mean time between events, in seconds."""
-        return (last_at - self.first_at) / max(self.event_count - 1, 1)
-
-
-@dataclasses.dataclass(slots=True)
-class _Exchange:
-    """An HTTP call in progress and its connection.
-
-    Attributes:
-        channel: Connection to the upstream.
-        call: Call whose response is read.
-        started_at: Monotonic seconds at which the call was created.
-        is_new_connection: Whether the connection carried no other request.
-        is_reusable: Whether the connection returns to the pool afterwards.
-        idle_timeout_s: Idle timeout that the upstream announced, in seconds.
-    """
-
-    channel: Channel
-    call: HttpCall
-    started_at: float
-    is_new_connection: bool
-    is_reusable: bool = False
-    idle_timeout_s: float | None = None
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -1,7 +1,6 @@
 """Request handling: validation, placement, dispatch, retries and refusals."""
 
 import asyncio
-import math
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -18,6 +17,7 @@
 from tanagerport.gateway.http_names import HttpNames
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.request_context import (
+    MAX_CRASHES,
     DispatchError,
     RequestContext,
     refusal_error,
@@ -36,6 +36,7 @@
 )
 from tanagerport.gateway.upstream_pool import UpstreamPool
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
+from tanagerport.gateway.upstream_switch import UpstreamSwitch
 from tanagerport.gateway.work_item import Placement, WorkItem
 from tanagerport.refusals import Ran, Refusal, RefusalReason, RetryReason
 
@@ -43,12 +44,9 @@
 # another upstream. They count neither as dispatches nor against the retry
 # budget.
 _MAX_CONNECT_RETRIES = 6
-# Upstreams that may crash under a request before its answer begins. One crash
-# may have another cause.
-_MAX_CRASHES = 2
-# While the process stops, a request is passed on only if this much time is
-# left, in seconds: a sound upstream may be silent for a second or two.
-_MIN_ANSWER_TIME_S = 2.0
+# Interval at which a request whose stream broke asks for a place again, in
+# seconds.
+_REACQUIRE_INTERVAL_S = 0.1
 # Minimum Retry-After of refusals where an early retry may succeed, and the
 # maximum random jitter added to it, in seconds.
 _MIN_RETRY_AFTER_S = 0.3
@@ -72,6 +70,7 @@
         losses: Confirms losses of upstreams.
         quarantine: Refuses requests that may crash upstreams.
         budget: Limits retries.
+        switch: Moves requests from silent upstreams to others.
         counters: Metrics of the process.
         log: Structured decision log.
         now: Monotonic clock, in seconds.
@@ -91,6 +90,7 @@
         losses: LossDetector,
         quarantine: PromptQuarantine,
         budget: RetryBudget,
+        switch: UpstreamSwitch,
         counters: Counters,
         log: DecisionLog,
         now: Callable[[], float] = time.monotonic,
@@ -107,6 +107,7 @@
         self._losses = losses
         self._quarantine = quarantine
         self._budget = budget
+        self._switch = switch
         self._counters = counters
         self._log = log
         self._now = now
@@ -124,6 +125,7 @@
             stops_at: Monotonic time at which the process stops.
         """
         self._stops_at = stops_at
+        self._switch.start_draining(stops_at)
 
     def refuse_undispatched(self) -> None:
         """Refuses queued and new requests because the process is stopping."""
@@ -228,9 +230,13 @@
             RefusedError: The request failed and may not be retried.
         """
         while True:
-            async with self._quarantine.admit(context.item):
-                if await self._dispatch_once(context):
-                    return
+            try:
+                async with self._quarantine.admit(context.item):
+                    if await self._dispatch_once(context):
+                        return
+            except BaseException:
+                self._switch.stay(context)
+                raise
             self._reset_excluded(context.item)
 
     async def _dispatch_once(self, context: RequestContext) -> bool:
@@ -239,12 +245,15 @@
         Raises:
             RefusedError: The request failed and may not be retried.
         """
-        placement = await self._scheduler.acquire(context.item)
+        placement = await self._take_placement(context)
         try:
             self._counters.wait.observe(
                 self._now() - context.request.received_at
             )
-            self._check_time_left(placement)
+            if not (
+                context.response.is_started or self._switch.has_time(placement)
+            ):
+                raise RefusedError(self._shutdown_refusal())
             await self._dispatcher.dispatch(context, placement)
         except DispatchError as error:
             self._record_failure(context, placement, error)
@@ -261,14 +270,32 @@
         context.item.excluded.add(placement.upstream.upstream_id)
         return False
 
-    def _check_time_left(self, placement: Placement) -> None:
-        """Raises a refusal if the process stops before the answer would end."""
-        left_s = self._stops_at - self._now()
-        if math.isinf(left_s):
-            return
-        needed_s = self._scheduler.completion_s(placement)
-        if left_s < max(needed_s, _MIN_ANSWER_TIME_S):
-            raise RefusedError(self._shutdown_refusal())
+    async def _take_placement(self, context: RequestContext) -> Placement:
+        """Waits for a place.
+
+        A refusal would cut a stream that has begun, so it asks for a place as
+        long as its client waits.
+
+        Raises:
+            RefusedError: The request can't be answered before its deadline.
+        """
+        placement, context.next_placement = context.next_placement, None
+        if placement is not None:
+            return placement
+        item = context.item
+        while True:
+            try:
+                return await self._scheduler.acquire(item)
+            except RefusedError as error:
+                if (
+                    error.refusal.reason
+                    is not RefusalReason.DEADLINE_UNREACHABLE
+                    or not context.response.is_started
+                    or self._now() + _REACQUIRE_INTERVAL_S
+                    >= item.client_timeout_at
+                ):
+                    raise
+            await asyncio.sleep(_REACQUIRE_INTERVAL_S)
 
     async def _record_break(
         self, context: RequestContext, placement: Placement
@@ -372,10 +399,12 @@
             raise self._failure_refusal(context, error)
         if (
             not self._may_retry(context, error.may_have_run)
-            or context.crashes >= _MAX_CRASHES
+            or context.crashes >= MAX_CRASHES
         ):
             raise self._failure_refusal(context, error)
-        if not self._budget.try_spend(context.item.service):
+        if context.next_placement is None and not self._budget.try_spend(
+            context.item.service
+        ):
             raise self._failure_refusal(
                 context, error, RefusalReason.RETRY_BUDGET_EXHAUSTED
             )
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -81,6 +81,7 @@
 from tanagerport.gateway.upstream_notices import UpstreamNotices
 from tanagerport.gateway.upstream_pool import UpstreamPool
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
+from tanagerport.gateway.upstream_switch import UpstreamSwitch
 
 # The load balancer removes a node after two failed health checks, one second
 # apart; until then it still sends new connections.
@@ -314,6 +315,14 @@
             self._slots,
             record_answer=self._crashes.record_answer,
         )
+        switch = UpstreamSwitch(
+            self._scheduler,
+            self._backoff,
+            self._health,
+            self._load_tracker,
+            self._quarantine,
+            self._retry_budget,
+        )
         dispatcher = Dispatcher(
             http_names,
             self._scheduler,
@@ -329,6 +338,7 @@
                 log,
             ),
             self._retry_budget,
+            switch,
             self._counters,
             log,
         )
@@ -347,6 +357,7 @@
             ),
             self._quarantine,
             self._retry_budget,
+            switch,
             self._counters,
             log,
         )
--- a/src/tanagerport/gateway/prompt_quarantine.py
+++ b/src/tanagerport/gateway/prompt_quarantine.py
@@ -109,6 +109,10 @@
                 return True
         return False
 
+    def is_quarantined(self, item: WorkItem) -> bool:
+        """Returns whether a part of a request's prompt is quarantined."""
+        return bool(self._ledger.judge(item.part_keys).quarantined)
+
     @contextlib.asynccontextmanager
     async def admit(self, item: WorkItem) -> AsyncIterator[None]:
         """Admits a request for one dispatch.
--- a/src/tanagerport/gateway/request_context.py
+++ b/src/tanagerport/gateway/request_context.py
@@ -5,9 +5,13 @@
 from tanagerport.exceptions import RefusedError
 from tanagerport.gateway.client_server import ClientRequest, ClientResponse
 from tanagerport.gateway.domain import Customer
-from tanagerport.gateway.work_item import WorkItem
+from tanagerport.gateway.work_item import Placement, WorkItem
 from tanagerport.refusals import Ran, Refusal, RefusalReason, RetryReason
 
+# Upstreams that may crash under a request before its answer begins. One crash
+# may have another cause.
+MAX_CRASHES = 2
+
 
 @dataclasses.dataclass(slots=True)
 class RequestContext:
@@ -28,6 +32,8 @@
         may_have_run_before: Whether an upstream may have run an earlier
             dispatch.
         last_event_id: Id of the last event that was relayed.
+        next_placement: Place at another upstream for which the request leaves
+            a silent one.
     """
 
     request: ClientRequest
@@ -42,6 +48,7 @@
     has_open_dispatch: bool = False
     may_have_run_before: bool = False
     last_event_id: int | None = None
+    next_placement: Placement | None = None
 
     @property
     def may_have_run(self) -> bool:
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -93,6 +93,11 @@
             asyncio.Timeout, tuple[WorkItem, list[str]]
         ] = {}
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether waiting requests are refused, as the process stops."""
+        return self._stop_refusal is not None
+
     @property
     def waiting(self) -> dict[str, int]:
         """Number of waiting requests by service."""
@@ -266,28 +271,11 @@
             if self._selector.is_overdue(limits, upstream_id)
         ]
 
-    def has_alternative(self, placement: Placement) -> bool:
-        """Returns whether a request may leave its silent upstream.
-
-        Another usable upstream must take it. If there is none that hasn't
-        failed it, one must be answering other requests, maybe the same.
-        """
-        if self._stop_refusal is not None:
-            # It would be refused rather than sent once more.
-            return False
-        item = placement.item
-        usable_ids = [
-            upstream.upstream_id
-            for upstream in self._backoff.usable(self._find_allowed(item))
-            if not self._health.is_ejected(upstream.upstream_id)
-        ]
-        tried_ids = {*item.excluded, placement.upstream.upstream_id}
-        other_ids = [entry for entry in usable_ids if entry not in tried_ids]
-        if len(self.find_overdue(item.service, other_ids)) < len(other_ids):
-            return True
-        return not other_ids and any(
-            map(self._load_tracker.has_recent_data, usable_ids)
-        )
+    def release_unused(self, placement: Placement) -> None:
+        """Frees the slot of a placement whose upstream got no request."""
+        placement.outcome = SlotOutcome.UNUSED
+        self._rollouts.record_unreached(placement.upstream)
+        self.release(placement)
 
     def completion_s(self, placement: Placement) -> float:
         """Returns the predicted time to the end of the answer, in seconds."""
--- a/src/tanagerport/gateway/silence.py
+++ b/src/tanagerport/gateway/silence.py
@@ -2,46 +2,50 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
-# Interval at which it is checked again whether a request may leave a silent
-# upstream, in seconds.
-_RECHECK_INTERVAL_S = 0.1
+# Interval at which a request at a silent upstream looks for another place, in
+# seconds.
+_SEARCH_INTERVAL_S = 0.1
 
 
 @contextlib.asynccontextmanager
 async def silence_timeout(
-    timeout_s: float | None, may_leave: Callable[[], bool]
+    timeout_s: float | None, find_place: Callable[[], Awaitable[bool]]
 ) -> AsyncIterator[None]:
     """Limits the time for which a request stays at a silent upstream.
 
-    A sound upstream may fall silent for a while and go on, so a request that
-    can't be served elsewhere stays.
+    A sound upstream may fall silent for a while and go on, so a request stays
+    until it has another place.
 
     Args:
-        timeout_s: Seconds of silence after which the request may leave; None
-            if it has to stay.
-        may_leave: Returns whether it can be served elsewhere.
+        timeout_s: Seconds of silence after which it looks for another place;
+            None if it has to stay.
+        find_place: Waits for a place elsewhere; returns whether it was taken.
+            It is cancelled when the upstream sends data.
 
     Raises:
-        TimeoutError: The request is to leave the upstream.
+        TimeoutError: The request has another place.
     """
     if timeout_s is None:
         yield
         return
     loop = asyncio.get_running_loop()
     limit = asyncio.timeout(None)
-    timers: list[asyncio.TimerHandle] = []
+    searches: list[asyncio.Task[None]] = []
 
-    def check() -> None:
-        if may_leave():
-            limit.reschedule(loop.time())
-        else:
-            timers[:] = [loop.call_later(_RECHECK_INTERVAL_S, check)]
+    async def search() -> None:
+        while not await find_place():
+            await asyncio.sleep(_SEARCH_INTERVAL_S)
+        limit.reschedule(loop.time())
 
-    timers.append(loop.call_later(timeout_s, check))
+    timer = loop.call_later(
+        timeout_s, lambda: searches.append(loop.create_task(search()))
+    )
     try:
         async with limit:
             yield
     finally:
-        timers[0].cancel()
+        timer.cancel()
+        for task in searches:
+            task.cancel()
--- a/src/tanagerport/gateway/slot_messages.py
+++ b/src/tanagerport/gateway/slot_messages.py
@@ -65,8 +65,9 @@
         target_s: Latency target of the route.
         interval_target_s: Target for the interval between events; None without
             one.
-        age_s: Time from the client's first attempt to the arrival.
-        waited_s: Time since the arrival at the requesting node.
+        age_s: Time from the client's first attempt to the arrival, or to the
+            last data that the client got.
+        waited_s: Time since then.
         remaining_s: Time until the deadline.
         prompt_tokens: Length of the prompt, in tokens.
         output_tokens: Expected length of the answer, in tokens.
--- a/src/tanagerport/gateway/work_item.py
+++ b/src/tanagerport/gateway/work_item.py
@@ -36,6 +36,8 @@
         part_keys: Keys of the prompt parts that other requests may share, or
             of the whole request if it has no prompt.
         has_begun: Whether an upstream has begun to answer.
+        last_data_at: Monotonic time at which data was sent to the client; None
+            before the first.
         is_trial: Whether the request tries a quarantined part.
         origin_zone: Availability zone of the node that received the request;
             empty for the node that selects the upstream.
@@ -53,15 +55,23 @@
     excluded: set[str] = dataclasses.field(default_factory=set)
     part_keys: tuple[int, ...] = ()
     has_begun: bool = False
+    last_data_at: float | None = None
     is_trial: bool = False
     origin_zone: str = ""
 
+    @property
+    def waiting_since(self) -> float:
+        """Monotonic time since which the client has got no data."""
+        return (
+            self.arrived_at if self.last_data_at is None else self.last_data_at
+        )
+
     @property
     def client_timeout_at(self) -> float:
-        """Monotonic time at which the client disconnects if it got no data."""
+        """Monotonic time at which the client disconnects if it gets no data."""
         return min(
             self.deadline_at,
-            self.arrived_at + self.route.first_event_timeout_s,
+            self.waiting_since + self.route.first_event_timeout_s,
         )
 
     @property
--- a/tests/gateway_doubles.py
+++ b/tests/gateway_doubles.py
@@ -1,9 +1,12 @@
 """Factories and a harness for gateway tests without a network."""
 
 import asyncio
-from collections.abc import Sequence
+import time
+from collections.abc import Callable, Sequence
 
 from tanagerport.clock import FakeClock
+from tanagerport.gateway.crash_evidence import CrashLedger
+from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import (
     RequestKind,
     Route,
@@ -13,9 +16,14 @@
 )
 from tanagerport.gateway.placement import UpstreamSelector
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
+from tanagerport.gateway.prompt_quarantine import PromptQuarantine
+from tanagerport.gateway.retry_budget import RetryBudget
+from tanagerport.gateway.scheduler import Scheduler
+from tanagerport.gateway.upstream_backoff import UpstreamBackoff
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_latency import LatencyEstimator
 from tanagerport.gateway.upstream_load import LoadTracker
+from tanagerport.gateway.upstream_switch import UpstreamSwitch
 from tanagerport.gateway.work_item import Placement, WorkItem
 
 ENGINE_SERVICE = Service("models", 100, True, 4, 6)
@@ -114,3 +122,32 @@
     """Runs five event loop iterations, to let ready tasks block or end."""
     for _ in range(5):
         await asyncio.sleep(0)
+
+
+def make_switch(
+    scheduler: Scheduler,
+    backoff: UpstreamBackoff | None = None,
+    health: UpstreamHealth | None = None,
+    quarantine: PromptQuarantine | None = None,
+    budget: RetryBudget | None = None,
+    now: Callable[[], float] = time.monotonic,
+) -> UpstreamSwitch:
+    """Makes a switch; without the others, nothing but the slots limits it."""
+    return UpstreamSwitch(
+        scheduler,
+        backoff or UpstreamBackoff(now),
+        health or UpstreamHealth(now),
+        LoadTracker(lambda: 1, lambda: 0.1, now),
+        quarantine or make_quarantine(now),
+        budget or RetryBudget(0.0, 10.0, 10.0, lambda: 1, now),
+        now,
+    )
+
+
+def make_quarantine(
+    now: Callable[[], float] = time.monotonic,
+) -> PromptQuarantine:
+    log = DecisionLog("n")
+    return PromptQuarantine(
+        CrashLedger(log, now), "127.0.0.1", list, lambda: None, log
+    )
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -424,6 +424,7 @@
     interval_s: float = 0.0,
     reset_after: int | None = None,
     skipped_event: int | None = None,
+    may_send: asyncio.Event | None = None,
 ) -> RequestHandler:
     """Returns a handler that streams events with ids starting at 1.
 
@@ -434,8 +435,13 @@
         interval_s: Delay before each event, in seconds.
         reset_after: Id of the event after which the connection is reset.
         skipped_event: Id of an event that is not sent.
+        may_send: Nothing is sent while it is not set.
     """
 
+    async def wait_until_sending() -> None:
+        if may_send is not None:
+            await may_send.wait()
+
     async def handler(
         upstream: UpstreamStandin,
         request: HttpRequest,
@@ -447,10 +453,12 @@
         head += [
             f"{name}: {value}" for name, value in seal_headers(request).items()
         ]
+        await wait_until_sending()
         writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
         first = int(request.headers.get("last-event-id", "0")) + 1
         for number in range(first, event_count + 1):
             await asyncio.sleep(interval_s)
+            await wait_until_sending()
             if number == skipped_event:
                 continue
             event = f"id: {number}\ndata: event {number}\n\n".encode()
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -9,12 +9,10 @@
 from tanagerport.exceptions import RefusedError
 from tanagerport.gateway.client_server import ClientRequest, ClientResponse
 from tanagerport.gateway.counters import Counters
-from tanagerport.gateway.crash_evidence import CrashLedger
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.dispatch import Dispatcher
 from tanagerport.gateway.domain import RequestKind, Route, UpstreamRecord
 from tanagerport.gateway.forwarding import RequestForwarder
-from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.request_context import DispatchError, RequestContext
 from tanagerport.gateway.retry_budget import RetryBudget
 from tanagerport.gateway.scheduler import Scheduler
@@ -169,6 +167,10 @@
         clock = FakeClock(100.0)
         self.clock = clock
         self.counters = Counters()
+        health = UpstreamHealth(clock.monotonic)
+        backoff = UpstreamBackoff(clock.monotonic)
+        quarantine = gateway_doubles.make_quarantine(clock.monotonic)
+        budget = RetryBudget(0.0, 10.0, retry_slack, lambda: 1, clock.monotonic)
         self.forwarder = RequestForwarder(
             cast(Any, _FakeHttpNames()),
             self._get_routes,
@@ -179,17 +181,19 @@
             cast(Scheduler, scheduler),
             cast(Any, _FakeRegistry()),
             cast(Any, None),
-            UpstreamHealth(clock.monotonic),
-            UpstreamBackoff(clock.monotonic),
+            health,
+            backoff,
             cast(LossDetector, _FakeLossDetector(confirms_losses)),
-            PromptQuarantine(
-                CrashLedger(DecisionLog("n"), clock.monotonic),
-                "127.0.0.1",
-                list,
-                lambda: None,
-                DecisionLog("n"),
+            quarantine,
+            budget,
+            gateway_doubles.make_switch(
+                cast(Scheduler, scheduler),
+                backoff,
+                health,
+                quarantine,
+                budget,
+                clock.monotonic,
             ),
-            RetryBudget(0.0, 10.0, retry_slack, lambda: 1, clock.monotonic),
             self.counters,
             DecisionLog("n"),
             clock.monotonic,
--- a/tests/test_gateway_upstream_backoff.py
+++ b/tests/test_gateway_upstream_backoff.py
@@ -13,7 +13,13 @@
 from hypothesis import strategies as st
 
 import platform_standin as standin
-from gateway_doubles import NodeHarness, make_item, make_route, make_upstream
+from gateway_doubles import (
+    NodeHarness,
+    make_item,
+    make_route,
+    make_switch,
+    make_upstream,
+)
 from platform_standin import LocalCluster, configuration, route
 from simulated_slots import (
     SERVICE,
@@ -432,7 +438,8 @@
             backoff.record(upstreams[1], 5.0)
             placement = await scheduler.acquire(make_item(time.monotonic()))
             assert placement.upstream == upstreams[0]
-            assert not scheduler.has_alternative(placement)
+            switch = make_switch(scheduler, backoff)
+            assert not switch.has_alternative(placement)
 
         _run_limited(scenario)
 
