Bound the memory of all incomplete answers together

Cause: an answer and a connection had limits of their own, and their sum had none.

Change: incomplete answers share 32 MiB; the largest one gives way. All connections receive into one buffer of 16 KiB and pause at 64 KiB unread.

Why it works: the memory no longer depends on how many answers are endless.

--- a/src/tanagerport/gateway/channel.py
+++ b/src/tanagerport/gateway/channel.py
@@ -3,14 +3,15 @@
 import asyncio
 import collections
 import socket
+import threading
 from collections.abc import Callable
 from typing import cast
 
 # Reading from the socket pauses above this many unread bytes, to bound the
 # memory used for a peer that sends faster than its data is consumed.
 _READ_BUFFER_LIMIT_BYTES = 64 * 1024
-# Maximum number of bytes that one read returns, so that a parser has bounded
-# work to do before it gives other tasks a turn.
+# Maximum number of bytes that are taken from the socket, or read, at once. It
+# bounds the work of a parser before it gives other tasks a turn.
 _MAX_READ_BYTES = 16 * 1024
 # TCP keep-alive detects connections whose state a device on the path dropped.
 _KEEPALIVE_IDLE_S = 2
@@ -20,7 +21,21 @@
 _USER_TIMEOUT_MS = 4000
 
 
-class Channel(asyncio.Protocol):
+class _ReceiveBuffer(threading.local):
+    """Receives the bytes of all connections of a thread.
+
+    They are copied from it at once. A buffer of its own for each connection
+    would take more memory than all that is in progress.
+    """
+
+    def __init__(self) -> None:
+        self.data = bytearray(_MAX_READ_BYTES)
+
+
+_receive_buffer = _ReceiveBuffer()
+
+
+class Channel(asyncio.BufferedProtocol):
     """A TCP connection.
 
     Args:
@@ -123,32 +138,34 @@
             self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Implements `asyncio.Protocol`."""
+        """Implements `asyncio.BufferedProtocol`."""
         self._transport = cast(asyncio.Transport, transport)
         _set_socket_options(self._transport)
         if self._on_connect is not None:
             self._on_connect(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Implements `asyncio.Protocol`."""
-        self._unread.extend(
-            data[start : start + _MAX_READ_BYTES]
-            for start in range(0, len(data), _MAX_READ_BYTES)
-        )
-        self._unread_bytes += len(data)
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Implements `asyncio.BufferedProtocol`."""
+        del sizehint
+        return _receive_buffer.data
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Implements `asyncio.BufferedProtocol`."""
+        self._unread.append(bytes(memoryview(_receive_buffer.data)[:nbytes]))
+        self._unread_bytes += nbytes
         if self._unread_bytes > _READ_BUFFER_LIMIT_BYTES and self._transport:
             self._transport.pause_reading()
         _wake(self._read_waiter)
 
     def eof_received(self) -> bool:
-        """Implements `asyncio.Protocol`; keeps the connection writable."""
+        """Implements `asyncio.BufferedProtocol`; the channel stays writable."""
         self._eof = True
         _wake(self._read_waiter)
         self._run_close_callback()
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Implements `asyncio.Protocol`."""
+        """Implements `asyncio.BufferedProtocol`."""
         self._lost = True
         self._error = exc
         _wake(self._read_waiter)
@@ -156,11 +173,11 @@
         self._run_close_callback()
 
     def pause_writing(self) -> None:
-        """Implements `asyncio.Protocol`."""
+        """Implements `asyncio.BufferedProtocol`."""
         self._write_paused = True
 
     def resume_writing(self) -> None:
-        """Implements `asyncio.Protocol`."""
+        """Implements `asyncio.BufferedProtocol`."""
         self._write_paused = False
         _wake(self._write_waiter)
 
--- a/src/tanagerport/gateway/dispatch.py
+++ b/src/tanagerport/gateway/dispatch.py
@@ -16,6 +16,7 @@
 from tanagerport.gateway.http_call import CallError, HttpCall, ResponseHead
 from tanagerport.gateway.http_names import HttpNames
 from tanagerport.gateway.request_context import DispatchError, RequestContext
+from tanagerport.gateway.response_buffers import ResponseBuffers
 from tanagerport.gateway.retry_budget import RetryBudget
 from tanagerport.gateway.scheduler import Scheduler
 from tanagerport.gateway.silence import silence_timeout
@@ -34,6 +35,7 @@
 _MAX_BUFFERED_BYTES = 1024 * 1024
 # Maximum size of one stream event. An event normally carries a few tokens.
 _MAX_EVENT_BYTES = 256 * 1024
+_EVICTED = "the memory of the unfinished response was needed"
 # Maximum number of responses read for one request. On a reused connection,
 # responses to earlier requests may arrive first.
 _MAX_RESPONSES_READ = 3
@@ -63,6 +65,7 @@
         notices: Reads what upstreams announce in their answers.
         budget: Limits retries.
         switch: Moves requests from silent upstreams to others.
+        buffers: Memory of incomplete responses.
         counters: Metrics of the process.
         log: Structured decision log.
         now: Monotonic clock, in seconds.
@@ -77,6 +80,7 @@
         notices: UpstreamNotices,
         budget: RetryBudget,
         switch: UpstreamSwitch,
+        buffers: ResponseBuffers,
         counters: Counters,
         log: DecisionLog,
         now: Callable[[], float] = time.monotonic,
@@ -88,6 +92,7 @@
         self._notices = notices
         self._budget = budget
         self._switch = switch
+        self._buffers = buffers
         self._counters = counters
         self._log = log
         self._now = now
@@ -145,41 +150,49 @@
                 raise DispatchError(
                     RetryReason.CONNECT_FAILED, str(error), may_have_run=False
                 ) from error
-        exchange = Exchange(
-            channel,
-            self._create_call(context, placement, channel),
-            self._now(),
-            is_new_connection,
-        )
-        try:
-            if context.dispatches == 0:
-                self._budget.record_request(context.item.service)
-            context.dispatches += 1
-            self._log.info(
-                "dispatched",
-                request=context.item.request_id,
-                route=context.item.route.name,
-                upstream=upstream.upstream_id,
-                tier=context.item.tier,
-                customer=""
-                if context.customer is None
-                else context.customer.name,
-                units=context.units,
-                waited_s=round(self._now() - context.request.received_at, 3),
-                predicted_s=round(placement.predicted_first_byte_s, 3),
-                dispatch=context.dispatches,
+        with self._buffers.open(channel.abort) as buffer:
+            exchange = Exchange(
+                channel,
+                self._create_call(context, placement, channel),
+                buffer,
+                self._now(),
+                is_new_connection,
             )
-            context.has_open_dispatch = True
-            exchange.call.send()
-            yield exchange
-        except DispatchError as error:
-            error.has_lost_connection = not channel.is_open
-            raise
-        finally:
-            if exchange.is_reusable:
-                self._pool.release(upstream, channel, exchange.idle_timeout_s)
-            else:
-                channel.abort()
+            try:
+                if context.dispatches == 0:
+                    self._budget.record_request(context.item.service)
+                context.dispatches += 1
+                self._log.info(
+                    "dispatched",
+                    request=context.item.request_id,
+                    route=context.item.route.name,
+                    upstream=upstream.upstream_id,
+                    tier=context.item.tier,
+                    customer=""
+                    if context.customer is None
+                    else context.customer.name,
+                    units=context.units,
+                    waited_s=round(
+                        self._now() - context.request.received_at, 3
+                    ),
+                    predicted_s=round(placement.predicted_first_byte_s, 3),
+                    dispatch=context.dispatches,
+                )
+                context.has_open_dispatch = True
+                exchange.call.send()
+                yield exchange
+            except DispatchError as error:
+                error.has_lost_connection = not (
+                    channel.is_open or buffer.is_evicted
+                )
+                raise
+            finally:
+                if exchange.is_reusable:
+                    self._pool.release(
+                        upstream, channel, exchange.idle_timeout_s
+                    )
+                else:
+                    channel.abort()
 
     def _create_call(
         self, context: RequestContext, placement: Placement, channel: Channel
@@ -226,7 +239,7 @@
                         request=context.item.request_id,
                         upstream=placement.upstream.upstream_id,
                     )
-                    await exchange.call.read_whole_body(_MAX_BUFFERED_BYTES)
+                    await self._read_whole_body(exchange)
                     exchange.call = exchange.call.for_next_response()
         except TimeoutError:
             raise DispatchError(
@@ -307,7 +320,7 @@
                 may_have_run=True,
             )
         try:
-            body = await exchange.call.read_whole_body(_MAX_BUFFERED_BYTES)
+            body = await self._read_whole_body(exchange)
         except CallError as error:
             raise DispatchError(
                 RetryReason.BROKEN, str(error), may_have_run=True
@@ -334,6 +347,22 @@
         self._record_response(context, placement, head.status)
         await context.response.drain()
 
+    async def _read_whole_body(self, exchange: Exchange) -> bytes:
+        """Returns the whole body of a response.
+
+        Raises:
+            CallError: The body is incomplete or too large, or its memory was
+                needed.
+        """
+        body = await exchange.call.read_whole_body(
+            _MAX_BUFFERED_BYTES,
+            lambda size: self._buffers.resize(exchange.buffer, size),
+        )
+        if exchange.buffer.is_evicted:
+            # The end of the connection may look like that of the body.
+            raise CallError(_EVICTED)
+        return body
+
     def _check_error_response(
         self, context: RequestContext, head: ResponseHead
     ) -> None:
@@ -364,7 +393,12 @@
         while True:
             data = await self._read_stream_data(context, placement, exchange)
             self._scheduler.record_received(placement)
+            if exchange.buffer.is_evicted:
+                raise DispatchError(
+                    RetryReason.STREAM_BROKEN, _EVICTED, may_have_run=True
+                )
             events = splitter.feed(data)
+            self._buffers.resize(exchange.buffer, splitter.partial_length)
             if splitter.partial_length > _MAX_EVENT_BYTES:
                 raise DispatchError(
                     RetryReason.STREAM_BROKEN,
--- a/src/tanagerport/gateway/exchange.py
+++ b/src/tanagerport/gateway/exchange.py
@@ -4,6 +4,7 @@
 
 from tanagerport.gateway.channel import Channel
 from tanagerport.gateway.http_call import HttpCall
+from tanagerport.gateway.response_buffers import ResponseBuffer
 
 
 @dataclasses.dataclass(slots=True)
@@ -34,6 +35,7 @@
     Attributes:
         channel: Connection to the upstream.
         call: Call whose response is read.
+        buffer: Memory of what is buffered of the response.
         started_at: Monotonic seconds at which the call was created.
         is_new_connection: Whether the connection carried no other request.
         is_reusable: Whether the connection returns to the pool afterwards.
@@ -42,6 +44,7 @@
 
     channel: Channel
     call: HttpCall
+    buffer: ResponseBuffer
     started_at: float
     is_new_connection: bool
     is_reusable: bool = False
--- a/src/tanagerport/gateway/http_call.py
+++ b/src/tanagerport/gateway/http_call.py
@@ -147,13 +147,13 @@
         raise CallError("the connection ended within the answer")
 
     async def read_whole_body(
-        self, max_bytes: int, on_progress: Callable[[], object] | None = None
+        self, max_bytes: int, on_progress: Callable[[int], object] | None = None
     ) -> bytes:
         """Returns the whole body.
 
         Args:
             max_bytes: Maximum size of the body.
-            on_progress: Called after each received part of the body.
+            on_progress: Called after each received part with the size so far.
 
         Raises:
             CallError: The body is incomplete or above `max_bytes`.
@@ -166,7 +166,7 @@
             if len(body) > max_bytes:
                 raise CallError(f"the answer is above {max_bytes} bytes")
             if on_progress is not None:
-                on_progress()
+                on_progress(len(body))
         return bytes(body)
 
     def _join_chunks(self, first: h11.Data) -> bytes:
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -45,6 +45,7 @@
 from tanagerport.gateway.quota_checkpoint import QuotaCheckpoint
 from tanagerport.gateway.quotas import QuotaLimiter, QuotaSettings
 from tanagerport.gateway.request_validation import RequestValidator
+from tanagerport.gateway.response_buffers import ResponseBuffers
 from tanagerport.gateway.restored_rows import RestoredRows, RowAge
 from tanagerport.gateway.retry_budget import RetryBudget
 from tanagerport.gateway.rollout import RolloutController
@@ -247,6 +248,7 @@
             settings.retry_slack,
             self._peer_exchange.count_nodes,
         )
+        self._buffers = ResponseBuffers()
         self._rollouts = RolloutController(
             settings.node,
             store,
@@ -339,6 +341,7 @@
             ),
             self._retry_budget,
             switch,
+            self._buffers,
             self._counters,
             log,
         )
@@ -487,6 +490,8 @@
             self._coordinator.waiting.values()
         )
         gauges["slot_messages_sent"] = lambda: self._coordination.sent_messages
+        gauges["response_bytes_buffered"] = lambda: self._buffers.total_bytes
+        gauges["responses_evicted"] = lambda: self._buffers.evictions
         gauges["log_lines_dropped"] = lambda: sum(self._log.dropped.values())
 
     @property
--- a/tests/test_gateway_endless_bytes.py
+++ b/tests/test_gateway_endless_bytes.py
@@ -10,6 +10,7 @@
 import platform_standin as standin
 from platform_standin import LocalCluster, configuration, route
 from tanagerport.gateway.event_stream import EventSplitter
+from tanagerport.gateway.response_buffers import ResponseBuffers
 
 _BLOCK_BYTES = 64 * 1024
 _MAX_EVENT_BYTES = 256 * 1024
@@ -151,7 +152,7 @@
 class TestMemory:
     """Guards against nodes that run out of memory and end."""
 
-    @pytest.mark.parametrize("kind", ["body in small chunks"])
+    @pytest.mark.parametrize("kind", ["body in small chunks", "body"])
     def test_memory_is_bounded_beside_hundreds_of_endless_responses(
         self, kind: str, tmp_path: pathlib.Path
     ) -> None:
@@ -161,6 +162,26 @@
         _run_beside_floods(tmp_path, kind, 300, check)
 
 
+class TestResponseBuffers:
+    """Guards against responses that use up memory together."""
+
+    def test_largest_response_gives_up_its_memory(self) -> None:
+        """Guards against a faulty response that ends the sound ones."""
+        evicted: list[str] = []
+        buffers = ResponseBuffers(1000)
+        with buffers.open(lambda: evicted.append("sound")) as sound:
+            with buffers.open(lambda: evicted.append("endless")) as endless:
+                buffers.resize(sound, 300)
+                for size in range(100, 1000, 100):
+                    buffers.resize(endless, size)
+                assert evicted == ["endless"]
+                assert endless.is_evicted
+                assert not sound.is_evicted
+                assert buffers.total_bytes == 300
+            assert buffers.total_bytes == 300
+        assert (buffers.total_bytes, buffers.evictions) == (0, 1)
+
+
 class TestEventSplitting:
     """Guards against work on an event that grows with the square of its size.
 
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -270,8 +270,8 @@
             server = make_server()
 
             class ClosingChannel(Channel):
-                def data_received(self, data: bytes) -> None:
-                    super().data_received(data)
+                def buffer_updated(self, nbytes: int) -> None:
+                    super().buffer_updated(nbytes)
                     server.close_idle()
 
             monkeypatch.setattr(client_server, "Channel", ClosingChannel)
