Ask other nodes for their usage after a long pause

The report tells of customers that got more than their limit on real processes; it was not reproduced as such.

Cause: a node that heard nothing for 8 s takes all others for gone. After a pause of that length it granted the whole quota to the requests that had waited, before the first report came.

Change: after a pause of 4 s or more the usage of others is unknown until a whole report has come, for 1 s at most.

Why it works: nothing is granted from knowledge that is older than the window.

--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -652,6 +652,7 @@
                 for watch in self._watches:
                     watch.force_full_read()
             last_boot_time, last_monotonic = boot_time, monotonic
+            self._quotas.observe_time()
             self._registry.remove_expired()
             self._pool.close_expired()
             self._scheduler.admit_waiting()
--- a/src/tanagerport/gateway/quotas.py
+++ b/src/tanagerport/gateway/quotas.py
@@ -32,6 +32,11 @@
 # region are sent up to 1.2 s apart and wait up to 0.6 s at the node that relays
 # them.
 _SILENT_AFTER_S = 1.9
+# After a pause of this length the other nodes count this one as down, and send
+# it whole reports once they hear it again.
+_PAUSE_S = 4.0
+# Maximum time to wait for these reports, in seconds.
+_MAX_HISTORY_WAIT_S = 1.0
 # A change of usage is reported for this long. Even the farthest nodes then get
 # it in two reports, so that one of them may be lost.
 _CHANGE_REPORT_PERIOD_S = 1.5
@@ -98,12 +103,15 @@
             its report with the shortest delay.
         totals: Latest totals by customer.
         refunds: Latest refunds by customer and interval since its start.
+        is_outdated: Whether this node was paused since, so that only a whole
+            report tells how much was used within the window.
     """
 
     reported_at: float
     started_at: float
     totals: dict[str, int]
     refunds: dict[tuple[str, int], int]
+    is_outdated: bool = False
 
 
 class QuotaLimiter:
@@ -136,6 +144,9 @@
         self._mean_request_units = 0.0
         self._started_at = now()
         self._is_history_known = False
+        # Monotonic time at which the history counts as known anyway.
+        self._history_due_at = float("inf")
+        self._observed_at: float | None = None
 
     @property
     def uptime_s(self) -> float:
@@ -154,6 +165,25 @@
         """
         self._is_history_known = True
 
+    def observe_time(self) -> None:
+        """Detects pauses of the process; called every tenth of a second.
+
+        After a long pause the usage at the other nodes is unknown, and requests
+        that came meanwhile are waiting.
+        """
+        now = self._now()
+        observed_at, self._observed_at = self._observed_at, now
+        if observed_at is None or now - observed_at < _PAUSE_S:
+            return
+        if not self._peers:
+            return
+        self._is_history_known = False
+        self._history_due_at = now + _MAX_HISTORY_WAIT_S
+        for peer in self._peers.values():
+            peer.is_outdated = True
+            # It is silent, but no longer than since now.
+            peer.reported_at = now - _SILENT_AFTER_S
+
     def expected_usage(self, horizon_s: float) -> dict[str, CustomerUsage]:
         """Returns what the customers will have used in a while, by name.
 
@@ -237,6 +267,9 @@
         """
         if customer.rate_per_s <= 0:
             return None
+        if self._observed_at is not None:
+            # The requests of a pause may come before the next observation.
+            self.observe_time()
         now = self._now()
         used = self._window(customer.name).total(now)
         excess = used + units - self._allowance(customer)
@@ -309,7 +342,10 @@
             uptime_s: Seconds since the start of that node.
             usages: Usage of all its customers.
         """
-        if node not in self._peers and uptime_s >= self._settings.window_s:
+        peer = self._peers.get(node)
+        if (
+            peer is None or peer.is_outdated
+        ) and uptime_s >= self._settings.window_s:
             self.import_usage(usages)
             now = self._now()
             self._peers[node] = _PeerUsage(
@@ -345,6 +381,10 @@
             if uptime_s >= self._settings.window_s:
                 return
             peer = self._peers[node] = _PeerUsage(now, now - uptime_s, {}, {})
+        if peer.is_outdated:
+            if uptime_s >= self._settings.window_s:
+                return
+            peer.is_outdated = False
         peer.reported_at = now
         peer.started_at = min(peer.started_at, now - uptime_s)
         for usage in usages:
@@ -435,7 +475,7 @@
         the start is known.
         """
         settings = self._settings
-        if not self._is_history_known:
+        if not self._is_history_known and self._now() < self._history_due_at:
             return 0.0
         # Unreported units reduce the tolerance only, never the quota itself.
         extra = (
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -409,6 +409,58 @@
         assert limiter.consume(CUSTOMER, ALLOWANCE) is None
 
 
+class TestPausedNode:
+    """Nodes that were paused while others granted the quota."""
+
+    @pytest.mark.parametrize("pause_s", [2.5, 5.0, 9.0, 30.0])
+    def test_paused_node_grants_nothing_that_others_have_granted(
+        self, pause_s: float
+    ) -> None:
+        """Guards against a quota that is granted from outdated reports.
+
+        Requests wait at a paused node and are handled before any report.
+        """
+        clock = FakeClock(100.0)
+        paused, other = _limiter(clock), _limiter(clock)
+        limiters = {"paused": paused, "other": other}
+        for _ in range(100):
+            clock.advance(0.1)
+            paused.observe_time()
+            _exchange(clock, limiters)
+        for _ in range(round(pause_s / 0.1)):
+            clock.advance(0.1)
+            other.consume(CUSTOMER, 30)
+        granted = 0.0
+        while paused.consume(CUSTOMER, 30) is None:
+            granted += 30
+        used = sum(other.report()[0].recent)
+        quota = CUSTOMER.rate_per_s * 8.0 + CUSTOMER.burst
+        assert granted + used <= 1.1 * quota + SETTINGS.tolerance
+        # Once the other node has reported, the rest is granted as usual.
+        paused.apply_report("other", other.uptime_s, other.report())
+        clock.advance(9.0)
+        _exchange(clock, limiters)
+        paused.observe_time()
+        paused.apply_report("other", other.uptime_s, other.report())
+        assert paused.consume(CUSTOMER, 500) is None
+
+    def test_paused_node_that_hears_nothing_grants_its_share(self) -> None:
+        """Guards against refusals for longer than reports may take."""
+        clock = FakeClock(100.0)
+        limiter = _limiter(clock)
+        limiter.apply_report("other", 100.0, [])
+        limiter.observe_time()
+        clock.advance(9.0)
+        limiter.observe_time()
+        assert limiter.consume(CUSTOMER, 100) is None
+        assert limiter.consume(CUSTOMER, 100) is not None
+        for _ in range(11):
+            clock.advance(0.1)
+            limiter.observe_time()
+        assert limiter.consume(CUSTOMER, ALLOWANCE / 2 - 110) is None
+        assert limiter.consume(CUSTOMER, 100) is not None
+
+
 class TestManyNodes:
     """A customer far above its quota at 70 nodes of two regions.
 
