Revert a version whose missing answers looked like missing traffic

Cause: a version without a verdict is completed if there is too little traffic. That was judged by its answers and by the share of all dispatches. The budget of the version was used up, so little was dispatched: 34 requests, under 20 answers.

Change: requests that the version got count as traffic, answered or not.

Evidence: the test fails before (completed).

Why it works: what a version leaves unanswered can't make it look idle.

--- a/src/tanagerport/gateway/rollout_progress.py
+++ b/src/tanagerport/gateway/rollout_progress.py
@@ -245,12 +245,17 @@
         """Returns whether the service has too few requests for a verdict.
 
         The canary share of its requests is less than a verdict takes, and most
-        answers of the new version were good.
+        answers of the new version were good. Requests that the new version got
+        and hasn't answered are no lack of traffic.
         """
         answers = self.evidence.new_answers
         known = self.budget.known
         return (
-            max(self.budget.canary_share * known.total, answers.total)
+            max(
+                self.budget.canary_share * known.total,
+                answers.total,
+                known.new,
+            )
             < MIN_GOOD_SAMPLES
             and 2 * (answers.failed + answers.slow) <= answers.total
         )
--- a/tests/test_gateway_rollout.py
+++ b/tests/test_gateway_rollout.py
@@ -15,17 +15,19 @@
 from gateway_doubles import ENGINE_SERVICE, NodeHarness, make_item
 from tanagerport.clock import FakeClock
 from tanagerport.exceptions import StoreConflictError, StoreUnavailableError
-from tanagerport.gateway.canary_budget import CanaryLimits
+from tanagerport.gateway.canary_budget import CanaryBudget, CanaryLimits
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import RolloutOrder, UpstreamRecord
 from tanagerport.gateway.rollout import RolloutController
 from tanagerport.gateway.rollout_lease import RolloutState
+from tanagerport.gateway.rollout_progress import Rollout
 from tanagerport.gateway.rollout_report import RolloutReport
 from tanagerport.gateway.scheduler import Scheduler
 from tanagerport.gateway.slot_messages import SlotOutcome
 from tanagerport.gateway.table_store import Row, RowWrite, TableRows
 from tanagerport.gateway.upstream_backoff import UpstreamBackoff
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
+from tanagerport.gateway.version_evidence import Evidence
 from tanagerport.gateway.work_item import Placement, WorkItem
 
 _SERVICE = "models"
@@ -427,6 +429,34 @@
         nodes.update()
         assert nodes.status == b"completed"
 
+    def test_version_that_leaves_requests_unanswered_is_not_completed(
+        self,
+    ) -> None:
+        """Guards against missing answers that count as missing traffic.
+
+        The old version was gone, and a bad one had used up its budget: 34
+        requests of 52, with 17 answers. It was completed and got everything.
+        """
+        rollout = Rollout(
+            RolloutOrder(_SERVICE, "v2", _DURATION_S, 7),
+            7,
+            0.0,
+            Evidence(),
+            CanaryBudget(_LIMITS, lambda: 1),
+            has_lost_old_version=True,
+        )
+        for number in range(52):
+            rollout.budget.record_dispatch(is_new=number < 34)
+        for number in range(17):
+            rollout.evidence.record("r", True, False, is_slow=number < 5)
+        for fraction, state in (
+            (0.9, RolloutState.IN_PROGRESS),
+            (0.95, RolloutState.REVERTED),
+        ):
+            assert state is rollout.next_state(
+                fraction * _DURATION_S, 100.0, True, True
+            )
+
     def test_good_version_is_completed_in_time(self) -> None:
         nodes = Nodes(lambda upstream: Answer())
         _roll_out(nodes)
