Move the relay of streams out of the dispatcher

No change of behaviour. Tests of processes, endless answers, silent streams, faulty answers and forwarding pass (105).

--- a/src/tanagerport/gateway/dispatch.py
+++ b/src/tanagerport/gateway/dispatch.py
@@ -1,4 +1,4 @@
-"""Dispatch of a request to an upstream and relay of its response."""
+"""Dispatch of a request to an upstream."""
 
 import contextlib
 import time
@@ -11,8 +11,12 @@
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import RequestKind
-from tanagerport.gateway.event_stream import EventSplitter, StreamEvent
-from tanagerport.gateway.exchange import Exchange, StreamTiming
+from tanagerport.gateway.exchange import (
+    EVICTED,
+    Exchange,
+    ResponseRecorder,
+    first_byte_timeout_s,
+)
 from tanagerport.gateway.http_call import CallError, HttpCall, ResponseHead
 from tanagerport.gateway.http_names import HttpNames
 from tanagerport.gateway.request_context import DispatchError, RequestContext
@@ -20,6 +24,7 @@
 from tanagerport.gateway.retry_budget import RetryBudget
 from tanagerport.gateway.scheduler import Scheduler
 from tanagerport.gateway.silence import silence_timeout
+from tanagerport.gateway.stream_relay import StreamRelay
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_notices import UpstreamNotices
 from tanagerport.gateway.upstream_pool import UpstreamPool
@@ -33,25 +38,9 @@
 # Responses other than event streams are buffered up to this size until they
 # are complete, so that a truncated one can be retried or reported as an error.
 _MAX_BUFFERED_BYTES = 1024 * 1024
-# Maximum size of one stream event. An event normally carries a few tokens.
-_MAX_EVENT_BYTES = 256 * 1024
-_EVICTED = "the memory of the unfinished response was needed"
 # Maximum number of responses read for one request. On a reused connection,
 # responses to earlier requests may arrive first.
 _MAX_RESPONSES_READ = 3
-# First-byte timeout, after which a retryable request moves to another upstream:
-# a multiple of the predicted time or of the route's latency target, whichever
-# is longer, and at least the minimum.
-FIRST_BYTE_TIMEOUT_FACTOR = 4.0
-_FIRST_BYTE_TARGET_FACTOR = 1.25
-MIN_FIRST_BYTE_TIMEOUT_S = 0.5
-# Timeout between two events of a resumable stream: a multiple of the target
-# interval, and at least the minimum.
-_EVENT_TIMEOUT_FACTOR = 4.0
-_MIN_EVENT_TIMEOUT_S = 1.0
-# Number of events of a stream between two reports of its mean event interval
-# to the scheduler.
-_EVENTS_PER_TIMING_REPORT = 8
 
 
 class Dispatcher:
@@ -93,6 +82,10 @@
         self._budget = budget
         self._switch = switch
         self._buffers = buffers
+        self._recorder = ResponseRecorder(counters, log, now)
+        self._streams = StreamRelay(
+            scheduler, switch, buffers, self._recorder, counters, now
+        )
         self._counters = counters
         self._log = log
         self._now = now
@@ -117,7 +110,7 @@
             )
             if is_stream:
                 self._check_response_seal(head)
-                await self._relay_stream(context, placement, exchange, head)
+                await self._streams.relay(context, placement, exchange, head)
             elif context.response.is_started:
                 raise DispatchError(
                     RetryReason.STREAM_BROKEN,
@@ -223,7 +216,7 @@
         """Waits for the status line and headers of this request's response."""
         try:
             async with silence_timeout(
-                self._first_byte_timeout_s(context, placement),
+                first_byte_timeout_s(context, placement),
                 lambda: self._switch.find_place(context, placement),
             ):
                 for _ in range(_MAX_RESPONSES_READ):
@@ -270,19 +263,6 @@
             return head.status >= 400 and exchange.is_new_connection
         return echoed_id.decode("latin-1") == context.item.request_id
 
-    def _first_byte_timeout_s(
-        self, context: RequestContext, placement: Placement
-    ) -> float | None:
-        """Returns the first-byte timeout; None if no retry is possible."""
-        route = context.item.route
-        if not route.can_repeat or context.dispatches >= route.max_dispatches:
-            return None
-        return max(
-            FIRST_BYTE_TIMEOUT_FACTOR * placement.predicted_first_byte_s,
-            _FIRST_BYTE_TARGET_FACTOR * route.target_s,
-            MIN_FIRST_BYTE_TIMEOUT_S,
-        )
-
     def _check_rejection(self, head: ResponseHead) -> None:
         if head.status == 421 or self._http_names.not_run in head.header_values:
             raise DispatchError(
@@ -344,7 +324,7 @@
         if body:
             context.response.send(body)
         context.response.finish()
-        self._record_response(context, placement, head.status)
+        self._recorder.record(context, placement, head.status)
         await context.response.drain()
 
     async def _read_whole_body(self, exchange: Exchange) -> bytes:
@@ -360,7 +340,7 @@
         )
         if exchange.buffer.is_evicted:
             # The end of the connection may look like that of the body.
-            raise CallError(_EVICTED)
+            raise CallError(EVICTED)
         return body
 
     def _check_error_response(
@@ -378,191 +358,3 @@
                 f"the upstream answered {head.status}",
                 may_have_run=True,
             )
-
-    async def _relay_stream(
-        self,
-        context: RequestContext,
-        placement: Placement,
-        exchange: Exchange,
-        head: ResponseHead,
-    ) -> None:
-        """Relays the events of a stream as they arrive."""
-        splitter = EventSplitter()
-        last_event_at = self._now()
-        timing = StreamTiming()
-        while True:
-            data = await self._read_stream_data(context, placement, exchange)
-            self._scheduler.record_received(placement)
-            if exchange.buffer.is_evicted:
-                raise DispatchError(
-                    RetryReason.STREAM_BROKEN, _EVICTED, may_have_run=True
-                )
-            events = splitter.feed(data)
-            self._buffers.resize(exchange.buffer, splitter.partial_length)
-            if splitter.partial_length > _MAX_EVENT_BYTES:
-                raise DispatchError(
-                    RetryReason.STREAM_BROKEN,
-                    f"an event is above {_MAX_EVENT_BYTES} bytes",
-                    may_have_run=True,
-                )
-            if not data and not timing.event_count and not head.is_framed:
-                # The connection may have ended before the answer did.
-                raise DispatchError(
-                    RetryReason.STREAM_BROKEN,
-                    "the connection ended before the first event",
-                    may_have_run=True,
-                )
-            if not data and splitter.is_within_event:
-                raise DispatchError(
-                    RetryReason.STREAM_BROKEN,
-                    "the stream ended within an event",
-                    may_have_run=True,
-                )
-            if events:
-                now = self._now()
-                if not placement.has_first_event:
-                    self._scheduler.record_first_event(
-                        placement, now - exchange.started_at
-                    )
-                    timing.first_at = now
-                else:
-                    self._counters.event_pause.observe(now - last_event_at)
-                    timing.longest_interval_s = max(
-                        timing.longest_interval_s, now - last_event_at
-                    )
-                timing.event_count += len(events)
-                placement.event_count += len(events)
-                timing.unreported_count += len(events)
-                # The first report is sent early to reveal a slow upstream.
-                if (
-                    timing.unreported_count
-                    >= min(timing.event_count // 2, _EVENTS_PER_TIMING_REPORT)
-                    > 0
-                ):
-                    self._scheduler.record_event_interval(
-                        placement, timing.mean_interval_s(now)
-                    )
-                    timing.unreported_count = 0
-                last_event_at = now
-                self._send_events(context, head, events)
-                await context.response.drain()
-            if not data:
-                break
-        if not context.response.is_started:
-            self._start_stream(context, head)
-        if splitter.partial:
-            context.response.send(splitter.partial)
-        context.response.finish()
-        self._scheduler.record_outcome(placement, has_failed=False)
-        self._record_response(
-            context,
-            placement,
-            head.status,
-            first_s=round(timing.first_at - exchange.started_at, 3),
-            mean_pause_s=round(timing.mean_interval_s(last_event_at), 4),
-            longest_pause_s=round(timing.longest_interval_s, 3),
-            events=timing.event_count,
-            prompt_tokens=placement.prompt_tokens,
-            tokens_ahead=placement.queued_prompt_tokens,
-            expected_tokens=context.item.work.expected_output_tokens,
-            max_tokens=context.item.work.max_output_tokens,
-        )
-
-    async def _read_stream_data(
-        self,
-        context: RequestContext,
-        placement: Placement,
-        exchange: Exchange,
-    ) -> bytes:
-        route = context.item.route
-        timeout_s = None
-        if not placement.has_first_event:
-            timeout_s = self._first_byte_timeout_s(context, placement)
-        elif route.is_resumable and context.dispatches < route.max_dispatches:
-            interval_target_s = route.event_interval_target_s or route.target_s
-            timeout_s = max(
-                _EVENT_TIMEOUT_FACTOR * interval_target_s, _MIN_EVENT_TIMEOUT_S
-            )
-        try:
-            async with silence_timeout(
-                timeout_s, lambda: self._switch.find_place(context, placement)
-            ):
-                data = await exchange.call.read_body_part()
-        except TimeoutError:
-            raise DispatchError(
-                RetryReason.SILENT,
-                f"the upstream sent nothing for {timeout_s} s",
-                may_have_run=True,
-            ) from None
-        except CallError as error:
-            raise DispatchError(
-                RetryReason.STREAM_BROKEN, str(error), may_have_run=True
-            ) from error
-        self._switch.stay(context)
-        return data
-
-    def _send_events(
-        self,
-        context: RequestContext,
-        head: ResponseHead,
-        events: list[StreamEvent],
-    ) -> None:
-        valid = bytearray()
-        try:
-            for event in events:
-                self._check_sequence(context, event)
-                valid += event.raw
-        finally:
-            if valid:
-                if not context.response.is_started:
-                    self._start_stream(context, head)
-                context.response.send(bytes(valid))
-                context.item.last_data_at = self._now()
-
-    def _check_sequence(
-        self, context: RequestContext, event: StreamEvent
-    ) -> None:
-        """Raises DispatchError if events are missing before this one."""
-        if event.event_id is None:
-            return
-        last_id = context.last_event_id
-        if last_id is not None and event.event_id != last_id + 1:
-            raise DispatchError(
-                RetryReason.STREAM_BROKEN,
-                f"event {event.event_id} came in place of {last_id + 1}",
-                may_have_run=True,
-            )
-        context.last_event_id = event.event_id
-
-    def _start_stream(
-        self, context: RequestContext, head: ResponseHead
-    ) -> None:
-        self._counters.first_byte.observe(
-            self._now() - context.request.received_at
-        )
-        context.response.start(
-            head.status,
-            head.reason,
-            request_headers.build_client_headers(head, None),
-        )
-
-    def _record_response(
-        self,
-        context: RequestContext,
-        placement: Placement,
-        status: int,
-        **fields: float,
-    ) -> None:
-        self._counters.answers[f"{status // 100}xx"] += 1
-        self._log.info(
-            "answered",
-            request=context.item.request_id,
-            upstream=placement.upstream.upstream_id,
-            status=status,
-            last_event=context.last_event_id,
-            dispatches=context.dispatches,
-            after_s=round(self._now() - context.request.received_at, 3),
-            target_s=context.item.route.target_s,
-            pause_target_s=context.item.route.event_interval_target_s,
-            **fields,
-        )
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -9,10 +9,10 @@
 from tanagerport.gateway.client_server import ClientRequest, ClientResponse
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
-from tanagerport.gateway.dispatch import (
+from tanagerport.gateway.dispatch import Dispatcher
+from tanagerport.gateway.exchange import (
     FIRST_BYTE_TIMEOUT_FACTOR,
     MIN_FIRST_BYTE_TIMEOUT_S,
-    Dispatcher,
 )
 from tanagerport.gateway.http_names import HttpNames
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
