Give other clients a turn beside pipelined requests

What callers saw: beside a client that sent 20,000 requests without waiting, each refused at once, another client waited 3.5 s for its answer.

With the turn after each request that came with it, a client that does wait would have queued behind busy connections.

Change: a connection gives others a turn while further requests wait on it.

--- a/src/tanagerport/gateway/client_server.py
+++ b/src/tanagerport/gateway/client_server.py
@@ -294,8 +294,9 @@
         try:
             while await self._handle_request():
                 self._codec.start_next_cycle()
-                # A client may send many requests without waiting.
-                await self._time_slice.pause_if_over()
+                if self._channel.has_unread or self._codec.trailing_data[0]:
+                    # The client sends requests without waiting for answers.
+                    await self._time_slice.pause_if_over()
             await self._channel.flush()
         except asyncio.CancelledError:
             # The client disconnected, or the server is closing.
--- a/tests/test_gateway_endless_bytes.py
+++ b/tests/test_gateway_endless_bytes.py
@@ -216,3 +216,30 @@
         assert b"".join(event.raw for event in events) + splitter.partial == (
             data
         )
+
+
+class TestPipelinedRequests:
+    """Guards against one client whose requests keep all others waiting."""
+
+    def test_other_clients_are_served_beside_pipelined_requests(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def run_scenario() -> None:
+            async with standin.local_cluster(
+                tmp_path, configuration(1, [route("desk", service="desk")])
+            ) as cluster:
+                await _add_flooded_cluster(cluster, "body")
+                _, writer = await asyncio.open_connection(
+                    standin.HOST, cluster.gateway.port
+                )
+                # Each of them is refused at once.
+                request = standin.request_bytes("GET", "/unknown")
+                writer.write(request * 20_000)
+                await asyncio.sleep(0.05)
+                started_at = time.monotonic()
+                response = await cluster.call("a1", "/desk/x")
+                assert response.status == 200
+                assert time.monotonic() - started_at < _SOUND_ANSWER_S
+                writer.close()
+
+        asyncio.run(run_scenario())
