--- /dev/null
+++ b/tests/test_gateway_kept_connections.py
@@ -0,0 +1,235 @@
+"""Tests of requests on kept connections of clients."""
+
+import asyncio
+import concurrent.futures
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import pytest
+
+import platform_standin as standin
+from tanagerport.gateway.client_server import (
+    ClientRequest,
+    ClientResponse,
+    ClientServer,
+)
+from tanagerport.gateway.decision_log import DecisionLog
+from tanagerport.gateway.domain import ClientLimits
+
+_T = TypeVar("_T")
+_CLIENTS = 20
+# Clients reuse connections that have been idle for up to four fifths of the
+# idle timeout in force.
+_REUSE_SHARE = 0.8
+_HEADER_TIMEOUT_S = 0.5
+_REQUEST = standin.request_bytes("GET", "/x", b"", {"Attempt-Id": "a"})
+
+
+def make_limits(
+    idle_timeout_s: float, header_bytes: int = 8192, body_bytes: int = 8192
+) -> ClientLimits:
+    return ClientLimits(
+        header_bytes, body_bytes, _HEADER_TIMEOUT_S, idle_timeout_s
+    )
+
+
+class _EmptyHandler:
+    """Answers each request at once."""
+
+    async def handle(
+        self, request: ClientRequest, response: ClientResponse
+    ) -> None:
+        del request
+        response.start(200, b"", [(b"Content-Length", b"0")])
+        response.finish()
+
+
+class Clients:
+    """Clients in threads of their own, which a standstill does not stop.
+
+    Args:
+        port: Port of the server.
+        count: Number of connections.
+    """
+
+    def __init__(self, port: int, count: int = _CLIENTS) -> None:
+        self._port = port
+        self._count = count
+        self._sockets: list[socket.socket] = []
+        self._pool = concurrent.futures.ThreadPoolExecutor(2)
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for sock in self._sockets:
+            sock.close()
+        self._pool.shutdown()
+
+    async def start(self) -> None:
+        """Connects and gets one response on each connection."""
+        await self._in_thread(self._connect)
+        assert await self.request() == self._count
+
+    async def request(self, data: bytes = _REQUEST) -> int:
+        """Sends a request on each connection; returns how many succeeded."""
+        await self._in_thread(lambda: self._send(data))
+        return await self.receive()
+
+    async def receive(self) -> int:
+        """Returns how many connections get a success."""
+        return await self._in_thread(self._receive)
+
+    async def send_during_standstill(
+        self, at_s: float, standstill_s: float, data: bytes = _REQUEST
+    ) -> None:
+        """Stops the event loop while a request is sent on each connection.
+
+        Args:
+            at_s: Time from now after which the requests are sent, in seconds.
+            standstill_s: Length of the standstill, in seconds.
+            data: Bytes that are sent.
+        """
+
+        def send_later() -> None:
+            time.sleep(at_s)
+            self._send(data)
+
+        sent = self._in_thread(send_later)
+        # The standstill begins after the tasks of the server have blocked.
+        await asyncio.sleep(0.05)
+        time.sleep(standstill_s)
+        await sent
+
+    def _in_thread(self, call: Callable[[], _T]) -> "asyncio.Future[_T]":
+        return asyncio.get_running_loop().run_in_executor(self._pool, call)
+
+    def _connect(self) -> None:
+        for _ in range(self._count):
+            sock = socket.create_connection((standin.HOST, self._port), 5)
+            self._sockets.append(sock)
+
+    def _send(self, data: bytes) -> None:
+        for sock in self._sockets:
+            try:
+                sock.sendall(data)
+            except OSError:
+                # The connection was closed, so it gets no response either.
+                continue
+
+    def _receive(self) -> int:
+        count = 0
+        for sock in self._sockets:
+            try:
+                count += sock.recv(4096).startswith(b"HTTP/1.1 200")
+            except OSError:
+                continue
+        return count
+
+
+def run_server(
+    scenario: Callable[[Clients], Awaitable[None]],
+    get_limits: Callable[[], ClientLimits],
+) -> None:
+    """Runs a scenario with clients that have had one response each."""
+
+    async def run() -> None:
+        server = ClientServer(_EmptyHandler(), get_limits, DecisionLog("n"))
+        port = standin.free_port()
+        await server.start(standin.HOST, port)
+        clients = Clients(port)
+        try:
+            await clients.start()
+            await scenario(clients)
+        finally:
+            clients.close()
+            await server.close()
+
+    asyncio.run(run())
+
+
+class TestStandstill:
+    """Guards against requests that are lost when a late timer is due.
+
+    After a standstill of the process, the timeout of a connection was due in
+    the same turn of the event loop as the request that had come in time, and
+    the connection was closed with the request unread.
+    """
+
+    @pytest.mark.parametrize("idle_timeout_s", [1.0, 2.0])
+    def test_request_sent_within_the_idle_timeout_is_answered(
+        self, idle_timeout_s: float
+    ) -> None:
+        async def scenario(clients: Clients) -> None:
+            await clients.send_during_standstill(
+                _REUSE_SHARE * idle_timeout_s, idle_timeout_s + 0.1
+            )
+            assert await clients.receive() == _CLIENTS
+
+        run_server(scenario, lambda: make_limits(idle_timeout_s))
+
+    def test_header_fields_sent_within_the_header_timeout_are_read(
+        self,
+    ) -> None:
+        async def scenario(clients: Clients) -> None:
+            await clients.send_during_standstill(0.0, 0.1, _REQUEST[:20])
+            await clients.send_during_standstill(
+                0.2, _HEADER_TIMEOUT_S, _REQUEST[20:]
+            )
+            assert await clients.receive() == _CLIENTS
+
+        run_server(scenario, lambda: make_limits(5.0))
+
+
+class TestChangedLimits:
+    """Guards against connections that keep the limits of their first request.
+
+    Clients go by the limits in force, also on connections that are older.
+    """
+
+    def test_longer_idle_timeout_holds_for_an_open_connection(self) -> None:
+        limits = make_limits(1.0)
+
+        async def scenario(clients: Clients) -> None:
+            nonlocal limits
+            limits = make_limits(2.0)
+            await asyncio.sleep(_REUSE_SHARE * limits.idle_timeout_s)
+            assert await clients.request() == _CLIENTS
+
+        run_server(scenario, lambda: limits)
+
+    def test_shorter_idle_timeout_holds_from_the_next_request_on(self) -> None:
+        limits = make_limits(2.0)
+
+        async def scenario(clients: Clients) -> None:
+            nonlocal limits
+            limits = make_limits(1.0)
+            # A client may not know the new limit yet.
+            await asyncio.sleep(1.6)
+            assert await clients.request() == _CLIENTS
+            await asyncio.sleep(1.2)
+            assert await clients.request() == 0
+
+        run_server(scenario, lambda: limits)
+
+    def test_larger_header_fields_are_read_on_an_open_connection(self) -> None:
+        limits = make_limits(5.0, header_bytes=1024)
+        request = standin.request_bytes("GET", "/x", b"", {"Long": "x" * 4096})
+
+        async def scenario(clients: Clients) -> None:
+            nonlocal limits
+            limits = make_limits(5.0, header_bytes=8192)
+            assert await clients.request(request) == _CLIENTS
+
+        run_server(scenario, lambda: limits)
+
+    def test_larger_body_is_read_on_an_open_connection(self) -> None:
+        limits = make_limits(5.0, body_bytes=1024)
+        request = standin.request_bytes("POST", "/x", b"x" * 4096)
+
+        async def scenario(clients: Clients) -> None:
+            nonlocal limits
+            limits = make_limits(5.0, body_bytes=8192)
+            assert await clients.request(request) == _CLIENTS
+
+        run_server(scenario, lambda: limits)
