Record why the server closes connections of clients, and what they had sent

A counter by cause, and a line with the unread bytes (those in the socket's buffer too), the time without a request and the idle timeout in force on the connection. No logic is changed.

--- a/src/tanagerport/gateway/channel.py
+++ b/src/tanagerport/gateway/channel.py
@@ -1,8 +1,11 @@
 """TCP connection with back-pressure and a callback when the peer closes it."""
 
+import array
 import asyncio
 import collections
+import fcntl
 import socket
+import termios
 import threading
 from collections.abc import Callable
 from typing import cast
@@ -72,6 +75,11 @@
         """Whether received bytes have not been read."""
         return bool(self._unread)
 
+    @property
+    def unread_bytes(self) -> int:
+        """Number of unread bytes, with those in the socket's buffer."""
+        return self._unread_bytes + _kernel_bytes(self._transport)
+
     @property
     def has_unsent(self) -> bool:
         """Whether written bytes are still in the write buffer."""
@@ -196,6 +204,20 @@
         waiter.set_result(None)
 
 
+def _kernel_bytes(transport: asyncio.Transport | None) -> int:
+    """Returns the number of bytes in the receive buffer of a socket."""
+    sock = None if transport is None else transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    size = array.array("i", [0])
+    try:
+        fcntl.ioctl(sock.fileno(), termios.FIONREAD, size)
+    except OSError:
+        # Only the bytes in memory are known where the call isn't available.
+        return 0
+    return size[0]
+
+
 def _set_socket_options(transport: asyncio.Transport) -> None:
     sock = transport.get_extra_info("socket")
     if sock is None:
--- a/src/tanagerport/gateway/client_server.py
+++ b/src/tanagerport/gateway/client_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import time
 from collections.abc import Callable, Iterable
 from typing import Protocol
@@ -10,6 +11,7 @@
 import msgspec
 
 from tanagerport.gateway.channel import Channel
+from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import ClientLimits
 from tanagerport.gateway.http_call import Headers
@@ -66,6 +68,14 @@
     received_at: float
 
 
+class CloseCause(enum.StrEnum):
+    """Why the server closed a connection on which it had sent no response."""
+
+    IDLE_TIMEOUT = "idle_timeout"
+    DRAINING = "draining"
+    STOPPING = "stopping"
+
+
 class RequestReadError(Exception):
     """A request that could not be read and is refused without a handler.
 
@@ -179,6 +189,7 @@
     Args:
         handler: Handles the requests.
         get_limits: Returns the current limits.
+        counters: Metrics of the process.
         log: Structured decision log.
     """
 
@@ -186,10 +197,12 @@
         self,
         handler: RequestHandler,
         get_limits: Callable[[], ClientLimits],
+        counters: Counters,
         log: DecisionLog,
     ) -> None:
         self._handler = handler
         self._get_limits = get_limits
+        self._counters = counters
         self._log = log
         self._server: asyncio.Server | None = None
         self._connections: dict[asyncio.Task[None], _ClientConnection] = {}
@@ -226,6 +239,7 @@
             self._server.close()
         for task, connection in list(self._connections.items()):
             if connection.is_idle:
+                connection.close_cause = CloseCause.DRAINING
                 task.cancel()
 
     async def close(self) -> None:
@@ -233,7 +247,8 @@
         if self._server is not None:
             self._server.close()
         tasks = list(self._connections)
-        for task in tasks:
+        for task, connection in self._connections.items():
+            connection.close_cause = CloseCause.STOPPING
             task.cancel()
         if tasks:
             await asyncio.wait(tasks, timeout=_CLOSE_TIMEOUT_S)
@@ -243,6 +258,7 @@
             channel,
             self._handler,
             self._get_limits(),
+            self._counters,
             self._log,
             lambda: self._draining,
         )
@@ -257,22 +273,30 @@
 
 
 class _ClientConnection:
-    """A client connection."""
+    """A client connection.
+
+    Attributes:
+        close_cause: Why the server closes the connection; None if it doesn't.
+    """
 
     def __init__(
         self,
         channel: Channel,
         handler: RequestHandler,
         limits: ClientLimits,
+        counters: Counters,
         log: DecisionLog,
         is_draining: Callable[[], bool],
     ) -> None:
+        self.close_cause: CloseCause | None = None
         self._channel = channel
         self._handler = handler
         self._limits = limits
+        self._counters = counters
         self._log = log
         self._is_draining = is_draining
         self._is_idle = True
+        self._idle_since = time.monotonic()
         self._time_slice = TimeSlice()
         self._request_expected_until = time.monotonic() + _FIRST_REQUEST_S
         self._codec = h11.Connection(
@@ -305,8 +329,27 @@
             self._log.debug("client_connection_error", error=str(error))
             self._channel.abort()
         finally:
+            self._record_close()
             self._channel.close()
 
+    def _record_close(self) -> None:
+        """Records a close by the server, and what its client had sent."""
+        if self.close_cause is None:
+            return
+        self._counters.connections_closed[self.close_cause.value] += 1
+        unread_bytes = self._channel.unread_bytes
+        if not unread_bytes and self._is_idle:
+            return
+        self._counters.connections_closed_early[self.close_cause.value] += 1
+        self._log.warning(
+            "connection_closed_early",
+            cause=self.close_cause.value,
+            unread_bytes=unread_bytes,
+            is_idle=self._is_idle,
+            idle_timeout_s=self._limits.idle_timeout_s,
+            idle_s=round(time.monotonic() - self._idle_since, 3),
+        )
+
     async def _handle_request(self) -> bool:
         """Handles one request; returns whether the connection stays open."""
         response = ClientResponse(self._channel, self._codec, self._must_close)
@@ -329,6 +372,7 @@
         finally:
             self._channel.set_close_callback(None)
         self._is_idle = True
+        self._idle_since = time.monotonic()
         return (
             not response.is_aborted
             and self._codec.our_state is h11.DONE
@@ -417,6 +461,7 @@
             async with asyncio.timeout(self._limits.idle_timeout_s):
                 data = await self._read_channel()
         except TimeoutError:
+            self.close_cause = CloseCause.IDLE_TIMEOUT
             return False
         self._codec.receive_data(data)
         return bool(data)
--- a/src/tanagerport/gateway/counters.py
+++ b/src/tanagerport/gateway/counters.py
@@ -50,6 +50,12 @@
         self.store_calls: collections.Counter[str] = collections.Counter()
         self.upstream_losses: collections.Counter[str] = collections.Counter()
         self.upstream_notices: collections.Counter[str] = collections.Counter()
+        self.connections_closed: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self.connections_closed_early: collections.Counter[str] = (
+            collections.Counter()
+        )
         self.store_bytes_read = 0
         self.clients_gone = 0
         self.wait = Histogram()
--- a/src/tanagerport/gateway/metrics_rendering.py
+++ b/src/tanagerport/gateway/metrics_rendering.py
@@ -39,6 +39,18 @@
                 "kind",
                 counters.upstream_notices,
             ),
+            (
+                "connections_closed",
+                "Connections of clients closed without a response.",
+                "cause",
+                counters.connections_closed,
+            ),
+            (
+                "connections_closed_early",
+                "Connections closed although their client had sent bytes.",
+                "cause",
+                counters.connections_closed_early,
+            ),
         ):
             family = CounterMetricFamily(
                 f"tanagerport_gateway_{name}", help_text, labels=[label]
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -365,7 +365,7 @@
             log,
         )
         self._client_server = ClientServer(
-            self._forwarder, self._get_limits, log
+            self._forwarder, self._get_limits, counters, log
         )
         self._table_copies = {
             codec.configuration_table: TableCopy(),
--- a/tests/test_gateway_kept_connections.py
+++ b/tests/test_gateway_kept_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import concurrent.futures
+import json
 import socket
 import time
 from collections.abc import Awaitable, Callable
@@ -15,6 +16,7 @@
     ClientResponse,
     ClientServer,
 )
+from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import ClientLimits
 
@@ -66,6 +68,15 @@
             sock.close()
         self._pool.shutdown()
 
+    def send(self, data: bytes) -> None:
+        """Sends bytes on each connection; does not give the loop a turn."""
+        for sock in self._sockets:
+            try:
+                sock.sendall(data)
+            except OSError:
+                # The connection was closed, so it gets no response either.
+                continue
+
     async def start(self) -> None:
         """Connects and gets one response on each connection."""
         await self._in_thread(self._connect)
@@ -73,7 +84,7 @@
 
     async def request(self, data: bytes = _REQUEST) -> int:
         """Sends a request on each connection; returns how many succeeded."""
-        await self._in_thread(lambda: self._send(data))
+        await self._in_thread(lambda: self.send(data))
         return await self.receive()
 
     async def receive(self) -> int:
@@ -93,7 +104,7 @@
 
         def send_later() -> None:
             time.sleep(at_s)
-            self._send(data)
+            self.send(data)
 
         sent = self._in_thread(send_later)
         # The standstill begins after the tasks of the server have blocked.
@@ -109,14 +120,6 @@
             sock = socket.create_connection((standin.HOST, self._port), 5)
             self._sockets.append(sock)
 
-    def _send(self, data: bytes) -> None:
-        for sock in self._sockets:
-            try:
-                sock.sendall(data)
-            except OSError:
-                # The connection was closed, so it gets no response either.
-                continue
-
     def _receive(self) -> int:
         count = 0
         for sock in self._sockets:
@@ -134,7 +137,9 @@
     """Runs a scenario with clients that have had one response each."""
 
     async def run() -> None:
-        server = ClientServer(_EmptyHandler(), get_limits, DecisionLog("n"))
+        server = ClientServer(
+            _EmptyHandler(), get_limits, Counters(), DecisionLog("n")
+        )
         port = standin.free_port()
         await server.start(standin.HOST, port)
         clients = Clients(port)
@@ -233,3 +238,34 @@
             assert await clients.request(request) == _CLIENTS
 
         run_server(scenario, lambda: limits)
+
+
+class TestCloseRecords:
+    """Guards against closed connections whose cause nobody can tell."""
+
+    def test_bytes_unread_at_the_close_are_recorded(
+        self, capfd: pytest.CaptureFixture[str]
+    ) -> None:
+        async def run() -> Counters:
+            counters = Counters()
+            log = DecisionLog("n")
+            server = ClientServer(
+                _EmptyHandler(), lambda: make_limits(5.0), counters, log
+            )
+            port = standin.free_port()
+            await server.start(standin.HOST, port)
+            clients = Clients(port, 1)
+            await clients.start()
+            # The bytes are in the kernel when the server closes.
+            clients.send(_REQUEST)
+            await server.close()
+            log.flush()
+            clients.close()
+            return counters
+
+        counters = asyncio.run(run())
+        assert counters.connections_closed == {"stopping": 1}
+        assert counters.connections_closed_early == {"stopping": 1}
+        line = json.loads(capfd.readouterr().out.splitlines()[-1])
+        assert line["event"] == "connection_closed_early"
+        assert line["unread_bytes"] == len(_REQUEST)
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -20,6 +20,7 @@
     ClientResponse,
     ClientServer,
 )
+from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import ClientLimits
 
@@ -220,6 +221,7 @@
     return ClientServer(
         _FixedHandler(body_bytes),
         lambda: ClientLimits(8192, 8192, 1.0, 5.0),
+        Counters(),
         DecisionLog("n"),
     )
 
