Read what a client has sent before its connection times out

What callers saw: after a standstill of the process longer than the idle or the header timeout, whole requests that were sent in time got no answer: the connection was closed, or got a 408.

Cause: one turn of the event loop notices the bytes and the timers that are due. The bytes wake the reading task, and asyncio.timeout cancels it before it runs. Class of fault: the node's own standstill counts as silence of the peer.

Change: IoTimeout. When its time is over, the sockets are polled and the tasks that they wake run before it cancels. After a standstill it extends the time by its length, at most to twice the time.

--- a/src/tanagerport/gateway/client_server.py
+++ b/src/tanagerport/gateway/client_server.py
@@ -15,6 +15,7 @@
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import ClientLimits
 from tanagerport.gateway.http_call import Headers
+from tanagerport.gateway.io_timeout import IoTimeout
 from tanagerport.gateway.time_slices import TimeSlice
 from tanagerport.refusals import Refusal, RefusalReason
 
@@ -404,7 +405,7 @@
             # Conflicting framing allows request smuggling.
             raise _bad_request("both Content-Length and Transfer-Encoding")
         try:
-            async with asyncio.timeout(_BODY_TIMEOUT_S):
+            async with IoTimeout(_BODY_TIMEOUT_S):
                 body = await self._read_body()
         except TimeoutError:
             raise RequestReadError(
@@ -432,7 +433,7 @@
         self._is_idle = False
         self._request_expected_until = 0.0
         try:
-            async with asyncio.timeout(self._limits.header_timeout_s):
+            async with IoTimeout(self._limits.header_timeout_s):
                 while event is h11.NEED_DATA:
                     data = await self._read_channel()
                     if not data:
@@ -458,11 +459,14 @@
 
     async def _wait_for_first_bytes(self) -> bool:
         try:
-            async with asyncio.timeout(self._limits.idle_timeout_s):
+            async with IoTimeout(self._limits.idle_timeout_s):
                 data = await self._read_channel()
         except TimeoutError:
-            self.close_cause = CloseCause.IDLE_TIMEOUT
-            return False
+            if not self._channel.has_unread:
+                self.close_cause = CloseCause.IDLE_TIMEOUT
+                return False
+            # The bytes came in the turn of the loop in which the time was over.
+            data = await self._read_channel()
         self._codec.receive_data(data)
         return bool(data)
 
--- /dev/null
+++ b/tests/test_gateway_io_timeout.py
@@ -0,0 +1,63 @@
+"""Tests of timeouts in a process that stands still."""
+
+import asyncio
+import time
+
+import pytest
+
+from tanagerport.gateway.io_timeout import IoTimeout
+
+
+async def wait_past_standstill(
+    event: asyncio.Event, delay_s: float, standstill_s: float
+) -> float:
+    """Returns the time until an event or a timeout, in seconds."""
+    started_at = time.monotonic()
+    asyncio.get_running_loop().call_later(0.05, time.sleep, standstill_s)
+    try:
+        async with IoTimeout(delay_s):
+            await event.wait()
+    except TimeoutError:
+        return time.monotonic() - started_at
+    return 0.0
+
+
+class TestIoTimeout:
+    """Guards against peers that count as silent for the node's own pause."""
+
+    def test_silent_peer_times_out_in_time(self) -> None:
+        waited_s = asyncio.run(wait_past_standstill(asyncio.Event(), 0.3, 0.0))
+        assert 0.3 <= waited_s < 0.4
+
+    def test_standstill_extends_the_time_once(self) -> None:
+        waited_s = asyncio.run(wait_past_standstill(asyncio.Event(), 0.2, 0.4))
+        assert 0.4 < waited_s < 0.9
+
+    @pytest.mark.parametrize("delay_s", [0.01, 0.1])
+    def test_event_noticed_after_the_standstill_is_in_time(
+        self, delay_s: float
+    ) -> None:
+        async def scenario() -> float:
+            event = asyncio.Event()
+            # The event is set in a later turn than that of the due timer.
+            asyncio.get_running_loop().call_later(0.46, event.set)
+            return await wait_past_standstill(event, 0.4 + delay_s, 0.42)
+
+        assert asyncio.run(scenario()) == 0.0
+
+    def test_endless_standstills_do_not_extend_the_time_without_end(
+        self,
+    ) -> None:
+        async def scenario() -> float:
+            async def stand_still_often() -> None:
+                while True:
+                    time.sleep(0.15)  # noqa: ASYNC251
+                    await asyncio.sleep(0)
+
+            task = asyncio.create_task(stand_still_often())
+            async with asyncio.timeout(10.0):
+                waited_s = await wait_past_standstill(asyncio.Event(), 0.2, 0.0)
+            task.cancel()
+            return waited_s
+
+        assert asyncio.run(scenario()) > 0.2
