Apply the limits in force to open connections of clients

What callers saw: after the operator had raised the idle timeout, connections that were open by then were closed after the former one, while their clients still used them; requests within raised limits of header fields and bodies got 431 or 413 on them.

Cause: a connection took the limits when it was accepted. Class of fault: a copy of configuration that outlives the version.

Change: a connection asks for the limits when it waits for a request, again before it gives up the wait, and when the request begins. A shorter idle timeout holds from the next wait on, since a client may not know it yet.

--- a/src/tanagerport/gateway/client_server.py
+++ b/src/tanagerport/gateway/client_server.py
@@ -258,7 +258,7 @@
         connection = _ClientConnection(
             channel,
             self._handler,
-            self._get_limits(),
+            self._get_limits,
             self._counters,
             self._log,
             lambda: self._draining,
@@ -284,7 +284,7 @@
         self,
         channel: Channel,
         handler: RequestHandler,
-        limits: ClientLimits,
+        get_limits: Callable[[], ClientLimits],
         counters: Counters,
         log: DecisionLog,
         is_draining: Callable[[], bool],
@@ -292,7 +292,9 @@
         self.close_cause: CloseCause | None = None
         self._channel = channel
         self._handler = handler
-        self._limits = limits
+        self._get_limits = get_limits
+        # Limits for the request that is read, or for the wait for it.
+        self._limits = get_limits()
         self._counters = counters
         self._log = log
         self._is_draining = is_draining
@@ -300,9 +302,7 @@
         self._idle_since = time.monotonic()
         self._time_slice = TimeSlice()
         self._request_expected_until = time.monotonic() + _FIRST_REQUEST_S
-        self._codec = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        self._codec = self._create_codec()
 
     @property
     def is_idle(self) -> bool:
@@ -347,12 +347,14 @@
             cause=self.close_cause.value,
             unread_bytes=unread_bytes,
             is_idle=self._is_idle,
-            idle_timeout_s=self._limits.idle_timeout_s,
+            idle_timeout_s=self._get_limits().idle_timeout_s,
             idle_s=round(time.monotonic() - self._idle_since, 3),
         )
 
     async def _handle_request(self) -> bool:
         """Handles one request; returns whether the connection stays open."""
+        if not await self._wait_for_request():
+            return False
         response = ClientResponse(self._channel, self._codec, self._must_close)
         try:
             request = await self._read_request()
@@ -424,14 +426,8 @@
         )
 
     async def _read_head(self) -> h11.Request | None:
-        """Reads a request header; None if the client closes or stays idle."""
+        """Reads a request header; returns None if the client closes."""
         event = self._next_event()
-        if event is h11.NEED_DATA:
-            if not await self._wait_for_first_bytes():
-                return None
-            event = self._next_event()
-        self._is_idle = False
-        self._request_expected_until = 0.0
         try:
             async with IoTimeout(self._limits.header_timeout_s):
                 while event is h11.NEED_DATA:
@@ -457,18 +453,46 @@
             self._time_slice.restart()
         return data
 
-    async def _wait_for_first_bytes(self) -> bool:
-        try:
-            async with IoTimeout(self._limits.idle_timeout_s):
-                data = await self._read_channel()
-        except TimeoutError:
-            if not self._channel.has_unread:
-                self.close_cause = CloseCause.IDLE_TIMEOUT
+    async def _wait_for_request(self) -> bool:
+        """Waits for the first bytes of a request; False if none come."""
+        data = b""
+        if not self._codec.trailing_data[0]:
+            data = await self._read_first_bytes()
+            if not data:
                 return False
-            # The bytes came in the turn of the loop in which the time was over.
-            data = await self._read_channel()
-        self._codec.receive_data(data)
-        return bool(data)
+        self._is_idle = False
+        self._request_expected_until = 0.0
+        limits = self._get_limits()
+        if limits.header_bytes != self._limits.header_bytes:
+            data = self._codec.trailing_data[0] + data
+            self._limits = limits
+            self._codec = self._create_codec()
+        self._limits = limits
+        if data:
+            self._codec.receive_data(data)
+        return True
+
+    async def _read_first_bytes(self) -> bytes:
+        """Waits for bytes; returns none if the client closes or stays idle."""
+        idle_timeout_s = 0.0
+        while (limit_s := self._get_limits().idle_timeout_s) > idle_timeout_s:
+            # A client goes by the longest limit that it may know.
+            remaining_s = limit_s - idle_timeout_s
+            idle_timeout_s = limit_s
+            try:
+                async with IoTimeout(remaining_s):
+                    return await self._read_channel()
+            except TimeoutError:
+                if self._channel.has_unread:
+                    # They came in the turn of the loop that ended the time.
+                    return await self._read_channel()
+        self.close_cause = CloseCause.IDLE_TIMEOUT
+        return b""
+
+    def _create_codec(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
 
     async def _read_body(self) -> bytes:
         body = bytearray()
