Don't take the node's own standstill for silence of others

What callers saw: nothing by itself. After a standstill, calls to the store, to other nodes and new connections to upstreams failed although their answers had come: a write whose outcome was known was reported as unknown, an upstream or a coordinator counted as unreachable.

Cause: the same as for connections of clients, asyncio.timeout cancels a task whose data has come in the same turn of the loop.

Change: IoTimeout for calls to the store, reads of other nodes' tables, new connections, the internal server and the questions to coordinators.

--- a/src/tanagerport/gateway/channel.py
+++ b/src/tanagerport/gateway/channel.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import cast
 
+from tanagerport.gateway.io_timeout import IoTimeout
+
 # Reading from the socket pauses above this many unread bytes, to bound the
 # memory used for a peer that sends faster than its data is consumed.
 _READ_BUFFER_LIMIT_BYTES = 64 * 1024
@@ -250,7 +252,7 @@
     """
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
+        async with IoTimeout(timeout_s):
             _, channel = await loop.create_connection(Channel, host, port)
     except TimeoutError:
         raise ConnectionError(
--- a/src/tanagerport/gateway/internal_server.py
+++ b/src/tanagerport/gateway/internal_server.py
@@ -9,6 +9,7 @@
 from tanagerport.gateway import table_exchange
 from tanagerport.gateway.channel import Channel
 from tanagerport.gateway.counters import Counters
+from tanagerport.gateway.io_timeout import IoTimeout
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.table_exchange import TableServer
 
@@ -62,7 +63,7 @@
             while True:
                 event = codec.next_event()
                 if event is h11.NEED_DATA:
-                    async with asyncio.timeout(_IDLE_TIMEOUT_S):
+                    async with IoTimeout(_IDLE_TIMEOUT_S):
                         data = await channel.read()
                     if not data:
                         return
--- a/src/tanagerport/gateway/slot_client.py
+++ b/src/tanagerport/gateway/slot_client.py
@@ -9,6 +9,7 @@
 from tanagerport.exceptions import RefusedError
 from tanagerport.gateway.coordinator_directory import CoordinatorDirectory
 from tanagerport.gateway.domain import RequestKind, UpstreamRecord
+from tanagerport.gateway.io_timeout import IoTimeout
 from tanagerport.gateway.slot_messages import (
     DenialReason,
     HeldLease,
@@ -407,7 +408,7 @@
         self._send(pending.host, pending.message)
         for timeout_s in _LOCAL_INTERVALS_S:
             try:
-                async with asyncio.timeout(timeout_s):
+                async with IoTimeout(timeout_s):
                     await pending.heard.wait()
                     return
             except TimeoutError:
@@ -515,7 +516,7 @@
         for timeout_s in timeouts_s:
             self._send(pending.host, pending.message)
             try:
-                async with asyncio.timeout(timeout_s):
+                async with IoTimeout(timeout_s):
                     await pending.heard.wait()
             except TimeoutError:
                 continue
--- a/src/tanagerport/gateway/table_exchange.py
+++ b/src/tanagerport/gateway/table_exchange.py
@@ -6,7 +6,6 @@
 received the configuration in time.
 """
 
-import asyncio
 import re
 import time
 import urllib.parse
@@ -17,6 +16,7 @@
 from tanagerport.exceptions import StoreUnavailableError
 from tanagerport.gateway.channel import open_channel
 from tanagerport.gateway.http_call import CallError, HttpCall
+from tanagerport.gateway.io_timeout import IoTimeout
 from tanagerport.gateway.table_copy import (
     TableChanges,
     TableCopy,
@@ -132,7 +132,7 @@
         except ConnectionError as error:
             raise StoreUnavailableError(str(error)) from error
         try:
-            async with asyncio.timeout(_FETCH_TIMEOUT_S):
+            async with IoTimeout(_FETCH_TIMEOUT_S):
                 call = HttpCall(
                     channel,
                     h11.Request(
