--- /dev/null
+++ b/src/tanagerport/gateway/client_connection.py
@@ -0,0 +1,335 @@
+"""A connection of a client: reads its requests and has them handled."""
+
+import asyncio
+import enum
+import time
+from collections.abc import Callable
+
+import h11
+
+from tanagerport.gateway.channel import Channel
+from tanagerport.gateway.client_messages import (
+    ClientRequest,
+    ClientResponse,
+    RequestHandler,
+)
+from tanagerport.gateway.counters import Counters
+from tanagerport.gateway.decision_log import DecisionLog
+from tanagerport.gateway.domain import ClientLimits
+from tanagerport.gateway.io_timeout import IoTimeout
+from tanagerport.gateway.time_slices import TimeSlice
+from tanagerport.refusals import Refusal, RefusalReason
+
+# Colon, space and CRLF of a header field.
+_FIELD_OVERHEAD_BYTES = 4
+# Timeout for receiving a whole request body, in seconds.
+_BODY_TIMEOUT_S = 30.0
+
+# Time in which a new connection counts as about to send its first request, in
+# seconds: a few round trips between regions.
+_FIRST_REQUEST_S = 0.3
+
+
+class CloseCause(enum.StrEnum):
+    """Why the server closed a connection on which it had sent no response."""
+
+    IDLE_TIMEOUT = "idle_timeout"
+    DRAINING = "draining"
+    STOPPING = "stopping"
+
+
+class RequestReadError(Exception):
+    """A request that could not be read and is refused without a handler.
+
+    Attributes:
+        refusal: Refusal to send.
+    """
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+class ClientConnection:
+    """A client connection.
+
+    Attributes:
+        close_cause: Why the server closes the connection; None if it doesn't.
+
+    Args:
+        channel: The connection.
+        handler: Handles the requests.
+        get_limits: Returns the current limits.
+        counters: Metrics of the process.
+        log: Structured decision log.
+        is_draining: Returns whether the connection closes after a response.
+    """
+
+    def __init__(
+        self,
+        channel: Channel,
+        handler: RequestHandler,
+        get_limits: Callable[[], ClientLimits],
+        counters: Counters,
+        log: DecisionLog,
+        is_draining: Callable[[], bool],
+    ) -> None:
+        self.close_cause: CloseCause | None = None
+        self._channel = channel
+        self._handler = handler
+        self._get_limits = get_limits
+        # Limits for the request that is read, or for the wait for it.
+        self._limits = get_limits()
+        self._counters = counters
+        self._log = log
+        self._is_draining = is_draining
+        self._is_idle = True
+        self._idle_since = time.monotonic()
+        self._time_slice = TimeSlice()
+        self._request_expected_until = time.monotonic() + _FIRST_REQUEST_S
+        self._codec = self._create_codec()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is expected and no response is unsent."""
+        return (
+            self._is_idle
+            and time.monotonic() >= self._request_expected_until
+            and not self._channel.has_unread
+            and not self._channel.has_unsent
+        )
+
+    async def run(self) -> None:
+        """Handles the requests of the connection in sequence."""
+        try:
+            while await self._handle_request():
+                self._codec.start_next_cycle()
+                if self._channel.has_unread or self._codec.trailing_data[0]:
+                    # The client sends requests without waiting for answers.
+                    await self._time_slice.pause_if_over()
+            await self._channel.flush()
+        except asyncio.CancelledError:
+            # The client disconnected, or the server is closing.
+            self._channel.abort()
+        except (ConnectionError, h11.LocalProtocolError) as error:
+            self._log.debug("client_connection_error", error=str(error))
+            self._channel.abort()
+        finally:
+            self._record_close()
+            self._channel.close()
+
+    def _record_close(self) -> None:
+        """Records a close by the server, and what its client had sent."""
+        if self.close_cause is None:
+            return
+        self._counters.connections_closed[self.close_cause.value] += 1
+        unread_bytes = self._channel.unread_bytes
+        if not unread_bytes and self._is_idle:
+            return
+        self._counters.connections_closed_early[self.close_cause.value] += 1
+        self._log.warning(
+            "connection_closed_early",
+            cause=self.close_cause.value,
+            unread_bytes=unread_bytes,
+            is_idle=self._is_idle,
+            idle_timeout_s=self._get_limits().idle_timeout_s,
+            idle_s=round(time.monotonic() - self._idle_since, 3),
+        )
+
+    async def _handle_request(self) -> bool:
+        """Handles one request; returns whether the connection stays open."""
+        if not await self._wait_for_request():
+            return False
+        response = ClientResponse(self._channel, self._codec, self._must_close)
+        try:
+            request = await self._read_request()
+            if request is None:
+                return False
+        except RequestReadError as error:
+            self._log.refused("", error.refusal)
+            response.refuse(error.refusal)
+            await response.drain()
+            return False
+        task = asyncio.current_task()
+        if task is not None:
+            self._channel.set_close_callback(task.cancel)
+        if not self._channel.is_open:
+            return False
+        try:
+            await self._handler.handle(request, response)
+        finally:
+            self._channel.set_close_callback(None)
+        self._is_idle = True
+        self._idle_since = time.monotonic()
+        return (
+            not response.is_aborted
+            and self._codec.our_state is h11.DONE
+            and self._codec.their_state is h11.DONE
+        )
+
+    def _must_close(self) -> bool:
+        return self._is_draining() or self._codec.their_state not in (
+            h11.DONE,
+            h11.IDLE,
+        )
+
+    async def _read_request(self) -> ClientRequest | None:
+        head = await self._read_head()
+        if head is None:
+            return None
+        received_at = time.monotonic()
+        header_values = {name: bytes(value) for name, value in head.headers}
+        size = len(head.target) + sum(
+            len(name) + len(value) + _FIELD_OVERHEAD_BYTES
+            for name, value in head.headers
+        )
+        if size > self._limits.header_bytes:
+            raise self._headers_too_large()
+        if (
+            b"content-length" in header_values
+            and b"transfer-encoding" in header_values
+        ):
+            # Conflicting framing allows request smuggling.
+            raise _bad_request("both Content-Length and Transfer-Encoding")
+        try:
+            async with IoTimeout(_BODY_TIMEOUT_S):
+                body = await self._read_body()
+        except TimeoutError:
+            raise RequestReadError(
+                Refusal(
+                    RefusalReason.REQUEST_TIMEOUT,
+                    f"the body did not arrive within {_BODY_TIMEOUT_S:g} s",
+                )
+            ) from None
+        return ClientRequest(
+            bytes(head.method),
+            bytes(head.target),
+            head.headers.raw_items(),
+            header_values,
+            body,
+            received_at,
+        )
+
+    async def _read_head(self) -> h11.Request | None:
+        """Reads a request header; returns None if the client closes."""
+        event = self._next_event()
+        try:
+            async with IoTimeout(self._limits.header_timeout_s):
+                while event is h11.NEED_DATA:
+                    data = await self._read_channel()
+                    if not data:
+                        return None
+                    self._codec.receive_data(data)
+                    event = self._next_event()
+        except TimeoutError:
+            raise RequestReadError(
+                Refusal(
+                    RefusalReason.REQUEST_TIMEOUT,
+                    "the header fields did not arrive within"
+                    f" {self._limits.header_timeout_s:g} s",
+                )
+            ) from None
+        return event if isinstance(event, h11.Request) else None
+
+    async def _read_channel(self) -> bytes:
+        has_to_wait = not self._channel.has_unread
+        data = await self._channel.read()
+        if has_to_wait:
+            self._time_slice.restart()
+        return data
+
+    async def _wait_for_request(self) -> bool:
+        """Waits for the first bytes of a request; False if none come."""
+        data = b""
+        if not self._codec.trailing_data[0]:
+            data = await self._read_first_bytes()
+            if not data:
+                return False
+        self._is_idle = False
+        self._request_expected_until = 0.0
+        limits = self._get_limits()
+        if limits.header_bytes != self._limits.header_bytes:
+            data = self._codec.trailing_data[0] + data
+            self._limits = limits
+            self._codec = self._create_codec()
+        self._limits = limits
+        if data:
+            self._codec.receive_data(data)
+        return True
+
+    async def _read_first_bytes(self) -> bytes:
+        """Waits for bytes; returns none if the client closes or stays idle."""
+        idle_timeout_s = 0.0
+        while (limit_s := self._get_limits().idle_timeout_s) > idle_timeout_s:
+            # A client goes by the longest limit that it may know.
+            remaining_s = limit_s - idle_timeout_s
+            idle_timeout_s = limit_s
+            try:
+                async with IoTimeout(remaining_s):
+                    return await self._read_channel()
+            except TimeoutError:
+                if self._channel.has_unread:
+                    # They came in the turn of the loop that ended the time.
+                    return await self._read_channel()
+        self.close_cause = CloseCause.IDLE_TIMEOUT
+        return b""
+
+    def _create_codec(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+
+    async def _read_body(self) -> bytes:
+        body = bytearray()
+        if self._codec.they_are_waiting_for_100_continue:
+            self._channel.write(
+                self._codec.send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+                or b""
+            )
+        while True:
+            await self._time_slice.pause_if_over()
+            event = self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._limits.body_bytes:
+                    raise RequestReadError(
+                        Refusal(
+                            RefusalReason.BODY_TOO_LARGE,
+                            "the body is above"
+                            f" {self._limits.body_bytes} bytes",
+                        )
+                    )
+                continue
+            data = await self._read_channel()
+            if not data:
+                raise ConnectionResetError(
+                    "the client closed the connection before the body ended"
+                )
+            self._codec.receive_data(data)
+
+    def _headers_too_large(self) -> RequestReadError:
+        return RequestReadError(
+            Refusal(
+                RefusalReason.HEADERS_TOO_LARGE,
+                "the header fields are above"
+                f" {self._limits.header_bytes} bytes",
+            )
+        )
+
+    def _next_event(
+        self,
+    ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        try:
+            return self._codec.next_event()
+        except h11.RemoteProtocolError as error:
+            if error.error_status_hint == 431:
+                raise self._headers_too_large() from error
+            raise _bad_request(str(error)) from error
+
+
+def _bad_request(message: str) -> RequestReadError:
+    return RequestReadError(Refusal(RefusalReason.BAD_REQUEST, message))
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from tanagerport.exceptions import RefusedError
-from tanagerport.gateway.client_server import ClientRequest, ClientResponse
+from tanagerport.gateway.client_messages import ClientRequest, ClientResponse
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.dispatch import Dispatcher
--- a/src/tanagerport/gateway/request_context.py
+++ b/src/tanagerport/gateway/request_context.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from tanagerport.exceptions import RefusedError
-from tanagerport.gateway.client_server import ClientRequest, ClientResponse
+from tanagerport.gateway.client_messages import ClientRequest, ClientResponse
 from tanagerport.gateway.domain import Customer
 from tanagerport.gateway.work_item import Placement, WorkItem
 from tanagerport.refusals import Ran, Refusal, RefusalReason, RetryReason
--- a/src/tanagerport/gateway/request_headers.py
+++ b/src/tanagerport/gateway/request_headers.py
@@ -1,6 +1,8 @@
 """Parsing and rewriting of header fields between clients and upstreams."""
 
-from tanagerport.gateway.client_server import ClientRequest, end_to_end_headers
+from collections.abc import Iterable
+
+from tanagerport.gateway.client_messages import ClientRequest
 from tanagerport.gateway.domain import (
     Customer,
     PromptPart,
@@ -13,6 +15,20 @@
 # Larger counts are taken as this. No engine holds as many tokens, and sums over
 # all requests fit into the messages between nodes.
 _MAX_TOKENS = 10**9
+# Header fields that a proxy must not forward (RFC 9110, section 7.6.1).
+_HOP_BY_HOP_FIELDS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
 
 
 def parse_number(value: bytes | None) -> int | None:
@@ -88,7 +104,7 @@
         replaced.add(http_names.last_event_id)
     headers = [
         (name, value)
-        for name, value in end_to_end_headers(
+        for name, value in _end_to_end_headers(
             request.headers, request.header_values
         )
         if not _is_reserved(http_names, name.lower())
@@ -133,7 +149,7 @@
     """
     headers = [
         (name, value)
-        for name, value in end_to_end_headers(head.headers, head.header_values)
+        for name, value in _end_to_end_headers(head.headers, head.header_values)
         if name.lower() != b"content-length"
     ]
     if body_length is not None:
@@ -154,3 +170,26 @@
 def closes_connection(head: ResponseHead) -> bool:
     """Returns whether the upstream closes the connection after its response."""
     return b"close" in head.header_values.get(b"connection", b"").lower()
+
+
+def _end_to_end_headers(
+    headers: Iterable[tuple[bytes, bytes]], header_values: dict[bytes, bytes]
+) -> Headers:
+    """Returns the end-to-end header fields, which a proxy forwards.
+
+    Leaves out hop-by-hop fields and those that `Connection` lists.
+
+    Args:
+        headers: Header fields with names in their original case.
+        header_values: Values by lowercase field name.
+    """
+    connection_options = {
+        name.strip().lower()
+        for name in header_values.get(b"connection", b"").split(b",")
+    }
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _HOP_BY_HOP_FIELDS
+        and name.lower() not in connection_options
+    ]
--- a/src/tanagerport/gateway/request_validation.py
+++ b/src/tanagerport/gateway/request_validation.py
@@ -4,7 +4,7 @@
 
 from tanagerport.gateway import request_headers
 from tanagerport.gateway.attempt_age import AttemptAgeEstimator
-from tanagerport.gateway.client_server import ClientRequest, ClientResponse
+from tanagerport.gateway.client_messages import ClientRequest, ClientResponse
 from tanagerport.gateway.crash_evidence import request_keys
 from tanagerport.gateway.domain import Customer, Route
 from tanagerport.gateway.http_names import HttpNames
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -7,7 +7,7 @@
 import gateway_doubles
 from tanagerport.clock import FakeClock
 from tanagerport.exceptions import RefusedError
-from tanagerport.gateway.client_server import ClientRequest, ClientResponse
+from tanagerport.gateway.client_messages import ClientRequest, ClientResponse
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.dispatch import Dispatcher
--- a/tests/test_gateway_kept_connections.py
+++ b/tests/test_gateway_kept_connections.py
@@ -11,11 +11,8 @@
 import pytest
 
 import platform_standin as standin
-from tanagerport.gateway.client_server import (
-    ClientRequest,
-    ClientResponse,
-    ClientServer,
-)
+from tanagerport.gateway.client_messages import ClientRequest, ClientResponse
+from tanagerport.gateway.client_server import ClientServer
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import ClientLimits
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -15,11 +15,8 @@
 from platform_standin import LocalCluster, configuration, route
 from tanagerport.gateway import client_server
 from tanagerport.gateway.channel import Channel
-from tanagerport.gateway.client_server import (
-    ClientRequest,
-    ClientResponse,
-    ClientServer,
-)
+from tanagerport.gateway.client_messages import ClientRequest, ClientResponse
+from tanagerport.gateway.client_server import ClientServer
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import ClientLimits
