Don't count others as gone after the node's own standstill

Silence is measured by the monotonic clock, which goes on while nothing that others send is read.

Change: AttendedClock stops while the event loop stands still. Live nodes, leases, summaries of other regions and the silence of upstreams go by it. The age of tables and of the configuration still counts each second, and so does what decides whether another node is sent a whole report.

--- a/src/tanagerport/gateway/coordinator.py
+++ b/src/tanagerport/gateway/coordinator.py
@@ -76,6 +76,8 @@
         send: Sends a message to a node.
         now: Monotonic clock, in seconds.
         start_delay_s: Time after the start in which no slots are granted.
+        attended_now: Clock that tells how long other nodes are silent, in
+            seconds; None for `now`.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         send: Callable[[str, SlotMessage], None],
         now: Callable[[], float] = time.monotonic,
         start_delay_s: float = START_DELAY_S,
+        attended_now: Callable[[], float] | None = None,
     ) -> None:
         self._regions = regions
         self._region = regions.get(zone, "")
@@ -108,8 +111,9 @@
         self._now = now
         self._ready_at = now() + start_delay_s
         self._is_stopping = False
-        self._leases = LeaseTable(now)
-        self._loads = RegionLoads(self._leases, now)
+        self._attended_now = attended_now or now
+        self._leases = LeaseTable(self._attended_now)
+        self._loads = RegionLoads(self._leases, self._attended_now)
         self._selector = UpstreamSelector(
             zone, regions, self._loads, health, latencies, cache
         )
@@ -429,7 +433,7 @@
                 placement.item.service,
                 max(placement.prompt_tokens, 1),
                 placement.queued_prompt_tokens,
-                self._now(),
+                self._attended_now(),
             ),
         )
 
--- a/src/tanagerport/gateway/lease_table.py
+++ b/src/tanagerport/gateway/lease_table.py
@@ -43,7 +43,7 @@
         pending_prompt_tokens: Prompt tokens not yet prefilled.
         queued_prompt_tokens: Prompt tokens of the request and of those before
             it at the start.
-        granted_at: Monotonic time of the grant.
+        granted_at: Time of the grant on the clock of the table, in seconds.
     """
 
     upstream_id: str
@@ -66,7 +66,7 @@
     Implements `LoadSource`.
 
     Args:
-        now: Monotonic clock, in seconds.
+        now: Clock that tells how long other nodes are silent, in seconds.
     """
 
     def __init__(self, now: Callable[[], float] = time.monotonic) -> None:
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -13,6 +13,7 @@
     SettingsError,
 )
 from tanagerport.findings import Finding
+from tanagerport.gateway.attended_clock import AttendedClock
 from tanagerport.gateway.canary_budget import CanaryLimits
 from tanagerport.gateway.client_server import ClientServer
 from tanagerport.gateway.coordination import CoordinationTransport
@@ -197,6 +198,7 @@
         self._is_draining = False
         self._has_read_upstreams = False
         self._counters = counters
+        self._attended_clock = AttendedClock()
         self._health = UpstreamHealth()
         self._backoff = UpstreamBackoff()
         self._latencies = LatencyEstimator()
@@ -223,6 +225,7 @@
             self._apply_report,
             self._remove_peer_state,
             log,
+            attended_now=self._attended_clock.monotonic,
         )
         self._directory = NodeDirectory(
             store,
@@ -241,6 +244,7 @@
         self._load_tracker = LoadTracker(
             self._peer_exchange.count_live_nodes,
             lambda: self._peer_exchange.interval_s,
+            self._attended_clock.monotonic,
         )
         self._retry_budget = RetryBudget(
             settings.retry_ratio,
@@ -294,6 +298,7 @@
                 for host in directory.coordinators(service, region)[:1]
             ],
             self._coordination.send,
+            attended_now=self._attended_clock.monotonic,
         )
         self._coordination.connect(self._coordinator, self._slots)
         self._scheduler = Scheduler(
@@ -531,6 +536,7 @@
         tasks = [
             loop.create_task(self._run_with_restarts(name, run))
             for name, run in (
+                ("clock", self._attended_clock.run),
                 ("configuration", self._watches[0].run),
                 ("upstreams", self._watches[1].run),
                 ("reports", self._peer_exchange.run),
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -170,6 +170,7 @@
         sequence: Sequence number of its newest report.
         zone: Availability zone; empty before the first report.
         last_report_at: Monotonic time of its newest report, in seconds.
+        heard_at: The same on the clock that tells how long it is silent.
         table_ages_ms: Milliseconds since the store last responded to it, as of
             its newest report.
         rank: Rank in the selection of readers; None before the first report.
@@ -184,6 +185,7 @@
     sequence: int = -1
     zone: str = ""
     last_report_at: float = float("-inf")
+    heard_at: float = float("-inf")
     table_ages_ms: tuple[int, int] = (MAX_TABLE_AGE_MS, MAX_TABLE_AGE_MS)
     rank: ReaderRank | None = None
     started_at: float = float("inf")
@@ -218,6 +220,8 @@
             removed because it stopped reporting.
         log: Decision log.
         now: Monotonic clock, in seconds.
+        attended_now: Clock that tells how long other nodes are silent, in
+            seconds; None for `now`.
     """
 
     def __init__(
@@ -231,6 +235,7 @@
         on_peer_lost: Callable[[str], None],
         log: DecisionLog,
         now: Callable[[], float] = time.monotonic,
+        attended_now: Callable[[], float] | None = None,
     ) -> None:
         self._host = host
         self._regions = regions
@@ -241,6 +246,7 @@
         self._on_peer_lost = on_peer_lost
         self._log = log
         self._now = now
+        self._attended_now = attended_now or now
         self._peers: dict[str, Peer] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._encoder = msgspec.msgpack.Encoder()
@@ -310,7 +316,8 @@
         return [
             peer
             for peer in self._peers.values()
-            if not self._has_timed_out(peer)
+            if self._attended_now() - peer.heard_at
+            <= self.peer_timeout_s(peer.zone)
         ]
 
     def reader_candidates(self, table: int) -> list[tuple[ReaderRank, float]]:
@@ -692,6 +699,7 @@
         peer.start = report.start
         peer.sequence = report.sequence
         peer.last_report_at = self._now()
+        peer.heard_at = self._attended_now()
         peer.table_ages_ms = report.table_ages_ms
         peer.rank = reader_rank(report.host, report.link_mbps)
         peer.started_at = self._now() - report.uptime_s
