Tell clients the idle timeout of their connection

What callers saw: while a change of the idle timeout spreads, or where a node is cut off from the store, a client can't know when the node closes its connection.

Change: responses on connections that stay open bear Keep-Alive: timeout=N, in whole seconds, and the connection stays open for at least the time that was told last, whatever version arrives meanwhile.

Evidence: TestAnnouncedIdleTimeout; its first test failed before.

--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -80,6 +80,8 @@
         self._get_limits = get_limits
         # Limits for the request that is read, or for the wait for it.
         self._limits = get_limits()
+        # Idle timeout that the client was told, which it may rely on.
+        self._announced_s = 0
         self._counters = counters
         self._log = log
         self._is_draining = is_draining
@@ -132,7 +134,7 @@
             cause=self.close_cause.value,
             unread_bytes=unread_bytes,
             is_idle=self._is_idle,
-            idle_timeout_s=self._get_limits().idle_timeout_s,
+            idle_timeout_s=self._idle_timeout_s(),
             idle_s=round(time.monotonic() - self._idle_since, 3),
         )
 
@@ -140,7 +142,12 @@
         """Handles one request; returns whether the connection stays open."""
         if not await self._wait_for_request():
             return False
-        response = ClientResponse(self._channel, self._codec, self._must_close)
+        response = ClientResponse(
+            self._channel,
+            self._codec,
+            self._must_close,
+            self._announce_idle_timeout_s,
+        )
         try:
             request = await self._read_request()
             if request is None:
@@ -260,8 +267,8 @@
     async def _read_first_bytes(self) -> bytes:
         """Waits for bytes; returns none if the client closes or stays idle."""
         idle_timeout_s = 0.0
-        while (limit_s := self._get_limits().idle_timeout_s) > idle_timeout_s:
-            # A client goes by the longest limit that it may know.
+        while (limit_s := self._idle_timeout_s()) > idle_timeout_s:
+            # The limit was raised while the client was idle.
             remaining_s = limit_s - idle_timeout_s
             idle_timeout_s = limit_s
             try:
@@ -274,6 +281,14 @@
         self.close_cause = CloseCause.IDLE_TIMEOUT
         return b""
 
+    def _idle_timeout_s(self) -> float:
+        return max(self._get_limits().idle_timeout_s, self._announced_s)
+
+    def _announce_idle_timeout_s(self) -> int:
+        """Returns the idle timeout that the client is told, in seconds."""
+        self._announced_s = int(self._get_limits().idle_timeout_s)
+        return self._announced_s
+
     def _create_codec(self) -> h11.Connection:
         return h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
--- a/src/tanagerport/gateway/client_messages.py
+++ b/src/tanagerport/gateway/client_messages.py
@@ -43,6 +43,8 @@
         channel: Connection to the client.
         codec: HTTP protocol state of the connection.
         must_close: Returns whether the connection closes after the response.
+        announce_idle_timeout_s: Returns the idle timeout to announce, in
+            seconds.
     """
 
     def __init__(
@@ -50,10 +52,12 @@
         channel: Channel,
         codec: h11.Connection,
         must_close: Callable[[], bool],
+        announce_idle_timeout_s: Callable[[], int],
     ) -> None:
         self._channel = channel
         self._codec = codec
         self._must_close = must_close
+        self._announce_idle_timeout_s = announce_idle_timeout_s
         self._started = False
         self._aborted = False
 
@@ -71,6 +75,8 @@
         """Sends the status line and the header fields."""
         if self._must_close():
             headers = [*headers, (b"Connection", b"close")]
+        elif timeout_s := self._announce_idle_timeout_s():
+            headers = [*headers, (b"Keep-Alive", b"timeout=%d" % timeout_s)]
         self._started = True
         self._send(
             h11.Response(status_code=status, reason=reason, headers=headers)
--- a/tests/test_gateway_kept_connections.py
+++ b/tests/test_gateway_kept_connections.py
@@ -88,6 +88,10 @@
         """Returns how many connections get a success."""
         return await self._in_thread(self._receive)
 
+    async def receive_one(self) -> bytes:
+        """Returns what the first connection receives."""
+        return await self._in_thread(lambda: self._sockets[0].recv(4096))
+
     async def send_during_standstill(
         self, at_s: float, standstill_s: float, data: bytes = _REQUEST
     ) -> None:
@@ -237,6 +241,38 @@
         run_server(scenario, lambda: limits)
 
 
+class TestAnnouncedIdleTimeout:
+    """Guards against clients that can't know when a connection closes.
+
+    While a change spreads, nodes close idle connections at different times.
+    """
+
+    def test_response_tells_the_idle_timeout_in_whole_seconds(self) -> None:
+        async def scenario(clients: Clients) -> None:
+            clients.send(_REQUEST)
+            assert b"Keep-Alive: timeout=2\r\n" in await clients.receive_one()
+
+        run_server(scenario, lambda: make_limits(2.7))
+
+    def test_response_tells_no_timeout_below_a_second(self) -> None:
+        async def scenario(clients: Clients) -> None:
+            clients.send(_REQUEST)
+            assert b"Keep-Alive" not in await clients.receive_one()
+
+        run_server(scenario, lambda: make_limits(0.9))
+
+    def test_connection_stays_open_for_the_time_that_was_told(self) -> None:
+        limits = make_limits(2.0)
+
+        async def scenario(clients: Clients) -> None:
+            nonlocal limits
+            limits = make_limits(0.5)
+            await asyncio.sleep(_REUSE_SHARE * 2.0)
+            assert await clients.request() == _CLIENTS
+
+        run_server(scenario, lambda: limits)
+
+
 class TestCloseRecords:
     """Guards against closed connections whose cause nobody can tell."""
 
