Pass over requests that are leaving when a slot gets free

What callers saw: neither an answer nor a refusal. A request that freed a slot, or was to get another after a failed dispatch, ended with an InvalidStateError when another client left, or its time was over, in the same turn of the event loop; its own connection was closed. The slot was lost to the node for good.

Cause: a cancelled wait stays in the list until its task runs, and its future takes no result. Class of fault: an entry of somebody who has left already.

Change: entries whose future is done are passed over.

Evidence: TestLeavingClients, InvalidStateError before.

--- a/src/tanagerport/gateway/admission.py
+++ b/src/tanagerport/gateway/admission.py
@@ -167,6 +167,9 @@
         for number, entry in self._waiting.ordered(
             self._now(), _MAX_TRIED_REQUESTS
         ):
+            if entry.future.done():
+                # Its client has left or its time is over; its task runs next.
+                continue
             placement = self._find_placement(entry.item)
             if placement is None:
                 continue
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -165,6 +165,44 @@
         asyncio.run(scenario())
 
 
+class TestLeavingClients:
+    """Guards against a request that breaks others as it leaves the queue.
+
+    Whoever freed a slot in the turn in which a waiting request ended got an
+    InvalidStateError, its client no answer, and the slot was never free again.
+    """
+
+    def test_slot_goes_to_the_next_request_while_one_is_leaving(self) -> None:
+        async def scenario() -> None:
+            queue_harness = _QueueHarness(0)
+            leaving = queue_harness.submit("leaving")
+            staying = queue_harness.submit("staying")
+            await run_pending_tasks()
+            leaving.cancel()
+            # The task of the request that leaves has not run yet.
+            queue_harness.free_slots = 1
+            queue_harness.queue.admit_waiting()
+            await staying
+            assert queue_harness.placed == ["staying"]
+            assert queue_harness.free_slots == 0
+
+        asyncio.run(scenario())
+
+    def test_slot_stays_free_if_only_leaving_requests_wait(self) -> None:
+        async def scenario() -> None:
+            queue_harness = _QueueHarness(0)
+            leaving = queue_harness.submit("leaving")
+            await run_pending_tasks()
+            leaving.cancel()
+            queue_harness.free_slots = 1
+            queue_harness.queue.admit_waiting()
+            await run_pending_tasks()
+            assert queue_harness.placed == []
+            assert queue_harness.free_slots == 1
+
+        asyncio.run(scenario())
+
+
 class TestSuddenBurst:
     """Many requests at once after an idle time."""
 
