Leave a timeout alone whose time is over already

What callers saw: neither an answer nor a refusal at the end of a planned stop, if the deadline of one request passed in the turn of the event loop in which the process ended the others. The same error could end the handling of a changed upstream or of a quarantined prompt part.

Cause: asyncio.Timeout.reschedule raises RuntimeError between its due time and the end of its task. Class of fault: an entry of somebody who is leaving already.

IoTimeout.restart also withdraws an expiry that was planned when progress came.

Evidence: TestEndOfDrain (none of three requests was refused before), TestExpire, test_progress_withdraws_an_expiry_that_was_planned; all failed before.

--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -15,6 +15,7 @@
     MIN_FIRST_BYTE_TIMEOUT_S,
 )
 from tanagerport.gateway.http_names import HttpNames
+from tanagerport.gateway.io_timeout import expire
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.request_context import (
     MAX_CRASHES,
@@ -139,10 +140,9 @@
         connection would not tell.
         """
         self._is_stopping = True
-        now = asyncio.get_running_loop().time()
         for limit, context in self._time_limits.items():
             if not context.response.is_started:
-                limit.reschedule(now)
+                expire(limit)
 
     async def handle(
         self, request: ClientRequest, response: ClientResponse
--- a/src/tanagerport/gateway/io_timeout.py
+++ b/src/tanagerport/gateway/io_timeout.py
@@ -1,4 +1,4 @@
-"""Timeout for waiting on a peer, in a process that may stand still.
+"""Timeouts of a process that may stand still.
 
 After a standstill (a frozen or starved VM, a long computation), the timers that
 became due meanwhile and the data that arrived in time are noticed in the same
@@ -15,6 +15,12 @@
 _MAX_TIMER_DELAY_S = 0.05
 
 
+def expire(limit: asyncio.Timeout) -> None:
+    """Ends the time of a timeout now; does nothing if it is over already."""
+    if not limit.expired():
+        limit.reschedule(asyncio.get_running_loop().time())
+
+
 class IoTimeout:
     """Cancels what is awaited inside when a peer has been silent for too long.
 
@@ -53,6 +59,8 @@
 
     def restart(self, delay_s: float) -> None:
         """Sets the time from now until the timeout, in seconds."""
+        if not self._limit.expired():
+            self._limit.reschedule(None)
         self._extension_left_s = delay_s
         self._start_timer(delay_s)
 
@@ -77,7 +85,7 @@
 
     def _expire(self) -> None:
         self._timer = None
-        self._limit.reschedule(self._loop.time())
+        expire(self._limit)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -8,6 +8,7 @@
 from tanagerport.exceptions import RefusedError
 from tanagerport.gateway.admission import AdmissionQueue
 from tanagerport.gateway.domain import Service, UpstreamRecord
+from tanagerport.gateway.io_timeout import expire
 from tanagerport.gateway.placement import UpstreamSelector
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
 from tanagerport.gateway.rollout import RolloutController
@@ -455,20 +456,18 @@
         """Admits waiting requests after loads or upstreams changed."""
         for queue in self._queues.values():
             queue.admit_waiting()
-        now = asyncio.get_running_loop().time() if self._version_waits else 0.0
         for wait, (item, versions) in self._version_waits.items():
             if versions and not any(
                 upstream.version in versions
                 for upstream in self._find_allowed(item)
             ):
-                wait.reschedule(now)
+                expire(wait)
 
     def refuse_waiting(self, refusal: Refusal) -> None:
         """Refuses all waiting requests."""
         self._stop_refusal = refusal
-        now = asyncio.get_running_loop().time()
         for wait in self._interruptible_waits:
-            wait.reschedule(now)
+            expire(wait)
         for queue in self._queues.values():
             queue.refuse_all(refusal)
 
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -1,6 +1,7 @@
 """Tests of the refusals that `RequestForwarder` sends."""
 
 import asyncio
+import time
 from collections.abc import Sequence
 from typing import Any, cast
 
@@ -233,6 +234,41 @@
         assert refusal == _NO_CAPACITY
 
 
+class TestEndOfDrain:
+    """Guards against a drain that ends at a request that is ending.
+
+    A deadline that passed in the turn in which the process ended its requests
+    raised an error there, and the requests after it got no answer.
+    """
+
+    def test_all_requests_are_refused_if_one_reaches_its_deadline(self) -> None:
+        route = gateway_doubles.make_route(timeout_s=0.05)
+        fixture = _ForwarderFixture(
+            _FakeScheduler(slots=0, refuses_when_full=False), route=route
+        )
+
+        async def scenario() -> list[Refusal]:
+            loop = asyncio.get_running_loop()
+            has_ended = asyncio.Event()
+
+            def end() -> None:
+                fixture.forwarder.end_unanswered()
+                has_ended.set()
+
+            requests = [
+                asyncio.ensure_future(fixture.send_request()) for _ in range(3)
+            ]
+            await asyncio.sleep(0)
+            loop.call_later(0.06, end)
+            # All timers are due in one turn.
+            loop.call_later(0.01, time.sleep, 0.1)
+            refusals = await asyncio.gather(*requests)
+            assert has_ended.is_set()
+            return refusals
+
+        assert len(asyncio.run(scenario())) == 3
+
+
 class TestCrashes:
     """A request that upstreams crash on is not sent to one after the other."""
 
--- a/tests/test_gateway_io_timeout.py
+++ b/tests/test_gateway_io_timeout.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 import pytest
 
-from tanagerport.gateway.io_timeout import IoTimeout
+from tanagerport.gateway.io_timeout import IoTimeout, expire
 
 
 async def wait_past_standstill(
@@ -61,3 +62,56 @@
             return waited_s
 
         assert asyncio.run(scenario()) > 0.2
+
+    def test_progress_withdraws_an_expiry_that_was_planned(self) -> None:
+        async def scenario() -> bool:
+            event = asyncio.Event()
+            async with IoTimeout(0.05) as timeout:
+
+                def progress() -> None:
+                    timeout.restart(5.0)
+                    asyncio.get_running_loop().call_later(0.05, event.set)
+
+                # The third turn after the one in which the time was over.
+                call_after_turns(0.05, 2, progress)
+                return await event.wait()
+
+        assert asyncio.run(scenario())
+
+
+def call_after_turns(
+    delay_s: float, turns: int, callback: Callable[[], object]
+) -> None:
+    """Calls back some turns of the event loop after a delay, in seconds."""
+    loop = asyncio.get_running_loop()
+    if delay_s:
+        loop.call_later(delay_s, call_after_turns, 0.0, turns, callback)
+    elif turns:
+        loop.call_soon(call_after_turns, 0.0, turns - 1, callback)
+    else:
+        callback()
+
+
+class TestExpire:
+    """Guards against an error of whoever ends a request that is ending."""
+
+    def test_timeout_whose_time_is_over_is_left_alone(self) -> None:
+        async def scenario() -> list[str]:
+            events = []
+
+            def end() -> None:
+                expire(limit)
+                events.append("expired")
+
+            loop = asyncio.get_running_loop()
+            try:
+                async with asyncio.timeout(0.05) as limit:
+                    loop.call_later(0.06, end)
+                    # Both timers are due in one turn.
+                    loop.call_later(0.01, time.sleep, 0.1)
+                    await asyncio.Event().wait()
+            except TimeoutError:
+                events.append("timeout")
+            return events
+
+        assert asyncio.run(scenario()) == ["expired", "timeout"]
