Look for a request before an idle connection closes in a drain

What callers saw: a request that was sent while the node was busy in its grace got no answer: its connection was closed as idle.

Cause: close_idle cancelled the task of the connection; what the kernel held was not read, or was read in the next turn and dropped. Class of fault: a decision on what was last seen of a peer, after the process stood still.

Change: close_idle ends the time of the wait for a request. The sockets are polled first, and a request that has come is served and its connection closed after the response.

--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -80,6 +80,8 @@
         self._get_limits = get_limits
         # Limits for the request that is read, or for the wait for it.
         self._limits = get_limits()
+        # Timeout of the wait for a request; None while there is a request.
+        self._idle_timeout: IoTimeout | None = None
         # Idle timeout that the client was told, which it may rely on.
         self._announced_s = 0
         self._counters = counters
@@ -101,6 +103,12 @@
             and not self._channel.has_unsent
         )
 
+    def close_idle(self) -> None:
+        """Closes the connection unless a request has arrived."""
+        if self._idle_timeout is not None and self.close_cause is None:
+            self.close_cause = CloseCause.DRAINING
+            self._idle_timeout.restart(0.0)
+
     async def run(self) -> None:
         """Handles the requests of the connection in sequence."""
         try:
@@ -253,6 +261,7 @@
             if not data:
                 return False
         self._is_idle = False
+        self.close_cause = None
         self._request_expected_until = 0.0
         limits = self._get_limits()
         if limits.header_bytes != self._limits.header_bytes:
@@ -267,18 +276,23 @@
     async def _read_first_bytes(self) -> bytes:
         """Waits for bytes; returns none if the client closes or stays idle."""
         idle_timeout_s = 0.0
-        while (limit_s := self._idle_timeout_s()) > idle_timeout_s:
+        while (
+            self.close_cause is None
+            and (limit_s := self._idle_timeout_s()) > idle_timeout_s
+        ):
             # The limit was raised while the client was idle.
             remaining_s = limit_s - idle_timeout_s
             idle_timeout_s = limit_s
             try:
-                async with IoTimeout(remaining_s):
+                async with IoTimeout(remaining_s) as self._idle_timeout:
                     return await self._read_channel()
             except TimeoutError:
                 if self._channel.has_unread:
                     # They came in the turn of the loop that ended the time.
                     return await self._read_channel()
-        self.close_cause = CloseCause.IDLE_TIMEOUT
+            finally:
+                self._idle_timeout = None
+        self.close_cause = self.close_cause or CloseCause.IDLE_TIMEOUT
         return b""
 
     def _idle_timeout_s(self) -> float:
--- a/src/tanagerport/gateway/client_server.py
+++ b/src/tanagerport/gateway/client_server.py
@@ -68,10 +68,9 @@
         """Closes the listening socket and the idle connections."""
         if self._server is not None:
             self._server.close()
-        for task, connection in list(self._connections.items()):
+        for connection in self._connections.values():
             if connection.is_idle:
-                connection.close_cause = CloseCause.DRAINING
-                task.cancel()
+                connection.close_idle()
 
     async def close(self) -> None:
         """Closes the listening socket and all connections."""
--- a/tests/test_gateway_kept_connections.py
+++ b/tests/test_gateway_kept_connections.py
@@ -136,6 +136,14 @@
     get_limits: Callable[[], ClientLimits],
 ) -> None:
     """Runs a scenario with clients that have had one response each."""
+    run_with_server(lambda _, clients: scenario(clients), get_limits)
+
+
+def run_with_server(
+    scenario: Callable[[ClientServer, Clients], Awaitable[None]],
+    get_limits: Callable[[], ClientLimits],
+) -> None:
+    """Runs a scenario that also gets the server."""
 
     async def run() -> None:
         server = ClientServer(
@@ -146,7 +154,7 @@
         clients = Clients(port)
         try:
             await clients.start()
-            await scenario(clients)
+            await scenario(server, clients)
         finally:
             clients.close()
             await server.close()
@@ -273,6 +281,37 @@
         run_server(scenario, lambda: limits)
 
 
+class TestDrain:
+    """Guards against requests that are lost as idle connections close.
+
+    The request had been sent, but the event loop had not yet noticed it.
+    """
+
+    @pytest.mark.parametrize("drains_before", [False, True])
+    def test_request_in_the_buffer_of_the_socket_is_answered(
+        self, drains_before: bool
+    ) -> None:
+        async def scenario(server: ClientServer, clients: Clients) -> None:
+            if drains_before:
+                server.start_draining()
+            # The event loop gets no turn between the send and the close.
+            clients.send(_REQUEST)
+            server.start_draining()
+            server.close_idle()
+            assert await clients.receive() == _CLIENTS
+
+        run_with_server(scenario, lambda: make_limits(5.0))
+
+    def test_idle_connection_closes_at_once(self) -> None:
+        async def scenario(server: ClientServer, clients: Clients) -> None:
+            server.close_idle()
+            async with asyncio.timeout(0.5):
+                assert await clients.receive_one() == b""
+            assert server.open_connections == 0
+
+        run_with_server(scenario, lambda: make_limits(5.0))
+
+
 class TestCloseRecords:
     """Guards against closed connections whose cause nobody can tell."""
 
