Read on after the refusal of a request that is not whole

What callers saw: a client that sends a body above the limit got a reset while it sent, and lost the 413 if it did not read after the failed send.

Cause: a close with unread bytes resets the connection.

Change: the node ends what it sends, and reads and discards for up to 1 s.

Evidence: TestRefusalOfLargeRequests, the first test failed before.

--- a/src/tanagerport/gateway/channel.py
+++ b/src/tanagerport/gateway/channel.py
@@ -135,6 +135,11 @@
             self._transport.set_write_buffer_limits(high=0)
             await self.drain()
 
+    def close_sending(self) -> None:
+        """Ends what is sent; received bytes can still be read."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write_eof()
+
     def close(self) -> None:
         """Closes the connection after flushing the write buffer."""
         self._on_close = None
--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -1,6 +1,7 @@
 """A connection of a client: reads its requests and has them handled."""
 
 import asyncio
+import contextlib
 import enum
 import time
 from collections.abc import Callable
@@ -25,6 +26,9 @@
 # Timeout for receiving a whole request body, in seconds.
 _BODY_TIMEOUT_S = 30.0
 
+# Maximum time for which the rest of a refused request is read, in seconds.
+_DISCARD_TIMEOUT_S = 1.0
+
 # Time in which a new connection counts as about to send its first request, in
 # seconds: a few round trips between regions.
 _FIRST_REQUEST_S = 0.3
@@ -163,7 +167,7 @@
         except RequestReadError as error:
             self._log.refused("", error.refusal)
             response.refuse(error.refusal)
-            await response.drain()
+            await self._discard_input()
             return False
         task = asyncio.current_task()
         if task is not None:
@@ -182,6 +186,18 @@
             and self._codec.their_state is h11.DONE
         )
 
+    async def _discard_input(self) -> None:
+        """Reads on after a refusal of a request that is not whole.
+
+        A close with unread bytes would reset the connection, and its client
+        might lose the refusal.
+        """
+        self._channel.close_sending()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_DISCARD_TIMEOUT_S):
+                while await self._read_channel():
+                    await self._time_slice.pause_if_over()
+
     def _must_close(self) -> bool:
         return self._is_draining() or self._codec.their_state not in (
             h11.DONE,
--- a/tests/test_gateway_kept_connections.py
+++ b/tests/test_gateway_kept_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import concurrent.futures
+import contextlib
 import json
 import socket
 import time
@@ -65,23 +66,32 @@
             sock.close()
         self._pool.shutdown()
 
-    def send(self, data: bytes) -> None:
-        """Sends bytes on each connection; does not give the loop a turn."""
+    def send(self, data: bytes) -> int:
+        """Sends bytes on each connection; does not give the loop a turn.
+
+        Returns:
+            How many connections took all of them.
+        """
+        count = 0
         for sock in self._sockets:
-            try:
+            # A connection that was closed gets no response either.
+            with contextlib.suppress(OSError):
                 sock.sendall(data)
-            except OSError:
-                # The connection was closed, so it gets no response either.
-                continue
+                count += 1
+        return count
 
     async def start(self) -> None:
         """Connects and gets one response on each connection."""
         await self._in_thread(self._connect)
         assert await self.request() == self._count
 
+    async def send_in_thread(self, data: bytes) -> int:
+        """Sends while the server runs; returns how many sends were whole."""
+        return await self._in_thread(lambda: self.send(data))
+
     async def request(self, data: bytes = _REQUEST) -> int:
         """Sends a request on each connection; returns how many succeeded."""
-        await self._in_thread(lambda: self.send(data))
+        await self.send_in_thread(data)
         return await self.receive()
 
     async def receive(self) -> int:
@@ -142,6 +152,7 @@
 def run_with_server(
     scenario: Callable[[ClientServer, Clients], Awaitable[None]],
     get_limits: Callable[[], ClientLimits],
+    count: int = _CLIENTS,
 ) -> None:
     """Runs a scenario that also gets the server."""
 
@@ -151,7 +162,7 @@
         )
         port = standin.free_port()
         await server.start(standin.HOST, port)
-        clients = Clients(port)
+        clients = Clients(port, count)
         try:
             await clients.start()
             await scenario(server, clients)
@@ -281,6 +292,33 @@
         run_server(scenario, lambda: limits)
 
 
+class TestRefusalOfLargeRequests:
+    """Guards against a refusal that is lost as the connection is reset."""
+
+    def test_client_that_sends_a_whole_body_gets_413(self) -> None:
+        async def scenario(server: ClientServer, clients: Clients) -> None:
+            request = standin.request_bytes("POST", "/x", b"x" * 4_000_000)
+            assert await clients.send_in_thread(request) == 1
+            response = await clients.receive_one()
+            assert response.startswith(b"HTTP/1.1 413")
+
+        run_with_server(scenario, lambda: make_limits(5.0), count=1)
+
+    def test_client_that_never_ends_is_cut_off(self) -> None:
+        async def scenario(server: ClientServer, clients: Clients) -> None:
+            head = standin.request_bytes("POST", "/x", b"x" * 9000)
+            head = head.replace(
+                b"Content-Length: 9000", b"Content-Length: 99999"
+            )
+            clients.send(head)
+            async with asyncio.timeout(4.0):
+                while server.open_connections:
+                    await asyncio.sleep(0.05)
+                    clients.send(b"x")
+
+        run_with_server(scenario, lambda: make_limits(5.0), count=1)
+
+
 class TestDrain:
     """Guards against requests that are lost as idle connections close.
 
