--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -136,6 +136,11 @@
         self._version = 0
         self._rows: dict[tuple[str, str], tuple[int, bytes | None]] = {}
         self._changed = asyncio.Condition()
+        self._silent_writers: set[asyncio.StreamWriter] = set()
+
+    def silence_open_connections(self) -> None:
+        """Lets the open connections go silent; new ones work."""
+        self._silent_writers |= self._writers
 
     async def put(self, table: str, key: str, value: Any) -> int:
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -186,14 +191,12 @@
     ) -> None:
         while (request := await read_request(reader)) is not None:
             self.request_paths.append(request.path)
-            if self.mode == "silent":
-                await asyncio.sleep(3600)
+            await self._wait_if_silent(writer)
             if self.mode == "busy":
                 writer.write(response_bytes(503, b"", self._era_header()))
                 continue
             status, response = await self._handle_request(request)
-            if self.mode == "silent":
-                await asyncio.sleep(3600)
+            await self._wait_if_silent(writer)
             if request.path == "/-/rows-tx" and self.drop_next_write_response:
                 self.drop_next_write_response = False
                 writer.transport.abort()
@@ -205,6 +208,10 @@
                 )
             )
 
+    async def _wait_if_silent(self, writer: asyncio.StreamWriter) -> None:
+        if self.mode == "silent" or writer in self._silent_writers:
+            await asyncio.sleep(3600)
+
     def _era_header(self) -> dict[str, str]:
         return {} if self.era is None else {"Store-Era": str(self.era)}
 
