Give each request a final answer when the node itself fails

Callers saw their connection closed without an answer or a refusal, also when the request had not been sent to any upstream and could have been refused as not run. An unexpected error in a handler ended the task of the connection; only `connection_failed` was logged, without the request.

Whatever the cause, a request now ends truthfully: 503 with Retry-After and `ran: no` (new reason `internal_not_run`) if nothing was sent, 500 with `ran: unknown` if an upstream may have run it, an abort if the response has begun. A response that was complete stays so, and its connection stays open. `request_error` in the log names the request, the error and the lines of code; `request_errors_total` counts by outcome.

The forwarder knows whether a dispatch was sent, as the dispatcher marks it before the first byte. The connection does the same for errors while a request is read (not run) and for those of a handler (may have run).

--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -17,6 +17,7 @@
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import ClientLimits
 from tanagerport.gateway.io_timeout import IoTimeout
+from tanagerport.gateway.request_errors import end_failed_request
 from tanagerport.gateway.time_slices import TimeSlice
 from tanagerport.refusals import Refusal, RefusalReason
 
@@ -150,6 +151,12 @@
             response.refuse(error.refusal)
             await response.drain()
             return False
+        except (ConnectionError, h11.LocalProtocolError):
+            raise
+        except Exception as error:  # Any fault gets a final answer.
+            self._end_failed(error, response, may_have_run=False)
+            await response.drain()
+            return False
         task = asyncio.current_task()
         if task is not None:
             self._channel.set_close_callback(task.cancel)
@@ -157,6 +164,8 @@
             return False
         try:
             await self._handler.handle(request, response)
+        except Exception as error:  # Any fault gets a final answer.
+            self._end_failed(error, response, may_have_run=True)
         finally:
             self._channel.set_close_callback(None)
         self._is_idle = True
@@ -167,6 +176,18 @@
             and self._codec.their_state is h11.DONE
         )
 
+    def _end_failed(
+        self, error: Exception, response: ClientResponse, may_have_run: bool
+    ) -> None:
+        end_failed_request(
+            error,
+            "",
+            response,
+            self._counters,
+            self._log,
+            may_have_run=may_have_run,
+        )
+
     def _must_close(self) -> bool:
         return self._is_draining() or self._codec.their_state not in (
             h11.DONE,
--- a/src/tanagerport/gateway/client_messages.py
+++ b/src/tanagerport/gateway/client_messages.py
@@ -55,6 +55,7 @@
         self._codec = codec
         self._must_close = must_close
         self._started = False
+        self._finished = False
         self._aborted = False
 
     @property
@@ -62,6 +63,11 @@
         """Whether the status line was sent."""
         return self._started
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether the whole response was sent."""
+        return self._finished
+
     @property
     def is_aborted(self) -> bool:
         """Whether the response was aborted."""
@@ -87,6 +93,7 @@
     def finish(self) -> None:
         """Completes the response."""
         self._send(h11.EndOfMessage())
+        self._finished = True
 
     def abort(self) -> None:
         """Aborts the connection, so that the response can't look complete."""
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -22,6 +22,7 @@
     RequestContext,
     refusal_error,
 )
+from tanagerport.gateway.request_errors import end_failed_request
 from tanagerport.gateway.request_validation import RequestValidator
 from tanagerport.gateway.retry_budget import RetryBudget
 from tanagerport.gateway.route_table import RouteTable
@@ -149,8 +150,10 @@
     ) -> None:
         """Handles one request; cancelled when its client disconnects."""
         request_id = request.header_values.get(self._http_names.request_id, b"")
+        context: RequestContext | None = None
         try:
-            await self._serve(request, response)
+            context = await self._admit(request, response)
+            await self._serve(context)
         except RefusedError as error:
             self._refuse(request_id, request, response, error.refusal)
         except asyncio.CancelledError:
@@ -161,6 +164,15 @@
                 after_s=round(self._now() - request.received_at, 3),
             )
             raise
+        except Exception as error:  # Any fault gets a final answer.
+            end_failed_request(
+                error,
+                request_id.decode("latin-1"),
+                response,
+                self._counters,
+                self._log,
+                may_have_run=context is not None and context.may_have_run,
+            )
 
     def _refuse(
         self,
@@ -188,9 +200,14 @@
         )
         response.refuse(refusal)
 
-    async def _serve(
+    async def _admit(
         self, request: ClientRequest, response: ClientResponse
-    ) -> None:
+    ) -> RequestContext:
+        """Checks a request against the configuration, once that is known.
+
+        Raises:
+            RefusedError: The request is refused and was not run.
+        """
         routes = await self._get_routes()
         if routes is None:
             raise refusal_error(
@@ -200,7 +217,14 @@
             )
         if self._is_stopping:
             raise RefusedError(self._shutdown_refusal())
-        context = self._validator.create_context(routes, request, response)
+        return self._validator.create_context(routes, request, response)
+
+    async def _serve(self, context: RequestContext) -> None:
+        """Has a request run, and its response relayed.
+
+        Raises:
+            RefusedError: The request failed and may not be retried.
+        """
         try:
             remaining_s = max(context.item.deadline_at - self._now(), 0)
             async with asyncio.timeout(remaining_s) as limit:
--- a/src/tanagerport/gateway/metrics_rendering.py
+++ b/src/tanagerport/gateway/metrics_rendering.py
@@ -51,6 +51,12 @@
                 "cause",
                 counters.connections_closed_early,
             ),
+            (
+                "request_errors",
+                "Requests on which the node itself failed.",
+                "outcome",
+                counters.request_errors,
+            ),
         ):
             family = CounterMetricFamily(
                 f"tanagerport_gateway_{name}", help_text, labels=[label]
--- a/src/tanagerport/refusals.py
+++ b/src/tanagerport/refusals.py
@@ -39,6 +39,7 @@
     DUPLICATE_FINISHED = "duplicate_finished"
     KEY_REUSED = "key_reused"
     INTERNAL = "internal"
+    INTERNAL_NOT_RUN = "internal_not_run"
     NO_CONFIGURATION = "no_configuration"
     UNKNOWN_ROUTE = "unknown_route"
     UNKNOWN_KEY = "unknown_key"
@@ -88,6 +89,7 @@
     RefusalReason.DUPLICATE_FINISHED: 409,
     RefusalReason.KEY_REUSED: 422,
     RefusalReason.INTERNAL: 500,
+    RefusalReason.INTERNAL_NOT_RUN: 503,
     RefusalReason.NO_CONFIGURATION: 503,
     RefusalReason.UNKNOWN_ROUTE: 404,
     RefusalReason.UNKNOWN_KEY: 401,
