--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -121,6 +121,47 @@
         asyncio.run(scenario())
 
 
+class TestLeavingRequests:
+    """Guards against a slot that is given to a request that has just left.
+
+    Its task runs only after others. What freed the slot in between, such as
+    the end of another request or a change of the upstreams, failed with an
+    `InvalidStateError`: that request got no answer, and the slot stayed taken.
+    """
+
+    @pytest.mark.parametrize("leaving", [1, 20])
+    def test_slot_goes_to_the_next_request(self, leaving: int) -> None:
+        async def run() -> None:
+            harness = _QueueHarness(slots=1)
+            placement = await harness.submit("running")
+            tasks = [harness.submit(f"leaving-{i}") for i in range(leaving)]
+            next_task = harness.submit("next")
+            await run_pending_tasks()
+            for task in tasks:
+                task.cancel()
+            harness.release(placement)
+            await run_pending_tasks()
+            assert (await next_task).item.request_id == "next"
+            assert harness.placed == ["running", "next"]
+            assert harness.free_slots == 0
+
+        asyncio.run(run())
+
+    def test_slot_stays_free_without_another_request(self) -> None:
+        async def run() -> None:
+            harness = _QueueHarness(slots=1)
+            placement = await harness.submit("running")
+            task = harness.submit("leaving")
+            await run_pending_tasks()
+            task.cancel()
+            harness.release(placement)
+            await run_pending_tasks()
+            assert harness.free_slots == 1
+            assert harness.queue.size == 0
+
+        asyncio.run(run())
+
+
 class TestRefusal:
     """Requests that can't be answered before their deadline."""
 
