End a wait that is ending already without an error

Callers saw their connection closed without an answer beside a change of the upstreams. Requests that wait for a version that is gone are sent elsewhere by ending their timeout. Its task runs one turn later; a second notice in between (two upstreams of a stopped version that tell in their answers that they leave) ended it again, which `asyncio.Timeout` refuses with a RuntimeError. It was raised in the request that read the second answer.

`expire_now` does nothing for a timeout that has expired, and is the only way in which the gateway ends one early.

--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -28,6 +28,7 @@
 from tanagerport.gateway.route_table import RouteTable
 from tanagerport.gateway.scheduler import Scheduler
 from tanagerport.gateway.slot_messages import SlotOutcome
+from tanagerport.gateway.timeouts import expire_now
 from tanagerport.gateway.upstream_backoff import UpstreamBackoff
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_losses import (
@@ -140,10 +141,9 @@
         connection would not tell.
         """
         self._is_stopping = True
-        now = asyncio.get_running_loop().time()
         for limit, context in self._time_limits.items():
             if not context.response.is_started:
-                limit.reschedule(now)
+                expire_now(limit)
 
     async def handle(
         self, request: ClientRequest, response: ClientResponse
--- a/src/tanagerport/gateway/io_timeout.py
+++ b/src/tanagerport/gateway/io_timeout.py
@@ -10,6 +10,8 @@
 import types
 from typing import Self
 
+from tanagerport.gateway.timeouts import expire_now
+
 # A timer that runs this much late, in seconds, shows that the event loop stood
 # still. The interval of the busiest timers of a node is 0.02 s.
 _MAX_TIMER_DELAY_S = 0.05
@@ -77,7 +79,7 @@
 
     def _expire(self) -> None:
         self._timer = None
-        self._limit.reschedule(self._loop.time())
+        expire_now(self._limit)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
--- a/src/tanagerport/gateway/prompt_quarantine.py
+++ b/src/tanagerport/gateway/prompt_quarantine.py
@@ -16,6 +16,7 @@
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import UpstreamRecord
 from tanagerport.gateway.request_context import refusal_error
+from tanagerport.gateway.timeouts import expire_now
 from tanagerport.gateway.upstream_losses import HeldRequest
 from tanagerport.gateway.work_item import WorkItem
 from tanagerport.refusals import RefusalReason
@@ -150,14 +151,13 @@
 
     def _withdraw(self, part: int) -> None:
         """Withdraws the requests with a part whose answers have not begun."""
-        now = asyncio.get_running_loop().time()
         for withdrawal, item in list(self._admitted.items()):
             if (
                 part in item.part_keys
                 and item.work.parts
                 and not (item.has_begun or item.is_trial)
             ):
-                withdrawal.reschedule(now)
+                expire_now(withdrawal)
 
     def _plan_report(self) -> None:
         """Sends one report soon for all evidence that is found until then."""
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -13,6 +13,7 @@
 from tanagerport.gateway.rollout import RolloutController
 from tanagerport.gateway.slot_client import SlotClient
 from tanagerport.gateway.slot_messages import SlotOutcome
+from tanagerport.gateway.timeouts import expire_now
 from tanagerport.gateway.upstream_backoff import UpstreamBackoff
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_latency import LatencyEstimator
@@ -455,20 +456,18 @@
         """Admits waiting requests after loads or upstreams changed."""
         for queue in self._queues.values():
             queue.admit_waiting()
-        now = asyncio.get_running_loop().time() if self._version_waits else 0.0
         for wait, (item, versions) in self._version_waits.items():
             if versions and not any(
                 upstream.version in versions
                 for upstream in self._find_allowed(item)
             ):
-                wait.reschedule(now)
+                expire_now(wait)
 
     def refuse_waiting(self, refusal: Refusal) -> None:
         """Refuses all waiting requests."""
         self._stop_refusal = refusal
-        now = asyncio.get_running_loop().time()
         for wait in self._interruptible_waits:
-            wait.reschedule(now)
+            expire_now(wait)
         for queue in self._queues.values():
             queue.refuse_all(refusal)
 
--- a/src/tanagerport/gateway/silence.py
+++ b/src/tanagerport/gateway/silence.py
@@ -4,6 +4,8 @@
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 
+from tanagerport.gateway.timeouts import expire_now
+
 # Interval at which a request at a silent upstream looks for another place, in
 # seconds.
 _SEARCH_INTERVAL_S = 0.1
@@ -37,7 +39,7 @@
     async def search() -> None:
         while not await find_place():
             await asyncio.sleep(_SEARCH_INTERVAL_S)
-        limit.reschedule(loop.time())
+        expire_now(limit)
 
     timer = loop.call_later(
         timeout_s, lambda: searches.append(loop.create_task(search()))
