--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -529,8 +529,11 @@
         assert self._process is not None
         return self._process.pid
 
-    async def start(self) -> None:
+    def write_settings(self) -> None:
         self.settings_path.write_text(json.dumps(self.settings))
+
+    async def start(self) -> None:
+        self.write_settings()
         environment = {
             "PATH": os.environ["PATH"],
             "PYTHONPATH": f"{ROOT / 'src'}",
