Don't let an expiring time limit end a planned stop

What callers saw: all requests in progress on a node were cut without an answer, and the process ended with status 1 before its grace was over, when it had stood still until the end of the grace.

Cause: end_unanswered reschedules the time limits of the requests. A limit that has expired and whose task has not run since can't be rescheduled: RuntimeError ended the drain and the process.

Change: limits that have expired are left alone.

Evidence: the new test failed with the RuntimeError before.

Why it works: an expired limit already ends its request with the same refusal.

--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -141,7 +141,7 @@
         self._is_stopping = True
         now = asyncio.get_running_loop().time()
         for limit, context in self._time_limits.items():
-            if not context.response.is_started:
+            if not context.response.is_started and not limit.expired():
                 limit.reschedule(now)
 
     async def handle(
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -284,6 +284,23 @@
         refusal = asyncio.run(fixture.send_request())
         assert refusal.reason is RefusalReason.DRAINING
 
+    def test_end_of_the_grace_in_the_turn_that_ends_a_deadline(self) -> None:
+        """Guards against a stop that fails when a time limit expires."""
+
+        async def run_scenario() -> Refusal:
+            fixture = _ForwarderFixture(
+                _FakeScheduler(slots=0, refuses_when_full=False)
+            )
+            task = asyncio.create_task(fixture.send_request())
+            await gateway_doubles.run_pending_tasks()
+            fixture.forwarder.end_unanswered()
+            # The limit has expired, and its task has not run since.
+            await asyncio.sleep(0)
+            fixture.forwarder.end_unanswered()
+            return await asyncio.wait_for(task, 1.0)
+
+        assert asyncio.run(run_scenario()).ran is Ran.NO
+
     def _shut_down_while_waiting(
         self, may_have_run: bool, slots: int
     ) -> tuple[RefusalReason, Ran]:
