Don't close a connection on which a request has come

What callers saw: a stopping node closed kept connections whose clients had sent whole requests; they got no answer.

Cause: a connection counted as idle although its request was still in the kernel, or in the parser behind the request before it. The close itself came some turns of the event loop after the check; requests that arrived between were lost as well. Class of fault: a check and its effect in different turns.

Change: the bytes in the kernel and in the parser count, also when the idle timeout ends the wait. The client is told of the close in the turn of the check, by the end of the stream; the rest of the close may come later.

Evidence: four new test cases (unnoticed request, close told at once, 2 and 30 pipelined requests) failed before.

Why it works: what is in the kernel at the check keeps the connection open, and what a client sends after it has seen the end crosses a close that it could know of. Between the check and the end there is no await.

--- a/src/tanagerport/gateway/channel.py
+++ b/src/tanagerport/gateway/channel.py
@@ -3,6 +3,7 @@
 import array
 import asyncio
 import collections
+import contextlib
 import fcntl
 import socket
 import termios
@@ -135,6 +136,13 @@
             self._transport.set_write_buffer_limits(high=0)
             await self.drain()
 
+    def end_sending(self) -> None:
+        """Sends the end of the stream, at once if nothing is unsent."""
+        if self._transport is not None and not self._lost:
+            with contextlib.suppress(OSError):
+                # The peer may have reset the connection.
+                self._transport.write_eof()
+
     def close(self) -> None:
         """Closes the connection after flushing the write buffer."""
         self._on_close = None
--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -53,9 +53,6 @@
 class ClientConnection:
     """A client connection.
 
-    Attributes:
-        close_cause: Why the server closes the connection; None if it doesn't.
-
     Args:
         channel: The connection.
         handler: Handles the requests.
@@ -74,7 +71,6 @@
         log: DecisionLog,
         is_draining: Callable[[], bool],
     ) -> None:
-        self.close_cause: CloseCause | None = None
         self._channel = channel
         self._handler = handler
         self._get_limits = get_limits
@@ -95,10 +91,20 @@
         return (
             self._is_idle
             and time.monotonic() >= self._request_expected_until
-            and not self._channel.has_unread
             and not self._channel.has_unsent
+            and not self._codec.trailing_data[0]
+            and not self._channel.unread_bytes
         )
 
+    def close_idle(self, cause: CloseCause) -> None:
+        """Tells the client at once that the connection closes.
+
+        A request that was sent before would be lost, so the caller checks
+        `is_idle` in the same turn of the event loop.
+        """
+        self._channel.end_sending()
+        self.record_close(cause)
+
     async def run(self) -> None:
         """Handles the requests of the connection in sequence."""
         try:
@@ -115,21 +121,18 @@
             self._log.debug("client_connection_error", error=str(error))
             self._channel.abort()
         finally:
-            self._record_close()
             self._channel.close()
 
-    def _record_close(self) -> None:
+    def record_close(self, cause: CloseCause) -> None:
         """Records a close by the server, and what its client had sent."""
-        if self.close_cause is None:
-            return
-        self._counters.connections_closed[self.close_cause.value] += 1
+        self._counters.connections_closed[cause.value] += 1
         unread_bytes = self._channel.unread_bytes
         if not unread_bytes and self._is_idle:
             return
-        self._counters.connections_closed_early[self.close_cause.value] += 1
+        self._counters.connections_closed_early[cause.value] += 1
         self._log.warning(
             "connection_closed_early",
-            cause=self.close_cause.value,
+            cause=cause.value,
             unread_bytes=unread_bytes,
             is_idle=self._is_idle,
             idle_timeout_s=self._get_limits().idle_timeout_s,
@@ -268,10 +271,10 @@
                 async with IoTimeout(remaining_s):
                     return await self._read_channel()
             except TimeoutError:
-                if self._channel.has_unread:
+                if self._channel.unread_bytes:
                     # They came in the turn of the loop that ended the time.
                     return await self._read_channel()
-        self.close_cause = CloseCause.IDLE_TIMEOUT
+        self.close_idle(CloseCause.IDLE_TIMEOUT)
         return b""
 
     def _create_codec(self) -> h11.Connection:
--- a/src/tanagerport/gateway/client_server.py
+++ b/src/tanagerport/gateway/client_server.py
@@ -70,7 +70,7 @@
             self._server.close()
         for task, connection in list(self._connections.items()):
             if connection.is_idle:
-                connection.close_cause = CloseCause.DRAINING
+                connection.close_idle(CloseCause.DRAINING)
                 task.cancel()
 
     async def close(self) -> None:
@@ -79,7 +79,7 @@
             self._server.close()
         tasks = list(self._connections)
         for task, connection in self._connections.items():
-            connection.close_cause = CloseCause.STOPPING
+            connection.record_close(CloseCause.STOPPING)
             task.cancel()
         if tasks:
             await asyncio.wait(tasks, timeout=_CLOSE_TIMEOUT_S)
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import signal
+import socket
 import time
 from collections.abc import Awaitable, Callable
 
@@ -24,6 +25,7 @@
 Scenario = Callable[[LocalCluster], Awaitable[None]]
 
 _GRACE_S = 6.0
+_TCP_CLOSE_WAIT = 8
 _ROUTES = [
     route(
         name, kind, timeout_ms=20_000, target_itl_ms=250, max_attempts=attempts
@@ -288,6 +290,69 @@
 
         assert asyncio.run(scenario()).startswith(b"HTTP/1.1 200")
 
+    def test_request_that_the_loop_has_not_noticed_is_answered(self) -> None:
+        """Guards against a close while a request is in the kernel."""
+
+        async def scenario() -> bytes:
+            server = make_server()
+            port = standin.free_port()
+            await server.start(standin.HOST, port)
+            reader, writer = await asyncio.open_connection(standin.HOST, port)
+            await asyncio.sleep(0.4)
+            server.start_draining()
+            writer.write(standin.request_bytes("GET", "/x"))
+            server.close_idle()
+            data = await reader.read()
+            await server.close()
+            return data
+
+        assert asyncio.run(scenario()).startswith(b"HTTP/1.1 200")
+
+    def test_client_learns_of_the_close_at_once(self) -> None:
+        """Guards against requests that are sent while a close is pending."""
+
+        async def scenario() -> None:
+            server = make_server()
+            port = standin.free_port()
+            await server.start(standin.HOST, port)
+            reader, writer = await asyncio.open_connection(standin.HOST, port)
+            await asyncio.sleep(0.4)
+            server.close_idle()
+            sock = writer.get_extra_info("socket")
+            state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+            assert state == _TCP_CLOSE_WAIT
+            assert await reader.read() == b""
+            writer.close()
+            await server.close()
+
+        asyncio.run(scenario())
+
+    @pytest.mark.parametrize("count", [2, 30])
+    def test_pipelined_requests_are_answered(self, count: int) -> None:
+        """Guards against a close between requests that came together."""
+
+        async def scenario() -> bytes:
+            server = make_server(300_000)
+            port = standin.free_port()
+            await server.start(standin.HOST, port)
+            reader, writer = await asyncio.open_connection(standin.HOST, port)
+            await asyncio.sleep(0.4)
+            writer.write(standin.request_bytes("GET", "/x") * count)
+
+            async def close_often() -> None:
+                while True:
+                    server.close_idle()
+                    await asyncio.sleep(0)
+
+            closing = asyncio.create_task(close_often())
+            data = await reader.read()
+            closing.cancel()
+            await server.close()
+            return data
+
+        data = asyncio.run(scenario())
+        assert data.count(b"HTTP/1.1 200") == count
+
     def test_first_request_of_a_new_connection_is_answered(self) -> None:
         async def scenario() -> bytes:
             server = make_server()
