Notice what came during a standstill before a node stops

What callers saw: requests on connections that were opened while a stopping node stood still were cut without an answer, also when the stop had time left.

Cause: the drain went on in the same turn of the event loop as the acceptance of the waiting connections, found no request in progress and ended the process. The time for the last answers was over, too, when the node stood still in it.

Change: the drain gives the event loop the turns that an acceptance takes before it closes the listening socket and looks for requests. The time for the last answers is counted in steps and ends as soon as nothing is in progress.

--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -95,6 +95,9 @@
 _STOP_MARGIN_S = 0.4
 # Time for the last answers to be written and sent, in seconds.
 _LAST_ANSWERS_S = 0.1
+_LAST_ANSWERS_STEP_S = 0.01
+# Turns of the event loop until it has accepted the connections that wait.
+_TURNS_TO_ACCEPT = 4
 _HOUSEKEEPING_INTERVAL_S = 0.1
 # Interval between log lines about the load of the node and its link.
 _LOAD_LOG_INTERVAL_S = 2.0
@@ -579,9 +582,8 @@
         self._coordinator.stop()
         self._peer_exchange.send_report()
         await asyncio.sleep(min(_DEREGISTRATION_S, grace_s / 2))
-        self._client_server.close_idle()
         while time.monotonic() < stops_at:
-            if not self._client_server.requests_in_progress:
+            if await self._close_idle_connections():
                 return
             if (
                 time.monotonic() - started_at
@@ -589,9 +591,21 @@
             ):
                 self._forwarder.refuse_undispatched()
             await asyncio.sleep(0.05)
-            self._client_server.close_idle()
         self._forwarder.end_unanswered()
-        await asyncio.sleep(_LAST_ANSWERS_S)
+        # Counted in steps, since a standstill gives no time to answer.
+        for _ in range(round(_LAST_ANSWERS_S / _LAST_ANSWERS_STEP_S)):
+            await asyncio.sleep(_LAST_ANSWERS_STEP_S)
+            if await self._close_idle_connections():
+                return
+
+    async def _close_idle_connections(self) -> bool:
+        """Returns whether no request is in progress, or expected."""
+        # After a standstill, connections and requests that came meanwhile are
+        # noticed first.
+        for _ in range(_TURNS_TO_ACCEPT):
+            await asyncio.sleep(0)
+        self._client_server.close_idle()
+        return not self._client_server.requests_in_progress
 
     def _reload(self) -> None:
         """Reloads the settings on SIGHUP and adds their seed nodes."""
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -200,6 +200,35 @@
         run_scenario(tmp_path, scenario)
 
 
+class TestStandstill:
+    """Guards against connections that came while a stopping node stood still.
+
+    It ended at once, without noticing those that it had just accepted.
+    """
+
+    @pytest.mark.parametrize("standstill_s", [2.2, _GRACE_S])
+    def test_requests_are_answered_or_refused(
+        self, tmp_path: pathlib.Path, standstill_s: float
+    ) -> None:
+        async def scenario(cluster: LocalCluster) -> None:
+            await cluster.add_upstream("u-1", standin.echo, slot_count=40)
+            gateway = cluster.gateway
+            await gateway.wait_ready()
+            gateway.signal(signal.SIGTERM)
+            await asyncio.sleep(1.0)
+            gateway.signal(signal.SIGSTOP)
+            calls = [
+                call(cluster, f"a{number}", "/read/x") for number in range(20)
+            ]
+            await asyncio.sleep(standstill_s)
+            gateway.signal(signal.SIGCONT)
+            for response in await asyncio.gather(*calls):
+                assert response.status in {200, 503}
+            assert await gateway.wait() == 0
+
+        run_scenario(tmp_path, scenario)
+
+
 class _FixedHandler:
     """Answers each request with a body of a fixed size."""
 
