--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -58,9 +58,6 @@
 class ClientConnection:
     """A client connection.
 
-    Attributes:
-        close_cause: Why the server closes the connection; None if it doesn't.
-
     Args:
         channel: The connection.
         handler: Handles the requests.
@@ -79,14 +76,11 @@
         log: DecisionLog,
         is_draining: Callable[[], bool],
     ) -> None:
-        self.close_cause: CloseCause | None = None
         self._channel = channel
         self._handler = handler
         self._get_limits = get_limits
         # Limits for the request that is read, or for the wait for it.
         self._limits = get_limits()
-        # Timeout of the wait for a request; None while there is a request.
-        self._idle_timeout: IoTimeout | None = None
         # Idle timeout that the client was told, which it may rely on.
         self._announced_s = 0
         self._counters = counters
@@ -104,15 +98,19 @@
         return (
             self._is_idle
             and time.monotonic() >= self._request_expected_until
-            and not self._channel.has_unread
             and not self._channel.has_unsent
+            and not self._codec.trailing_data[0]
+            and not self._channel.unread_bytes
         )
 
-    def close_idle(self) -> None:
-        """Closes the connection unless a request has arrived."""
-        if self._idle_timeout is not None and self.close_cause is None:
-            self.close_cause = CloseCause.DRAINING
-            self._idle_timeout.restart(0.0)
+    def close_idle(self, cause: CloseCause) -> None:
+        """Tells the client at once that the connection closes.
+
+        A request that was sent before would be lost, so the caller checks
+        `is_idle` in the same turn of the event loop.
+        """
+        self._channel.end_sending()
+        self.record_close(cause)
 
     async def run(self) -> None:
         """Handles the requests of the connection in sequence."""
@@ -130,21 +128,18 @@
             self._log.debug("client_connection_error", error=str(error))
             self._channel.abort()
         finally:
-            self._record_close()
             self._channel.close()
 
-    def _record_close(self) -> None:
+    def record_close(self, cause: CloseCause) -> None:
         """Records a close by the server, and what its client had sent."""
-        if self.close_cause is None:
-            return
-        self._counters.connections_closed[self.close_cause.value] += 1
+        self._counters.connections_closed[cause.value] += 1
         unread_bytes = self._channel.unread_bytes
         if not unread_bytes and self._is_idle:
             return
-        self._counters.connections_closed_early[self.close_cause.value] += 1
+        self._counters.connections_closed_early[cause.value] += 1
         self._log.warning(
             "connection_closed_early",
-            cause=self.close_cause.value,
+            cause=cause.value,
             unread_bytes=unread_bytes,
             is_idle=self._is_idle,
             idle_timeout_s=self._idle_timeout_s(),
@@ -201,7 +196,7 @@
         A close with unread bytes would reset the connection, and its client
         might lose the refusal.
         """
-        self._channel.close_sending()
+        self._channel.end_sending()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_DISCARD_TIMEOUT_S):
                 while await self._read_channel():
@@ -298,7 +293,6 @@
             if not data:
                 return False
         self._is_idle = False
-        self.close_cause = None
         self._request_expected_until = 0.0
         limits = self._get_limits()
         if limits.header_bytes != self._limits.header_bytes:
@@ -313,23 +307,18 @@
     async def _read_first_bytes(self) -> bytes:
         """Waits for bytes; returns none if the client closes or stays idle."""
         idle_timeout_s = 0.0
-        while (
-            self.close_cause is None
-            and (limit_s := self._idle_timeout_s()) > idle_timeout_s
-        ):
+        while (limit_s := self._idle_timeout_s()) > idle_timeout_s:
             # The limit was raised while the client was idle.
             remaining_s = limit_s - idle_timeout_s
             idle_timeout_s = limit_s
             try:
-                async with IoTimeout(remaining_s) as self._idle_timeout:
+                async with IoTimeout(remaining_s):
                     return await self._read_channel()
             except TimeoutError:
-                if self._channel.has_unread:
+                if self._channel.unread_bytes:
                     # They came in the turn of the loop that ended the time.
                     return await self._read_channel()
-            finally:
-                self._idle_timeout = None
-        self.close_cause = self.close_cause or CloseCause.IDLE_TIMEOUT
+        self.close_idle(CloseCause.IDLE_TIMEOUT)
         return b""
 
     def _idle_timeout_s(self) -> float:
--- a/src/tanagerport/gateway/client_server.py
+++ b/src/tanagerport/gateway/client_server.py
@@ -68,9 +68,10 @@
         """Closes the listening socket and the idle connections."""
         if self._server is not None:
             self._server.close()
-        for connection in self._connections.values():
+        for task, connection in list(self._connections.items()):
             if connection.is_idle:
-                connection.close_idle()
+                connection.close_idle(CloseCause.DRAINING)
+                task.cancel()
 
     async def close(self) -> None:
         """Closes the listening socket and all connections."""
@@ -78,7 +79,7 @@
             self._server.close()
         tasks = list(self._connections)
         for task, connection in self._connections.items():
-            connection.close_cause = CloseCause.STOPPING
+            connection.record_close(CloseCause.STOPPING)
             task.cancel()
         if tasks:
             await asyncio.wait(tasks, timeout=_CLOSE_TIMEOUT_S)
