Keep settings together that can't be changed in a running process

What callers saw: nothing alone. After SIGHUP with other regions, a node ranked coordinators by the new regions and asked them by the old ones.

Cause: class of fault of this incident, a copy of configuration that outlives the change: most components take their settings when they are created, while the node read some fields of the new ones.

Change: SIGHUP applies the fields that can be, and the log names the changed ones that need a restart.

Evidence: test_settings_that_need_a_restart_are_named failed before (no such field).

--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
+import msgspec
+
 from tanagerport.exceptions import (
     DocumentError,
     SettingsError,
@@ -115,6 +117,9 @@
 _WATCH_MARGIN_S = 1.0
 _MIN_WATCH_WAIT_S = 0.5
 _UNKNOWN_SERVICE = Service("")
+# Settings that apply when they are reloaded. The others belong to components
+# that were created at the start.
+_RELOADED_SETTINGS = ("seeds", "contact_ms", "drain_grace_s")
 
 
 class PlatformCodec(Protocol):
@@ -614,17 +619,26 @@
         return not self._client_server.requests_in_progress
 
     def _reload(self) -> None:
-        """Reloads the settings on SIGHUP and adds their seed nodes."""
+        """Applies on SIGHUP the settings that don't need a restart."""
         try:
             settings = self._load_settings()
         except SettingsError as error:
             self._log.error("settings_refused", error=str(error))
             return
-        self._settings = settings
+        need_restart = [
+            name
+            for name in settings.__struct_fields__
+            if name not in _RELOADED_SETTINGS
+            and getattr(settings, name) != getattr(self._settings, name)
+        ]
+        self._settings = msgspec.structs.replace(
+            self._settings,
+            **{name: getattr(settings, name) for name in _RELOADED_SETTINGS},
+        )
         self._peer_exchange.add_hosts(
             parse_address(seed).host for seed in settings.seeds
         )
-        self._log.info("settings_reloaded")
+        self._log.info("settings_reloaded", need_restart=need_restart)
 
     async def _run_with_restarts(
         self, name: str, run: Callable[[], Coroutine[Any, Any, None]]
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -833,6 +833,34 @@
 
         run_scenario(tmp_path, scenario)
 
+    def test_settings_that_need_a_restart_are_named(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a process that goes by old and new settings at once.
+
+        Some of its parts used the new regions, and others those of its start.
+        """
+
+        async def scenario(cluster: LocalCluster) -> None:
+            await cluster.add_upstream("u-1", standin.echo)
+            await cluster.gateway.wait_ready()
+            cluster.gateway.settings.update(
+                regions={"zone-a": "other"}, retry_slack=7, drain_grace_s=3
+            )
+            cluster.gateway.write_settings()
+            cluster.gateway.signal(signal.SIGHUP)
+            await asyncio.sleep(0.5)
+            lines = [
+                line
+                for line in cluster.gateway.log_lines()
+                if line["event"] == "settings_reloaded"
+            ]
+            assert [line["need_restart"] for line in lines] == [
+                ["regions", "retry_slack"]
+            ]
+
+        run_scenario(tmp_path, scenario)
+
     def test_invalid_settings_are_rejected_with_all_findings(
         self, tmp_path: pathlib.Path
     ) -> None:
