Don't leave a sound upstream for the node's own standstill

What callers saw: after a standstill of a node, requests left upstreams that had answered meanwhile, and ran a second time on the retry budget.

Change: after a standstill the timer waits once more, for the length of the standstill or the usual time, whichever is shorter.

Evidence: test_data_that_came_meanwhile_ends_the_silence failed before.

--- a/src/tanagerport/gateway/io_timeout.py
+++ b/src/tanagerport/gateway/io_timeout.py
@@ -12,7 +12,7 @@
 
 # A timer that runs this much late, in seconds, shows that the event loop stood
 # still. The interval of the busiest timers of a node is 0.02 s.
-_MAX_TIMER_DELAY_S = 0.05
+MAX_TIMER_DELAY_S = 0.05
 
 
 def expire(limit: asyncio.Timeout) -> None:
@@ -71,7 +71,7 @@
 
     def _handle_due(self, due_at: float) -> None:
         timer_delay_s = self._loop.time() - due_at
-        if timer_delay_s > _MAX_TIMER_DELAY_S and self._extension_left_s > 0:
+        if timer_delay_s > MAX_TIMER_DELAY_S and self._extension_left_s > 0:
             extension_s = min(timer_delay_s, self._extension_left_s)
             self._extension_left_s -= extension_s
             self._start_timer(extension_s)
--- a/src/tanagerport/gateway/silence.py
+++ b/src/tanagerport/gateway/silence.py
@@ -4,7 +4,7 @@
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 
-from tanagerport.gateway.io_timeout import expire
+from tanagerport.gateway.io_timeout import MAX_TIMER_DELAY_S, expire
 
 # Interval at which a request at a silent upstream looks for another place, in
 # seconds.
@@ -35,15 +35,25 @@
     loop = asyncio.get_running_loop()
     limit = asyncio.timeout(None)
     searches: list[asyncio.Task[None]] = []
+    timer: asyncio.TimerHandle
 
     async def search() -> None:
         while not await find_place():
             await asyncio.sleep(_SEARCH_INTERVAL_S)
         expire(limit)
 
-    timer = loop.call_later(
-        timeout_s, lambda: searches.append(loop.create_task(search()))
-    )
+    def handle_due(due_at: float, may_extend: bool) -> None:
+        nonlocal timer
+        timer_delay_s = loop.time() - due_at
+        if may_extend and timer_delay_s > MAX_TIMER_DELAY_S:
+            # The event loop stood still, so the upstream may have sent data.
+            due_at = loop.time() + min(timer_delay_s, timeout_s)
+            timer = loop.call_at(due_at, handle_due, due_at, False)
+            return
+        searches.append(loop.create_task(search()))
+
+    first_due_at = loop.time() + timeout_s
+    timer = loop.call_at(first_due_at, handle_due, first_due_at, True)
     try:
         async with limit:
             yield
--- a/tests/test_gateway_standstill.py
+++ b/tests/test_gateway_standstill.py
@@ -13,6 +13,7 @@
 from tanagerport.gateway import table_exchange
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.settings import Address
+from tanagerport.gateway.silence import silence_timeout
 from tanagerport.gateway.table_copy import TableCopy
 from tanagerport.gateway.table_exchange import TableClient
 from tanagerport.gateway.table_store import Row, StoreVersion, TableRows
@@ -131,3 +132,45 @@
             return is_open
 
         assert asyncio.run(scenario())
+
+
+class TestSilentUpstream:
+    """Guards against leaving a sound upstream for the node's own standstill."""
+
+    def test_data_that_came_meanwhile_ends_the_silence(self) -> None:
+        async def scenario() -> int:
+            searches = 0
+
+            async def find_place() -> bool:
+                nonlocal searches
+                searches += 1
+                return True
+
+            ours, theirs = socket.socketpair()
+            ours.setblocking(False)
+            loop = asyncio.get_running_loop()
+            with ours, theirs:
+                loop.call_later(_TIMEOUT_S / 3, time.sleep, _STANDSTILL_S)
+                sender = threading.Timer(_TIMEOUT_S, theirs.send, (b"ab",))
+                sender.start()
+                async with silence_timeout(_TIMEOUT_S, find_place):
+                    # The answer takes more than one read.
+                    await loop.sock_recv(ours, 1)
+                    await asyncio.sleep(0.05)
+                    await loop.sock_recv(ours, 1)
+                sender.join()
+            return searches
+
+        assert asyncio.run(scenario()) == 0
+
+    def test_silence_is_noticed_after_a_standstill(self) -> None:
+        async def scenario() -> None:
+            async def find_place() -> bool:
+                return True
+
+            asyncio.get_running_loop().call_later(0.1, time.sleep, 0.5)
+            async with silence_timeout(_TIMEOUT_S, find_place):
+                await asyncio.sleep(5.0)
+
+        with pytest.raises(TimeoutError):
+            asyncio.run(scenario())
