Answer pipelined requests that came before a stop was told

What callers saw: a client that had sent several requests at once got an answer to the first one with "Connection: close" and none to the others, after the node had begun to stop.

Cause: while a node drains, the next response closes the connection, although further requests have been received.

Change: a response closes the connection of a draining node only if no further bytes have come. The soak counts requests that aren't processed as failures.

--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -171,9 +171,11 @@
         )
 
     def _must_close(self) -> bool:
-        return self._is_draining() or self._codec.their_state not in (
-            h11.DONE,
-            h11.IDLE,
+        if self._codec.their_state not in (h11.DONE, h11.IDLE):
+            return True
+        # Requests that have come are answered before the connection closes.
+        return self._is_draining() and not (
+            self._codec.trailing_data[0] or self._channel.unread_bytes
         )
 
     async def _read_request(self) -> ClientRequest | None:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -165,7 +165,7 @@
             lines += [f"    {line}" for line in around[-_LOG_LINES:]]
         return "\n".join(lines)
 
-    def _fail(self, node: Node, text: str, at: float | None = None) -> None:
+    def fail(self, node: Node, text: str, at: float | None = None) -> None:
         self.failures.append((at or time.monotonic(), node, text))
 
     def _note(self, node: Node | None, text: str) -> None:
@@ -342,7 +342,7 @@
         try:
             status = await node.gateway.wait()
         except TimeoutError:
-            self._fail(node, "did not exit after SIGTERM")
+            self.fail(node, "did not exit after SIGTERM")
             await node.gateway.stop()
             status = 0
         node.is_up = False
@@ -350,7 +350,7 @@
         self._note(node, f"exited with {status}")
         took_s = time.monotonic() - started_at - node.stood_still_s(started_at)
         if status or took_s > node.grace_s + _EXIT_SLACK_S:
-            self._fail(node, f"exited with {status} after {took_s:.2f} s")
+            self.fail(node, f"exited with {status} after {took_s:.2f} s")
 
     async def _run_client(self, number: int) -> None:
         rng = self.generator(f"client-{number}")
@@ -388,7 +388,7 @@
         if idle_s < 0.9 * min(recent) and not (
             node.was_killed(opened_at) or node.was_stopping(opened_at)
         ):
-            self._fail(node, f"connection closed after {idle_s:.2f} s idle")
+            self.fail(node, f"connection closed after {idle_s:.2f} s idle")
 
     async def read_answer(
         self,
@@ -405,7 +405,7 @@
             async with asyncio.timeout(4 * _DEADLINE_S):
                 response = await standin.read_response(reader)
         except TimeoutError:
-            self._fail(node, f"{attempt}: no answer in {4 * _DEADLINE_S} s")
+            self.fail(node, f"{attempt}: no answer in {4 * _DEADLINE_S} s")
             return None
         except (asyncio.IncompleteReadError, ConnectionError) as error:
             if node.was_killed(opened_at):
@@ -413,11 +413,11 @@
             elif is_first and node.was_stopping(opened_at, _CLOSE_IDLE_S):
                 self.statuses["not accepted"] += 1
             else:
-                self._fail(node, f"{attempt}: no answer: {error!r}")
+                self.fail(node, f"{attempt}: no answer: {error!r}")
             return None
         took_s = time.monotonic() - sent_at - node.stood_still_s(sent_at)
         if took_s > max(entry[2] for entry in self._limits) + _SLACK_S:
-            self._fail(node, f"{attempt}: answered after {took_s:.2f} s")
+            self.fail(node, f"{attempt}: answered after {took_s:.2f} s")
         if response.status in _NOT_RUN:
             self._not_run[attempt] = node
         self.statuses[str(response.status)] += 1
@@ -429,7 +429,7 @@
             entry[2] for entry in self._limits
         )
         if not has_timed_out and not node.was_killed(opened_at):
-            self._fail(node, f"{attempt}: cut: {response}")
+            self.fail(node, f"{attempt}: cut: {response}")
         return None
 
     def _check_body(
@@ -448,7 +448,7 @@
         if response.status not in _EXPECTED or (
             response.status == 200 and response.body != expected
         ):
-            self._fail(node, f"{attempt}: {response}")
+            self.fail(node, f"{attempt}: {response}")
 
     def _check_runs(self) -> None:
         runs = collections.Counter(
@@ -458,10 +458,10 @@
         )
         for attempt, node in self._not_run.items():
             if runs[attempt]:
-                self._fail(node, f"{attempt}: ran and was refused as not run")
+                self.fail(node, f"{attempt}: ran and was refused as not run")
         for attempt, count in runs.items():
             if attempt.startswith("pay") and count > 1:
-                self._fail(self._nodes[0], f"{attempt}: ran {count} times")
+                self.fail(self._nodes[0], f"{attempt}: ran {count} times")
 
     def _check_logs(self) -> None:
         for node in self._nodes:
@@ -470,12 +470,12 @@
                 if line["event"] in _FAULT_LINES and (
                     line.get("cause") != "stopping" or line["unread_bytes"]
                 ):
-                    self._fail(node, str(line), line["at"])
+                    self.fail(node, str(line), line["at"])
             _, traceback, rest = node.gateway.log_path.read_text().partition(
                 "Traceback"
             )
             if traceback:
-                self._fail(node, traceback + rest[:3000])
+                self.fail(node, traceback + rest[:3000])
 
 
 class _Connection:
@@ -553,7 +553,11 @@
                 self._soak.statuses["closed in a request"] += 1
                 return False
         self._writer.write(data)
+        stays_open = True
         for attempt, _, body in requests:
+            if not stays_open:
+                self._soak.fail(self._node, f"{attempt}: not processed")
+                return False
             response = await self._soak.read_answer(
                 self._node,
                 self._reader,
@@ -564,10 +568,9 @@
             )
             if response is None:
                 return False
-            if response.headers.get("connection") == "close":
-                return False
+            stays_open = response.headers.get("connection") != "close"
         self._idle_at = time.monotonic()
-        return True
+        return stays_open
 
 
 def run_seed(
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -382,6 +382,24 @@
         data = asyncio.run(scenario())
         assert data.count(b"HTTP/1.1 200") == count
 
+    def test_requests_sent_before_the_stop_was_told_are_answered(self) -> None:
+        """Guards against pipelined requests that are dropped by a stop."""
+
+        async def scenario() -> bytes:
+            server = make_server()
+            port = standin.free_port()
+            await server.start(standin.HOST, port)
+            reader, writer = await asyncio.open_connection(standin.HOST, port)
+            server.start_draining()
+            writer.write(standin.request_bytes("GET", "/x") * 3)
+            data = await reader.read()
+            await server.close()
+            return data
+
+        data = asyncio.run(scenario())
+        assert data.count(b"HTTP/1.1 200") == 3
+        assert data.count(b"Connection: close") == 1
+
     def test_first_request_of_a_new_connection_is_answered(self) -> None:
         async def scenario() -> bytes:
             server = make_server()
