--- a/tests/test_gateway_changes_under_requests.py
+++ b/tests/test_gateway_changes_under_requests.py
@@ -445,3 +445,70 @@
             )
 
         asyncio.run(run())
+
+
+class TestLeavingClients:
+    """Guards against clients that leave and take others' answers with them.
+
+    A slot that was freed in the turn of the event loop in which a waiting
+    request was cancelled stayed taken, and the request that had freed it ended
+    with `connection_failed`.
+    """
+
+    def test_slots_of_leaving_clients_serve_the_others(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        rounds, clients = 8, 30
+
+        async def leave(cluster: LocalCluster, attempt: str) -> None:
+            """Sends a request and closes its connection after a while."""
+            _, writer = await asyncio.open_connection(
+                standin.HOST, cluster.gateway.port
+            )
+            fields = {
+                "Attempt-Id": attempt,
+                "Deadline-Ms": "6000",
+                "Authorization": "Token key-1",
+            }
+            writer.write(standin.request_bytes("GET", "/read/x", b"", fields))
+            await asyncio.sleep(0.25)
+            writer.transport.abort()
+
+        async def scenario(cluster: LocalCluster) -> None:
+            work = _Work(STAGES[0])
+            upstream = await cluster.add_upstream(
+                "u-1", work.handle, slot_count=2
+            )
+            await cluster.add_gateway()
+            await cluster.gateway.wait_ready()
+            for number in range(rounds):
+                work.may_go_on.clear()
+                running = [
+                    asyncio.ensure_future(
+                        call(cluster, f"read-{number}-{index}", _DEADLINE_S)
+                    )
+                    for index in range(4)
+                ]
+                await asyncio.sleep(0.05)
+                leaving = [
+                    leave(cluster, f"gone-{number}-{index}")
+                    for index in range(clients)
+                ]
+                asyncio.get_running_loop().call_later(0.25, work.may_go_on.set)
+                await asyncio.gather(*leaving)
+                row = upstream.registration("svc", sequence=number)
+                await cluster.store.put("servers", "u-1", row)
+                for response in await asyncio.gather(*running):
+                    assert response.status == 200
+            text = cluster.gateway.log_path.read_text()
+            assert "InvalidStateError" not in text
+            assert "RuntimeError" not in text
+            assert "connection_failed" not in text
+
+        async def run() -> None:
+            async with standin.local_cluster(
+                tmp_path, make_configuration()
+            ) as cluster:
+                await scenario(cluster)
+
+        asyncio.run(run())
