--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -523,6 +523,7 @@
             **settings,
         }
         self._process: asyncio.subprocess.Process | None = None
+        self._pidfd = -1
 
     @property
     def pid(self) -> int:
@@ -547,6 +548,8 @@
                 stderr=log,
                 env=environment,
             )
+        self._close_pidfd()
+        self._pidfd = os.pidfd_open(self._process.pid)
 
     async def wait_ready(self, timeout_s: float = 10.0) -> None:
         async with asyncio.timeout(timeout_s):
@@ -561,8 +564,9 @@
         return response.status
 
     def signal(self, number: signal.Signals) -> None:
-        assert self._process is not None
-        self._process.send_signal(number)
+        # `send_signal` would reap a process that has just exited, and asyncio
+        # would not learn its status.
+        signal.pidfd_send_signal(self._pidfd, number)
 
     async def wait(self) -> int:
         assert self._process is not None
@@ -573,6 +577,12 @@
         if self._process is not None and self._process.returncode is None:
             self._process.kill()
             await self._process.wait()
+        self._close_pidfd()
+
+    def _close_pidfd(self) -> None:
+        if self._pidfd >= 0:
+            os.close(self._pidfd)
+            self._pidfd = -1
 
     def log_lines(self) -> list[dict[str, Any]]:
         return [
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -316,7 +316,7 @@
         self, node: Node, number: signal.Signals, text: str = ""
     ) -> None:
         self._note(node, f"{number.name} {text}")
-        with contextlib.suppress(ProcessLookupError):
+        with contextlib.suppress(OSError):
             node.gateway.signal(number)
 
     async def _restart(self, node: Node, ends_at: float) -> None:
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -1,11 +1,15 @@
 """Tests of a planned stop: SIGTERM while clients keep using connections."""
 
 import asyncio
+import contextlib
 import dataclasses
 import json
+import os
 import pathlib
 import signal
 import socket
+import subprocess
+import sys
 import time
 from collections.abc import Awaitable, Callable
 
@@ -229,6 +233,52 @@
         run_scenario(tmp_path, scenario)
 
 
+def open_when_read(path: pathlib.Path) -> int:
+    """Opens a named pipe as soon as a process reads it, within 10 s."""
+    for _ in range(1000):
+        with contextlib.suppress(OSError):
+            return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+        time.sleep(0.01)
+    raise TimeoutError(path)
+
+
+class TestSignalsOutsideService:
+    """Guards against signals that end a process while it starts or exits."""
+
+    def test_stop_signals_until_the_exit(self, tmp_path: pathlib.Path) -> None:
+        async def scenario(cluster: LocalCluster) -> None:
+            await cluster.gateway.wait_ready()
+            exited = asyncio.ensure_future(cluster.gateway.wait())
+            while not exited.done():
+                with contextlib.suppress(ProcessLookupError):
+                    cluster.gateway.signal(signal.SIGTERM)
+                await asyncio.sleep(0.002)
+            assert exited.result() == 0
+
+        run_scenario(tmp_path, scenario)
+
+    def test_reload_before_the_settings_are_read(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        path = tmp_path / "settings.json"
+        os.mkfifo(path)
+        process = subprocess.Popen(
+            [sys.executable, str(standin.ROOT / "platform" / "serve.py")],
+            env={**os.environ, "TANAGERPORT_SETTINGS": str(path)},
+            stderr=subprocess.DEVNULL,
+        )
+        try:
+            pipe = open_when_read(path)
+            process.send_signal(signal.SIGHUP)
+            os.write(pipe, b"{}")
+            os.close(pipe)
+            # The status of a process whose settings are invalid.
+            assert process.wait(10.0) == 2
+        finally:
+            process.kill()
+            process.wait()
+
+
 class _FixedHandler:
     """Answers each request with a body of a fixed size."""
 
