Apply a reload that is asked for during the start

Cause: SIGHUP was ignored from the start of the process until its event loop ran, also after the settings had been read.

--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -528,6 +528,8 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        # It may have been blocked, and pending, during the start.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         self._log.info("started", zone=settings.zone, pid=os.getpid())
         self._peer_exchange.add_hosts(
             parse_address(seed).host for seed in settings.seeds
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -278,6 +278,43 @@
             process.kill()
             process.wait()
 
+    def test_reload_while_the_settings_are_read(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a process that keeps settings which were replaced."""
+
+        async def scenario(cluster: LocalCluster) -> None:
+            gateway = cluster.gateway
+            await gateway.stop()
+            old = json.dumps({**gateway.settings, "drain_grace_s": 4.0})
+            gateway.settings_path.unlink()
+            os.mkfifo(gateway.settings_path)
+            log_path = tmp_path / "reload.log"
+            with log_path.open("wb") as log:
+                process = subprocess.Popen(
+                    [sys.executable, str(standin.ROOT / "platform/serve.py")],
+                    env={
+                        **os.environ,
+                        "TANAGERPORT_SETTINGS": str(gateway.settings_path),
+                    },
+                    stdout=log,
+                )
+            try:
+                pipe = open_when_read(gateway.settings_path)
+                gateway.settings_path.unlink()
+                gateway.write_settings()
+                process.send_signal(signal.SIGHUP)
+                os.write(pipe, old.encode())
+                os.close(pipe)
+                async with asyncio.timeout(10.0):
+                    while b"settings_reloaded" not in log_path.read_bytes():
+                        await asyncio.sleep(0.05)
+            finally:
+                process.kill()
+                process.wait()
+
+        run_scenario(tmp_path, scenario)
+
 
 class _FixedHandler:
     """Answers each request with a body of a fixed size."""
