Don't place a request that gives up in the same turn

What callers saw: a request whose answer was complete, or had just failed, lost its connection with an exception (connection_failed, InvalidStateError) when it released its place, and a place stayed taken that nobody used.

Cause: the task of a waiting request is cancelled at its deadline or when its client leaves; its future is cancelled at once, its entry is removed only when the task runs. A place that got free between was given to that entry. After a standstill many deadlines pass in one turn of the event loop.

Change: entries whose future is done are removed before a place is looked for.

The new test failed with the InvalidStateError before.

--- a/src/tanagerport/gateway/admission.py
+++ b/src/tanagerport/gateway/admission.py
@@ -163,10 +163,20 @@
         )
 
     def _place_first(self) -> bool:
-        """Places the first waiting request that takes a free slot."""
+        """Places the first waiting request that takes a free slot.
+
+        Returns:
+            Whether further requests may be placed.
+        """
+        has_given_up = False
         for number, entry in self._waiting.ordered(
             self._now(), _MAX_TRIED_REQUESTS
         ):
+            if entry.future.done():
+                # Its task was cancelled and has not run since.
+                self._waiting.remove(number)
+                has_given_up = True
+                continue
             placement = self._find_placement(entry.item)
             if placement is None:
                 continue
@@ -175,6 +185,8 @@
             entry.future.set_result(placement)
             self._has_unwanted_slots = False
             return True
+        if has_given_up:
+            return True
         if self._count_free_slots is not None:
             self._has_unwanted_slots = True
             self._unwanted_slots = self._count_free_slots()
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -165,6 +165,28 @@
         asyncio.run(scenario())
 
 
+class TestRequestThatGivesUp:
+    """Guards against an error in the request that releases a slot.
+
+    A waiting request that gives up in the same turn of the event loop still
+    has its entry in the queue.
+    """
+
+    def test_slot_goes_to_the_next_request(self) -> None:
+        async def scenario() -> None:
+            harness = _QueueHarness(1)
+            placement = await harness.submit("served")
+            first, second = harness.submit("first"), harness.submit("second")
+            await run_pending_tasks()
+            first.cancel()
+            harness.release(placement)
+            assert (await second).item.request_id == "second"
+            assert harness.free_slots == 0
+            assert harness.queue.size == 0
+
+        asyncio.run(scenario())
+
+
 class TestSuddenBurst:
     """Many requests at once after an idle time."""
 
