Count the time of a soak's request as the node does

The check took a stream for cut too early if its header had been sent up to 0.5 s before its end: the node counts the route timeout from the header. The bound itself is unchanged.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -397,9 +397,14 @@
         attempt: str,
         body: bytes,
         opened_at: float,
+        begun_at: float,
         is_first: bool,
     ) -> standin.ClientResponse | None:
-        """Reads and checks an answer; returns None if it isn't complete."""
+        """Reads and checks an answer; returns None if it isn't complete.
+
+        The node counts the time of a request from the end of its header, which
+        may have been sent after `begun_at`.
+        """
         sent_at = time.monotonic()
         try:
             async with asyncio.timeout(4 * _DEADLINE_S):
@@ -425,7 +430,7 @@
             self._check_body(node, attempt, body, response)
             return response
         self.statuses["cut"] += 1
-        has_timed_out = time.monotonic() - sent_at >= min(
+        has_timed_out = time.monotonic() - begun_at >= min(
             entry[2] for entry in self._limits
         )
         if not has_timed_out and not node.was_killed(opened_at):
@@ -542,14 +547,14 @@
             )
             for attempt, kind, body in requests
         )
+        begun_at = time.monotonic()
         if len(requests) == 1 and rng.random() < 0.3:
             cut = rng.randrange(1, len(data))
             self._writer.write(data[:cut])
-            sent_at = time.monotonic()
             await asyncio.sleep(rng.uniform(0.0, 0.5))
             data = data[cut:]
             if not self._is_open():
-                self._soak.check_close(self._node, self._opened_at, sent_at)
+                self._soak.check_close(self._node, self._opened_at, begun_at)
                 self._soak.statuses["closed in a request"] += 1
                 return False
         self._writer.write(data)
@@ -564,6 +569,7 @@
                 attempt,
                 body,
                 self._opened_at,
+                begun_at,
                 is_first,
             )
             if response is None:
