Don't send all refused requests of a customer back for the same units

The limit of the customer is lowered far below its demand, so its window is full; its usage of a few tenths of a second leaves the window together. Each refusal named the moment at which the units of that one request become available, so the refused requests came back together (refusals from second 17.9 to 18.3 all named second 18.3 to 18.7). 69 nodes in two regions granted them before they heard of each other, after 0.8 s on average: 611,000 tokens from second 18.25 on where about 465,000 were left, 637,000 from 22.5 on where 288,000 were left. The estimate of what the nodes have not heard of used the rate of the last 2 s, in which nothing had been granted.

A node now counts the units of the requests that it has sent back, scaled by what share of the usage is its own, and names a later moment to the next one. The estimate also uses the rate of the last 0.3 s.

--- a/src/tanagerport/gateway/quotas.py
+++ b/src/tanagerport/gateway/quotas.py
@@ -140,6 +140,8 @@
         self._changed_at: dict[str, float] = {}
         # By customer and the interval in which the units were consumed.
         self._refunds: dict[str, dict[int, _Refund]] = {}
+        # Units of refused requests, at the times at which they may return.
+        self._returns: dict[str, SlidingWindow] = {}
         self._peers: dict[str, _PeerUsage] = {}
         self._mean_request_units = 0.0
         self._started_at = now()
@@ -263,7 +265,7 @@
 
         Returns:
             None if the units were consumed, else the seconds until they will
-            be available.
+            be available, after those of requests that were refused before.
         """
         if customer.rate_per_s <= 0:
             return None
@@ -276,13 +278,45 @@
         # A request above the whole quota is admitted while the window is empty;
         # otherwise it could never be served.
         if excess > 0 and used > 0:
-            return self._window(customer.name).time_until_expired_s(now, excess)
+            return self._schedule_return(customer.name, now, excess, units)
         self._mean_request_units += _AVERAGE_WEIGHT * (
             units - self._mean_request_units
         )
         self._add_usage(customer.name, units, now)
         return None
 
+    def _schedule_return(
+        self, name: str, now: float, excess: float, units: float
+    ) -> float:
+        """Returns the seconds until a refused request may return.
+
+        Units that leave the window are promised to one request only. If all
+        refused requests returned for the same units, the nodes would grant them
+        before they heard of each other.
+
+        Args:
+            name: Name of the customer.
+            now: Monotonic time, in seconds.
+            excess: Units that have to leave the window for the request.
+            units: Units of the request.
+        """
+        returns = self._returns.get(name)
+        if returns is None:
+            # A window without length holds what is still to come.
+            returns = self._returns[name] = SlidingWindow(0.0)
+        promised = returns.total(now) * self._usage_ratio(name)
+        wait_s = self._window(name).time_until_expired_s(now, excess + promised)
+        returns.add(now + wait_s, units)
+        return wait_s
+
+    def _usage_ratio(self, name: str) -> float:
+        """Returns the usage of a customer at all nodes relative to this one."""
+        nodes = len(self._peers) + 1
+        own = self._own_totals.get(name, 0.0)
+        if own <= 0:
+            return nodes
+        return min(max(self._seen_totals[name] / own, 1.0), nodes)
+
     def refund(
         self, customer: Customer, units: float, consumed_at_s: float
     ) -> None:
@@ -484,9 +518,9 @@
         quota = customer.rate_per_s * settings.window_s + customer.burst
         # At a high rate, what the nodes use before they hear of each other is
         # more than the tolerance.
-        unheard = self._report_delay_s() * self._window(
-            customer.name
-        ).rate_per_s(self._now(), settings.window_s / _QUARTERS)
+        unheard = self._report_delay_s() * self._rate_per_s(
+            self._window(customer.name), self._now()
+        )
         allowed = quota + min(max(extra, 0.0), settings.tolerance - unheard)
         return max(allowed, 0.0) * (
             1 - self._count_silent_peers() / (len(self._peers) + 1)
--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -35,6 +35,27 @@
                 receiver.apply_report(name, sender.uptime_s, report)
 
 
+def _deliver(
+    limiters: list[QuotaLimiter],
+    in_transit: list[tuple[float, int, int, list[CustomerUsage]]],
+    now: float,
+) -> list[tuple[float, int, int, list[CustomerUsage]]]:
+    """Applies the reports that have arrived; returns the others.
+
+    Args:
+        limiters: Those of all nodes; every second one is in the same region.
+        in_transit: Time of arrival, index of the sender, region and changes.
+        now: Monotonic time, in seconds.
+    """
+    for arrival_at, sender, region, usages in in_transit:
+        if arrival_at > now:
+            continue
+        for index in range(region, len(limiters), 2):
+            if index != sender:
+                limiters[index].apply_changes(f"n{sender}", 5.0, usages)
+    return [entry for entry in in_transit if entry[0] > now]
+
+
 class TestUnits:
     """Number of units that a request costs."""
 
@@ -61,6 +82,18 @@
         clock.advance(5.1)
         assert limiter.consume(CUSTOMER, 100) is None
 
+    def test_refused_requests_do_not_return_for_the_same_units(self) -> None:
+        clock = FakeClock(100.0)
+        limiter = _limiter(clock)
+        assert limiter.consume(CUSTOMER, ALLOWANCE / 2) is None
+        clock.advance(2.0)
+        assert limiter.consume(CUSTOMER, ALLOWANCE / 2) is None
+        clock.advance(2.0)
+        assert limiter.consume(CUSTOMER, ALLOWANCE / 2) == pytest.approx(4.0)
+        assert limiter.consume(CUSTOMER, ALLOWANCE / 2) == pytest.approx(6.0)
+        clock.advance(4.1)
+        assert limiter.consume(CUSTOMER, ALLOWANCE / 2) is None
+
     def test_units_of_requests_that_did_not_run_are_refunded(self) -> None:
         limiter = _limiter(FakeClock(100.0))
         limiter.consume(CUSTOMER, ALLOWANCE)
@@ -521,3 +554,65 @@
         assert most <= 1.1 * quota + tolerance
         # The quota itself is given out.
         assert most >= 0.9 * quota
+
+    def test_released_usage_stays_within_the_overshoot(self) -> None:
+        """Guards against refused requests that all return at once.
+
+        The limit of a customer is lowered far below its demand. Its earlier
+        usage leaves the window within a second, and clients return when they
+        are told to. In 8 s, 1.25 million tokens ran; 1.05 million were allowed.
+        """
+        rng = random.Random(3)
+        clock = FakeClock(100.0)
+        tolerance = 140_000.0
+        limiters = [
+            QuotaLimiter(
+                QuotaSettings(8.0, tolerance), clock.monotonic, lambda: 0.78
+            )
+            for _ in range(70)
+        ]
+        for limiter in limiters:
+            limiter.mark_history_known()
+        high = Customer("c", ("k",), None, 500_000.0, 500_000.0, True)
+        low = Customer("c", ("k",), None, 71_462.0, 257_260.0, True)
+        quota = 71_462.0 * 8.0 + 257_260.0
+        returning: dict[int, list[float]] = collections.defaultdict(list)
+        used: collections.deque[tuple[float, float]] = collections.deque()
+        in_transit: list[tuple[float, int, int, list[CustomerUsage]]] = []
+        most = 0.0
+        served = 0.0
+        for step in range(3000):
+            clock.advance(0.01)
+            now = clock.monotonic()
+            # The lower limit binds one window after it was set.
+            is_bound = step >= 1250
+            requests = returning.pop(step, [])
+            if rng.random() < 0.7:
+                requests.append(min(rng.lognormvariate(7.9, 0.9), 50_000.0))
+            for units in requests:
+                customer = high if step < 450 else low
+                wait_s = rng.choice(limiters).consume(customer, units)
+                if wait_s is None:
+                    used.append((now, units))
+                    served += units if is_bound else 0.0
+                elif rng.random() < 0.8:
+                    delay_s = min(wait_s, rng.choice((0.8, 4.0)))
+                    returning[step + 1 + int(delay_s * 100)].append(units)
+            while used and used[0][0] <= now - 8.0:
+                used.popleft()
+            if is_bound:
+                most = max(most, sum(units for _, units in used))
+            for sender in range(70):
+                if step % 35 == sender % 35:
+                    usages = limiters[sender].changes()
+                    in_transit.append((now, sender, sender % 2, usages))
+                if step % 120 == sender * 7 % 120:
+                    arrival_at = now + rng.uniform(0, 0.35)
+                    usages = limiters[sender].changes()
+                    in_transit.append(
+                        (arrival_at, sender, 1 - sender % 2, usages)
+                    )
+            in_transit = _deliver(limiters, in_transit, now)
+        assert most <= 1.1 * quota + tolerance
+        # The quota itself is given out.
+        assert served >= 17.5 / 8.0 * quota
