Don't give a slot to a request whose task was cancelled but has not run since

The connections of many of its clients were reset at once, so the tasks of their requests were cancelled together. The first to end released its slot, and the admission queue gave it to a request whose future was cancelled already and which had not left the queue. The error ended the connection of the request that released the slot, without an answer, and the slot stayed taken. A client timeout in the same iteration of the event loop as a release does the same.

Such requests now leave the queue when their turn comes. The new test failed with InvalidStateError before.

--- a/src/tanagerport/gateway/admission.py
+++ b/src/tanagerport/gateway/admission.py
@@ -163,10 +163,18 @@
         )
 
     def _place_first(self) -> bool:
-        """Places the first waiting request that takes a free slot."""
+        """Places the first waiting request that takes a free slot.
+
+        Returns:
+            Whether a request has left the list, so that another may be placed.
+        """
         for number, entry in self._waiting.ordered(
             self._now(), _MAX_TRIED_REQUESTS
         ):
+            if entry.future.done():
+                # Its task was cancelled and has not run since.
+                self._waiting.remove(number)
+                return True
             placement = self._find_placement(entry.item)
             if placement is None:
                 continue
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -165,6 +165,37 @@
         asyncio.run(scenario())
 
 
+class TestCancelledRequest:
+    """A slot gets free before cancelled requests leave the queue."""
+
+    def test_slot_goes_to_the_next_request(self) -> None:
+        """Guards against a failure of the request that releases its slot.
+
+        When connections of many clients are reset at once, their tasks are
+        cancelled together, and the first to end releases its slot.
+        """
+
+        async def scenario() -> None:
+            queue_harness = _QueueHarness(1)
+            placement = await queue_harness.submit("running")
+            cancelled = [
+                queue_harness.submit(f"cancelled{number}", 0)
+                for number in range(20)
+            ]
+            waiting = queue_harness.submit("waiting", 1)
+            await run_pending_tasks()
+            for task in cancelled:
+                task.cancel()
+            queue_harness.release(placement)
+            await waiting
+            assert queue_harness.placed == ["running", "waiting"]
+            assert queue_harness.free_slots == 0
+            await asyncio.gather(*cancelled, return_exceptions=True)
+            assert queue_harness.queue.size == 0
+
+        asyncio.run(scenario())
+
+
 class TestSuddenBurst:
     """Many requests at once after an idle time."""
 
