Accuse prompt parts of answers that had just begun

Callers saw: a prompt part that crashes upstreams after the first event of its answer was never quarantined. It crashed one upstream after the other, and about a third of the sound requests was cut or refused.

Cause: the first event of an answer counted as proof of a sound prompt. Its request accused nothing when the upstream was lost, the event cleared its parts of earlier crashes, and a begun request wasn't withdrawn when it went to another upstream.

Change: an answer clears parts when it is whole or has eight events. With fewer events, its request accuses them when the upstream is lost, waits for the confirmation of the loss, and is withdrawn while it waits for another upstream. The log line upstream_lost names the accused requests.

Why it works: the part is in each of its crashes and never reaches eight events. Parts of sound requests that share a crash are cleared by the next answer that does.

--- a/src/tanagerport/gateway/crash_evidence.py
+++ b/src/tanagerport/gateway/crash_evidence.py
@@ -1,10 +1,10 @@
 """Evidence on which prompt parts crash upstreams.
 
 An upstream that crashes takes all its requests along, so a crash accuses every
-part of every prompt whose answer had not begun. A part that crashes upstreams
-shows in two ways: crashes that are independent of each other have it in common,
-and no answer ever begins on it. The other parts of these prompts are soon
-cleared by an answer to another request.
+part of every prompt whose answer had not begun, or had just begun. A part that
+crashes upstreams shows in two ways: crashes that are independent of each other
+have it in common, and no answer on it goes on for long. The other parts of
+these prompts are soon cleared by an answer to another request.
 
 All nodes merge what they observed, so that a part is quarantined everywhere
 after crashes that different nodes saw.
@@ -227,13 +227,13 @@
 
         Args:
             run: Identifies the run of the upstream.
-            parts: Parts of a prompt whose answer had not begun.
+            parts: Parts of a prompt whose answer was not sound yet.
         """
         self._add_crash(run, parts, self._now(), is_own=True)
         self._analyze()
 
     def record_answer(self, parts: Iterable[int]) -> None:
-        """Records that an upstream began to answer on these parts."""
+        """Records a sound answer on these parts."""
         now = self._now()
         was_accused = False
         for part in parts:
--- a/src/tanagerport/gateway/dispatch.py
+++ b/src/tanagerport/gateway/dispatch.py
@@ -312,6 +312,7 @@
             self._check_error_response(context, head)
         else:
             self._scheduler.record_first_event(placement, duration_s)
+            self._scheduler.record_established(placement)
             self._scheduler.record_outcome(placement, has_failed=False)
         self._counters.first_byte.observe(
             self._now() - context.request.received_at
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -313,8 +313,9 @@
         may_retry = self._may_retry(context, may_have_run=True)
         if (
             may_retry
-            and not placement.has_first_event
+            and not placement.is_established
             and await asyncio.shield(is_lost)
+            and not placement.has_first_event
         ):
             context.crashes += 1
 
--- a/src/tanagerport/gateway/prompt_quarantine.py
+++ b/src/tanagerport/gateway/prompt_quarantine.py
@@ -73,7 +73,7 @@
         All nodes have to know the parts of its prompt before they send them to
         further upstreams, so the next report is not awaited.
         """
-        if not held.has_begun and held.item.part_keys:
+        if not held.is_established and held.item.part_keys:
             self._ledger.record_crash(
                 f"{upstream.upstream_id}/{upstream.started_ms}",
                 held.item.part_keys,
@@ -126,6 +126,8 @@
         if not item.part_keys:
             yield
             return
+        # A request that is sent once more may crash its next upstream as well.
+        item.has_begun = False
         tried: tuple[int, ...] = ()
         if not self._ledger.is_empty:
             tried = await self._wait_for_trials(item)
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -18,7 +18,11 @@
 from tanagerport.gateway.upstream_latency import LatencyEstimator
 from tanagerport.gateway.upstream_load import LoadTracker
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
-from tanagerport.gateway.work_item import Placement, WorkItem
+from tanagerport.gateway.work_item import (
+    ESTABLISHED_EVENTS,
+    Placement,
+    WorkItem,
+)
 from tanagerport.refusals import Refusal, RefusalReason
 
 # An answer counts as slow above this multiple of the old version's mean.
@@ -50,7 +54,7 @@
             of other nodes alone.
         now: Monotonic clock, in seconds.
         record_answer: Called with the keys of the prompt parts on which an
-            answer has begun.
+            answer was whole or went on well beyond its first event.
     """
 
     def __init__(
@@ -283,6 +287,20 @@
             placement, self._find_service(placement.item.service)
         )
 
+    def record_events(self, placement: Placement, count: int) -> None:
+        """Records that a number of events of a stream arrived."""
+        placement.event_count += count
+        if placement.event_count >= ESTABLISHED_EVENTS:
+            self.record_established(placement)
+
+    def record_established(self, placement: Placement) -> None:
+        """Records an answer that is whole or well beyond its first event."""
+        if placement.is_established:
+            return
+        placement.is_established = True
+        if self._record_answer is not None and placement.item.part_keys:
+            self._record_answer(placement.item.part_keys)
+
     def record_first_event(
         self, placement: Placement, first_byte_s: float
     ) -> None:
@@ -292,8 +310,6 @@
         placement.has_first_event = True
         placement.item.has_begun = True
         placement.first_byte_s = first_byte_s
-        if self._record_answer is not None and placement.item.part_keys:
-            self._record_answer(placement.item.part_keys)
         if self._slots is not None and placement.queued_prompt_tokens:
             self._slots.record_first_event(placement, first_byte_s)
         upstream = placement.upstream
--- a/src/tanagerport/gateway/stream_relay.py
+++ b/src/tanagerport/gateway/stream_relay.py
@@ -117,7 +117,7 @@
                         timing.longest_interval_s, now - last_event_at
                     )
                 timing.event_count += len(events)
-                placement.event_count += len(events)
+                self._scheduler.record_events(placement, len(events))
                 timing.unreported_count += len(events)
                 # The first report is sent early to reveal a slow upstream.
                 if (
@@ -139,7 +139,7 @@
         if splitter.partial:
             context.response.send(splitter.partial)
         context.response.finish()
-        self._scheduler.record_outcome(placement, has_failed=False)
+        self._record_end(placement, head)
         self._recorder.record(
             context,
             placement,
@@ -154,6 +154,12 @@
             max_tokens=context.item.work.max_output_tokens,
         )
 
+    def _record_end(self, placement: Placement, head: ResponseHead) -> None:
+        if head.is_framed:
+            # Otherwise the end may be that of the upstream.
+            self._scheduler.record_established(placement)
+        self._scheduler.record_outcome(placement, has_failed=False)
+
     async def _read_stream_data(
         self,
         context: RequestContext,
--- a/src/tanagerport/gateway/upstream_losses.py
+++ b/src/tanagerport/gateway/upstream_losses.py
@@ -15,7 +15,7 @@
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import UpstreamRecord
 from tanagerport.gateway.upstream_pool import UpstreamPool
-from tanagerport.gateway.work_item import WorkItem
+from tanagerport.gateway.work_item import ESTABLISHED_EVENTS, WorkItem
 
 # Timeout of the connection attempt, in seconds.
 _CONNECT_TIMEOUT_S = 0.4
@@ -42,6 +42,11 @@
         """Whether the upstream had begun to answer."""
         return self.event_count > 0
 
+    @property
+    def is_established(self) -> bool:
+        """Whether the answer was well beyond its first event."""
+        return self.event_count >= ESTABLISHED_EVENTS
+
 
 @dataclasses.dataclass(slots=True)
 class _Suspicion:
@@ -131,6 +136,7 @@
         self, upstream: UpstreamRecord, all_held: list[HeldRequest]
     ) -> None:
         waiting = [held for held in all_held if not held.has_begun]
+        accused = [held for held in all_held if not held.is_established]
         self._counters.upstream_losses[
             "before_answer" if waiting else "during_answers"
         ] += 1
@@ -140,13 +146,13 @@
             service=upstream.service,
             held=len(all_held),
             begun=len(all_held) - len(waiting),
-            not_begun=[
+            accused=[
                 {
                     "request": held.item.request_id,
                     "parts": format_parts(held.item),
                     "keys": [format_key(key) for key in held.item.part_keys],
                 }
-                for held in waiting[:_MAX_LOGGED_REQUESTS]
+                for held in accused[:_MAX_LOGGED_REQUESTS]
             ],
         )
 
--- a/src/tanagerport/gateway/work_item.py
+++ b/src/tanagerport/gateway/work_item.py
@@ -35,7 +35,8 @@
             when no other upstream is usable.
         part_keys: Keys of the prompt parts that other requests may share, or
             of the whole request if it has no prompt.
-        has_begun: Whether an upstream has begun to answer.
+        has_begun: Whether the upstream of its last dispatch has begun to
+            answer.
         last_data_at: Monotonic time at which data was sent to the client; None
             before the first.
         is_trial: Whether the request tries a quarantined part.
@@ -88,6 +89,11 @@
         return self.arrived_at - self.age_s + self.route.target_s
 
 
+# Number of events after which an upstream that crashes was not crashed by the
+# prompt of the answer. A prompt crashes it when the answer begins.
+ESTABLISHED_EVENTS = 8
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotLease:
     """A slot that a coordinator granted.
@@ -116,6 +122,8 @@
         placed_at: Monotonic time of the assignment.
         has_first_event: Whether the first event or a successful whole answer
             arrived.
+        is_established: Whether the answer was whole or went on well beyond its
+            first event, so that its prompt crashed no upstream.
         event_count: Number of events of a stream that arrived.
         first_byte_s: Seconds from dispatch to the first byte; None until then.
         is_slow: Whether the answer was several times slower than those of the
@@ -134,6 +142,7 @@
     predicted_first_byte_s: float
     placed_at: float
     has_first_event: bool = False
+    is_established: bool = False
     event_count: int = 0
     first_byte_s: float | None = None
     is_slow: bool = False
--- a/tests/test_gateway_crashing_prompts.py
+++ b/tests/test_gateway_crashing_prompts.py
@@ -21,10 +21,15 @@
 
 
 class _CrashingUpstreams:
-    """Upstreams that crash when they begin to answer on one prompt part."""
+    """Upstreams that crash when they begin to answer on one prompt part.
 
-    def __init__(self) -> None:
+    Args:
+        events_before_crash: Number of events of that answer that they send.
+    """
+
+    def __init__(self, events_before_crash: int = 0) -> None:
         self.crashes = 0
+        self._events_before_crash = events_before_crash
         self._stopped: set[str] = set()
         self._restarts: set[asyncio.Task[None]] = set()
         self._answer = standin.stream(6, interval_s=0.02)
@@ -43,7 +48,15 @@
             answer = self._answer if parts else standin.echo
             await answer(upstream, request, writer)
             return
-        await asyncio.sleep(0.02)
+        if self._events_before_crash:
+            last_id = int(request.headers.get("last-event-id", "0"))
+            reset_after = last_id + self._events_before_crash
+            answer = standin.stream(
+                reset_after + 1, interval_s=0.02, reset_after=reset_after
+            )
+            await answer(upstream, request, writer)
+        else:
+            await asyncio.sleep(0.02)
         if upstream.upstream_id in self._stopped:
             return
         self._stopped.add(upstream.upstream_id)
@@ -101,15 +114,19 @@
 class TestPromptThatCrashesUpstreams:
     """A prompt part on which every upstream crashes is kept from them."""
 
+    @pytest.mark.parametrize("events_before_crash", [0, 1, 3])
     def test_nodes_stop_sending_the_part_and_serve_other_prompts(
-        self, tmp_path: pathlib.Path
+        self, tmp_path: pathlib.Path, events_before_crash: int
     ) -> None:
-        """Guards against a prompt that crashes one upstream after the other."""
+        """Guards against a prompt that crashes one upstream after the other.
+
+        Some events of its answer may arrive before the crash.
+        """
         config = configuration(1, ROUTES)
 
         async def run_cluster() -> None:
             async with standin.local_cluster(tmp_path, config) as cluster:
-                upstreams = _CrashingUpstreams()
+                upstreams = _CrashingUpstreams(events_before_crash)
                 for number in range(8):
                     await cluster.add_upstream(f"u-{number}", upstreams.handle)
                 first = await cluster.add_gateway(seeds=["127.0.0.2:1"])
--- a/tests/test_gateway_prompt_quarantine.py
+++ b/tests/test_gateway_prompt_quarantine.py
@@ -112,6 +112,59 @@
         asyncio.run(run())
 
 
+class TestBegunAnswers:
+    """Losses of upstreams while answers had begun."""
+
+    @pytest.mark.parametrize(
+        ("events", "is_accused"), [(0, True), (1, True), (3, True), (50, False)]
+    )
+    def test_answer_that_has_just_begun_accuses_its_parts(
+        self, events: int, is_accused: bool
+    ) -> None:
+        """Guards against parts that crash upstreams after some events.
+
+        An answer that went on for long before the crash accuses nothing.
+        """
+
+        async def run() -> None:
+            admissions = _Admissions()
+            for number in range(2):
+                upstream = gateway_doubles.make_upstream(f"u-{number}")
+                item = admissions.make_item(
+                    f"r{number}", _CRASHING, 10 + number
+                )
+                admissions.quarantine.record_loss(
+                    upstream, HeldRequest(item, events)
+                )
+                admissions.clock.advance(1)
+            quarantined = {
+                entry.part for entry in admissions.ledger.quarantined
+            }
+            assert quarantined == ({_CRASHING} if is_accused else set())
+
+        asyncio.run(run())
+
+    def test_begun_request_that_goes_elsewhere_is_withdrawn(self) -> None:
+        """Guards against a part that crashes the next upstream as well.
+
+        Its answer began at an upstream that crashed, and it waits for another.
+        """
+
+        async def run() -> None:
+            admissions = _Admissions()
+            item = admissions.make_item("r", _CRASHING)
+            item.has_begun = True
+            task = asyncio.create_task(admissions.hold(item))
+            await gateway_doubles.run_pending_tasks()
+            admissions.crash(2)
+            await gateway_doubles.run_pending_tasks()
+            assert task.done()
+            with pytest.raises(RefusedError):
+                await task
+
+        asyncio.run(run())
+
+
 class TestQuarantinedParts:
     """Requests with a quarantined part are refused until a trial is due."""
 
