--- a/src/tanagerport/gateway/crash_evidence.py
+++ b/src/tanagerport/gateway/crash_evidence.py
@@ -23,7 +23,7 @@
 from tanagerport.gateway.untrusted_data import Integer
 
 # Independent crashes after which a part is quarantined; more for a part on
-# which answers began shortly before the first of them.
+# which answers were sound shortly before the first of them.
 _REQUIRED_CRASHES = 2
 _REQUIRED_CRASHES_AFTER_ANSWERS = 3
 # Upstreams lost within this time of each other may have a common cause, such as
@@ -62,7 +62,7 @@
         crashes: Run of an upstream, milliseconds since it was lost, and the
             parts of its requests whose answers had not begun.
         quarantined: Part, number of crashes and milliseconds since the last.
-        answered: Part and milliseconds since an answer began on it, for parts
+        answered: Part and milliseconds since an answer on it was sound, for parts
             that crashes accuse.
         released: Parts that an operator released.
     """
@@ -155,7 +155,7 @@
         self._crashes: collections.OrderedDict[str, _Crash] = (
             collections.OrderedDict()
         )
-        # Time at which an answer last began on a part, oldest first.
+        # Time at which an answer on a part was last sound, oldest first.
         self._answered: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
         )
