--- a/src/tanagerport/gateway/crash_evidence.py
+++ b/src/tanagerport/gateway/crash_evidence.py
@@ -60,10 +60,10 @@
 
     Attributes:
         crashes: Run of an upstream, milliseconds since it was lost, and the
-            parts of its requests whose answers had not begun.
+            parts of its requests whose answers were not sound yet.
         quarantined: Part, number of crashes and milliseconds since the last.
-        answered: Part and milliseconds since an answer on it was sound, for parts
-            that crashes accuse.
+        answered: Part and milliseconds since an answer on it was sound, for
+            parts that crashes accuse.
         released: Parts that an operator released.
     """
 
