--- a/src/tanagerport/gateway/io_timeout.py
+++ b/src/tanagerport/gateway/io_timeout.py
@@ -11,7 +11,7 @@
 from typing import Self
 
 # A timer that runs this much late, in seconds, shows that the event loop stood
-# still. The interval of the busiest timers of a node is 0.02 s.
+# still.
 MAX_TIMER_DELAY_S = 0.05
 
 
