Name the request whose answer is unsent when its connection closes

Callers saw an answer end without its end around a stop, and no line of the node named the request: connection_closed_early counted a connection as idle once its handler had ended, whatever was unsent, and knew neither the request nor its age; the loss of a connection was a debug line; the last lines of a process were given up when the log's reader was slow.

connection_closed_early now names the request, its age, its upstream, whether its answer is whole, and the bytes that the client's host has not acknowledged; answer_unsent says so of lost connections and is counted. Lines of failures name the upstream, have room of their own in the queue, and are written at the exit for up to 0.1 s. No decision changed.

--- a/src/tanagerport/gateway/channel.py
+++ b/src/tanagerport/gateway/channel.py
@@ -12,6 +12,7 @@
 from typing import cast
 
 from tanagerport.gateway.io_timeout import IoTimeout
+from tanagerport.gateway.tcp_state import read_tcp_state
 
 # Reading from the socket pauses above this many unread bytes, to bound the
 # memory used for a peer that sends faster than its data is consumed.
@@ -62,6 +63,8 @@
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
         self._write_paused = False
+        self._written_bytes = 0
+        self._unacknowledged_at_loss: int | None = None
 
     @property
     def is_open(self) -> bool:
@@ -89,6 +92,22 @@
         transport = self._transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
+    @property
+    def written_bytes(self) -> int:
+        """Number of bytes written since the connection was opened."""
+        return self._written_bytes
+
+    @property
+    def unacknowledged_bytes(self) -> int | None:
+        """Number of written bytes that the peer's host has not acknowledged.
+
+        After the loss of the connection, the number at that time. None if the
+        kernel can't tell.
+        """
+        if self._lost:
+            return self._unacknowledged_at_loss
+        return self._count_unacknowledged()
+
     def set_close_callback(self, callback: Callable[[], object] | None) -> None:
         """Sets the callback to run once when the peer closes the connection."""
         self._on_close = callback
@@ -118,6 +137,7 @@
     def write(self, data: bytes) -> None:
         """Sends bytes; does nothing on a closed connection."""
         if self._transport is not None and not self._lost and data:
+            self._written_bytes += len(data)
             self._transport.write(data)
 
     async def drain(self) -> None:
@@ -184,6 +204,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Implements `asyncio.BufferedProtocol`."""
+        self._unacknowledged_at_loss = self._count_unacknowledged()
         self._lost = True
         self._error = exc
         _wake(self._read_waiter)
@@ -199,6 +220,12 @@
         self._write_paused = False
         _wake(self._write_waiter)
 
+    def _count_unacknowledged(self) -> int | None:
+        state = read_tcp_state(self._transport)
+        if state is None:
+            return None
+        return max(self._written_bytes - state.acknowledged_bytes, 0)
+
     def _resume_reading(self) -> None:
         if self._transport is not None and not self._lost:
             self._transport.resume_reading()
--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -88,6 +88,8 @@
         self._is_draining = is_draining
         self._is_idle = True
         self._idle_since = time.monotonic()
+        # Response in progress, or the last one.
+        self._response: ClientResponse | None = None
         self._time_slice = TimeSlice()
         self._request_expected_until = time.monotonic() + _FIRST_REQUEST_S
         self._codec = self._create_codec()
@@ -125,7 +127,7 @@
             # The client disconnected, or the server is closing.
             self._channel.abort()
         except (ConnectionError, h11.LocalProtocolError) as error:
-            self._log.debug("client_connection_error", error=str(error))
+            self._record_error(error)
             self._channel.abort()
         finally:
             self._channel.close()
@@ -134,7 +136,8 @@
         """Records a close by the server, and what its client had sent."""
         self._counters.connections_closed[cause.value] += 1
         unread_bytes = self._channel.unread_bytes
-        if not unread_bytes and self._is_idle:
+        unsent_bytes = self._channel.unacknowledged_bytes
+        if not unread_bytes and self._is_idle and not unsent_bytes:
             return
         self._counters.connections_closed_early[cause.value] += 1
         self._log.warning(
@@ -144,8 +147,38 @@
             is_idle=self._is_idle,
             idle_timeout_s=self._idle_timeout_s(),
             idle_s=round(time.monotonic() - self._idle_since, 3),
+            unsent_bytes=unsent_bytes,
+            **self._describe_response(),
         )
 
+    def _record_error(self, error: Exception) -> None:
+        """Records the loss of the connection."""
+        unsent_bytes = self._channel.unacknowledged_bytes
+        if self._response is None or not unsent_bytes:
+            self._log.debug("client_connection_error", error=str(error))
+            return
+        self._counters.answers_unsent["connection_error"] += 1
+        self._log.warning(
+            "answer_unsent",
+            cause="connection_error",
+            error=str(error),
+            unsent_bytes=unsent_bytes,
+            **self._describe_response(),
+        )
+
+    def _describe_response(self) -> dict[str, object]:
+        """Returns what the log tells of the response in progress, or last."""
+        response = self._response
+        if response is None:
+            return {}
+        return {
+            "request": response.request_id,
+            "upstream": response.upstream_id,
+            "age_s": round(time.monotonic() - response.received_at, 3),
+            "has_begun": response.is_started,
+            "is_whole": response.is_finished,
+        }
+
     async def _handle_request(self) -> bool:
         """Handles one request; returns whether the connection stays open."""
         if not await self._wait_for_request():
@@ -156,6 +189,7 @@
             self._must_close,
             self._announce_idle_timeout_s,
         )
+        self._response = response
         try:
             request = await self._read_request()
             if request is None:
--- a/src/tanagerport/gateway/client_messages.py
+++ b/src/tanagerport/gateway/client_messages.py
@@ -1,6 +1,7 @@
 """Requests of clients, and the responses to them."""
 
 import dataclasses
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -45,6 +46,12 @@
         must_close: Returns whether the connection closes after the response.
         announce_idle_timeout_s: Returns the idle timeout to announce, in
             seconds.
+
+    Attributes:
+        request_id: Id of the client attempt; empty if it is unknown.
+        upstream_id: Upstream to which the request was last sent; empty if it
+            was not sent.
+        received_at: Monotonic seconds at which the request came.
     """
 
     def __init__(
@@ -61,6 +68,10 @@
         self._started = False
         self._finished = False
         self._aborted = False
+        # What is known of its request, for the log.
+        self.request_id = ""
+        self.upstream_id = ""
+        self.received_at = time.monotonic()
 
     @property
     def is_started(self) -> bool:
--- a/src/tanagerport/gateway/counters.py
+++ b/src/tanagerport/gateway/counters.py
@@ -56,6 +56,7 @@
         self.connections_closed_early: collections.Counter[str] = (
             collections.Counter()
         )
+        self.answers_unsent: collections.Counter[str] = collections.Counter()
         self.request_errors: collections.Counter[str] = collections.Counter()
         self.store_bytes_read = 0
         self.clients_gone = 0
--- a/src/tanagerport/gateway/decision_log.py
+++ b/src/tanagerport/gateway/decision_log.py
@@ -2,6 +2,7 @@
 
 import collections
 import os
+import select
 import time
 from collections.abc import Callable, MutableMapping
 from typing import Any
@@ -11,8 +12,10 @@
 
 from tanagerport.refusals import Refusal
 
-# Lines that may wait to be written; further lines are dropped.
+# Lines that may wait to be written; further lines are dropped. Those of
+# decisions leave room for the warnings that explain a failed request.
 _MAX_QUEUED_LINES = 2000
+_MAX_QUEUED_DECISIONS = 1500
 # Limits for each event name, so that frequent events don't displace others.
 # Warnings and errors explain failures and have a higher limit.
 _INFO_LINES_PER_S = 20
@@ -124,6 +127,22 @@
             **fields,
         )
 
+    def close(self, timeout_s: float) -> None:
+        """Writes what is queued, also if its reader is slow.
+
+        Args:
+            timeout_s: Seconds after which the rest is given up.
+        """
+        self._reported_at = float("-inf")
+        ends_at = time.monotonic() + timeout_s
+        self.flush()
+        while self._queue.lines or self._unwritten:
+            left_s = ends_at - time.monotonic()
+            if left_s <= 0:
+                return
+            select.select([], [self._descriptor], [], left_s)
+            self.flush()
+
     def flush(self) -> None:
         """Writes queued lines until none is left or a write would block."""
         self._report_dropped()
@@ -158,15 +177,14 @@
         """Drops a line that exceeds the rate limit of its event."""
         del logger
         event = fields["event"]
+        is_failure = method in {"warning", "error"}
         limit = self._rate_limits.get(event)
         if limit is None:
-            is_failure = method in {"warning", "error"}
             limit = self._rate_limits[event] = _RateLimit(
                 _WARNING_LINES_PER_S if is_failure else _INFO_LINES_PER_S
             )
-        if (
-            not limit.allow(self._now())
-            or len(self._queue.lines) >= _MAX_QUEUED_LINES
+        if not limit.allow(self._now()) or len(self._queue.lines) >= (
+            _MAX_QUEUED_LINES if is_failure else _MAX_QUEUED_DECISIONS
         ):
             self._dropped[event] += 1
             raise structlog.DropEvent
--- a/src/tanagerport/gateway/dispatch.py
+++ b/src/tanagerport/gateway/dispatch.py
@@ -172,6 +172,7 @@
                     dispatch=context.dispatches,
                 )
                 context.has_open_dispatch = True
+                context.response.upstream_id = upstream.upstream_id
                 exchange.call.send()
                 yield exchange
             except DispatchError as error:
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -150,6 +150,8 @@
     ) -> None:
         """Handles one request; cancelled when its client disconnects."""
         request_id = request.header_values.get(self._http_names.request_id, b"")
+        response.request_id = request_id.decode("latin-1")
+        response.received_at = request.received_at
         context: RequestContext | None = None
         try:
             context = await self._admit(request, response)
@@ -160,8 +162,10 @@
             self._counters.clients_gone += 1
             self._log.info(
                 "client_gone",
-                request=request_id.decode("latin-1"),
+                request=response.request_id,
                 after_s=round(self._now() - request.received_at, 3),
+                upstream=response.upstream_id,
+                has_begun=response.is_started,
             )
             raise
         except Exception as error:  # Any fault gets a final answer.
@@ -191,12 +195,16 @@
                 reason=refusal.reason.value,
                 message=refusal.message,
                 after_s=after_s,
+                upstream=response.upstream_id,
             )
             response.abort()
             return
         self._counters.refusals[refusal.reason.value] += 1
         self._log.refused(
-            request_id.decode("latin-1"), refusal, after_s=after_s
+            request_id.decode("latin-1"),
+            refusal,
+            after_s=after_s,
+            upstream=response.upstream_id,
         )
         response.refuse(refusal)
 
--- a/src/tanagerport/gateway/metrics_rendering.py
+++ b/src/tanagerport/gateway/metrics_rendering.py
@@ -51,6 +51,12 @@
                 "cause",
                 counters.connections_closed_early,
             ),
+            (
+                "answers_unsent",
+                "Answers whose end did not reach the client's host.",
+                "cause",
+                counters.answers_unsent,
+            ),
             (
                 "request_errors",
                 "Requests on which the node itself failed.",
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -99,6 +99,8 @@
 # Time for the last answers to be written and sent, in seconds.
 _LAST_ANSWERS_S = 0.1
 _LAST_ANSWERS_STEP_S = 0.01
+# Time for the last lines of the log to be written, in seconds.
+_LAST_LINES_S = 0.1
 # Turns of the event loop until it has accepted the connections that wait.
 _TURNS_TO_ACCEPT = 4
 _HOUSEKEEPING_INTERVAL_S = 0.1
@@ -565,7 +567,7 @@
         self._peer_exchange.close()
         self._coordination.close()
         self._log.info("stopped")
-        self._log.flush()
+        self._log.close(_LAST_LINES_S)
 
     async def _await_routes(self) -> RouteTable | None:
         """Returns the routes; waits for them while the node is starting.
