Don't take a peer that reads slowly for one that is gone

Callers that did not read for 4 s lost their answers, with and without a stop, also answers that were whole in the kernel of a node that had exited; upstreams that read a body late cost their requests a 502.

Cause: TCP_USER_TIMEOUT of 4 s. The kernel counts a closed receive window as unacknowledged data, although the peer's host answers each probe.

The node now asks the kernel once a second, while written bytes are unacknowledged, whether the peer's host answers; two unanswered probes and 4 s without an acknowledgement end the connection. A client may read until its request's deadline.

--- a/src/tanagerport/gateway/channel.py
+++ b/src/tanagerport/gateway/channel.py
@@ -12,7 +12,8 @@
 from typing import cast
 
 from tanagerport.gateway.io_timeout import IoTimeout
-from tanagerport.gateway.tcp_state import read_tcp_state
+from tanagerport.gateway.peer_watch import PeerWatch
+from tanagerport.gateway.tcp_state import TcpState, read_tcp_state
 
 # Reading from the socket pauses above this many unread bytes, to bound the
 # memory used for a peer that sends faster than its data is consumed.
@@ -20,12 +21,14 @@
 # Maximum number of bytes that are taken from the socket, or read, at once. It
 # bounds the work of a parser before it gives other tasks a turn.
 _MAX_READ_BYTES = 16 * 1024
-# TCP keep-alive detects connections whose state a device on the path dropped.
+# TCP keep-alive detects connections whose state a device on the path dropped
+# while nothing is sent on them.
 _KEEPALIVE_IDLE_S = 2
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 3
-# The kernel closes a connection with data unacknowledged for this long.
-_USER_TIMEOUT_MS = 4000
+# Time after `close` in which a peer that is alive may read what is unsent, in
+# seconds.
+_CLOSE_TIMEOUT_S = 30.0
 
 
 class _ReceiveBuffer(threading.local):
@@ -63,6 +66,9 @@
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
         self._write_paused = False
+        self._peer_watch = PeerWatch(
+            self._read_state, self._count_written, self._handle_peer_gone
+        )
         self._written_bytes = 0
         self._unacknowledged_at_loss: int | None = None
 
@@ -101,7 +107,7 @@
     def unacknowledged_bytes(self) -> int | None:
         """Number of written bytes that the peer's host has not acknowledged.
 
-        After the loss of the connection, the number at that time. None if the
+        After an error of the connection, the number at that time. None if the
         kernel can't tell.
         """
         if self._lost:
@@ -139,6 +145,7 @@
         if self._transport is not None and not self._lost and data:
             self._written_bytes += len(data)
             self._transport.write(data)
+            self._peer_watch.record_write()
 
     async def drain(self) -> None:
         """Waits until the write buffer is below its high-water mark."""
@@ -154,7 +161,10 @@
         if self._transport is not None and not self._lost:
             # Any unsent byte counts as above the high-water mark.
             self._transport.set_write_buffer_limits(high=0)
-            await self.drain()
+            try:
+                await self.drain()
+            finally:
+                self._transport.set_write_buffer_limits()
 
     def end_sending(self) -> None:
         """Sends the end of the stream, at once if nothing is unsent."""
@@ -168,6 +178,10 @@
         self._on_close = None
         if self._transport is not None:
             self._transport.close()
+            if self.has_unsent:
+                asyncio.get_running_loop().call_later(
+                    _CLOSE_TIMEOUT_S, self._transport.abort
+                )
 
     def abort(self) -> None:
         """Closes the connection immediately and discards unsent bytes."""
@@ -204,9 +218,11 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Implements `asyncio.BufferedProtocol`."""
-        self._unacknowledged_at_loss = self._count_unacknowledged()
+        self._error = exc or self._error
+        if self._error is not None:
+            self._unacknowledged_at_loss = self._count_unacknowledged()
         self._lost = True
-        self._error = exc
+        self._peer_watch.stop()
         _wake(self._read_waiter)
         _wake(self._write_waiter)
         self._run_close_callback()
@@ -221,11 +237,22 @@
         _wake(self._write_waiter)
 
     def _count_unacknowledged(self) -> int | None:
-        state = read_tcp_state(self._transport)
+        state = self._read_state()
         if state is None:
             return None
         return max(self._written_bytes - state.acknowledged_bytes, 0)
 
+    def _read_state(self) -> TcpState | None:
+        return read_tcp_state(self._transport)
+
+    def _count_written(self) -> int:
+        return self._written_bytes
+
+    def _handle_peer_gone(self) -> None:
+        if self._transport is not None:
+            self._error = ConnectionError("the peer's host does not answer")
+            self._transport.abort()
+
     def _resume_reading(self) -> None:
         if self._transport is not None and not self._lost:
             self._transport.resume_reading()
@@ -264,7 +291,6 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
     )
     for level, option, value in options:
         try:
--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -30,6 +30,10 @@
 # Maximum time for which the rest of a refused request is read, in seconds.
 _DISCARD_TIMEOUT_S = 1.0
 
+# Minimum time for which a client may read a response, in seconds: one that is
+# given at the deadline.
+_MIN_DELIVERY_S = 1.0
+
 # Time in which a new connection counts as about to send its first request, in
 # seconds: a few round trips between regions.
 _FIRST_REQUEST_S = 0.3
@@ -136,8 +140,12 @@
         """Records a close by the server, and what its client had sent."""
         self._counters.connections_closed[cause.value] += 1
         unread_bytes = self._channel.unread_bytes
-        unsent_bytes = self._channel.unacknowledged_bytes
-        if not unread_bytes and self._is_idle and not unsent_bytes:
+        if (
+            not unread_bytes
+            and self._is_idle
+            # The kernel delivers what it has taken after the close, too.
+            and not self._channel.has_unsent
+        ):
             return
         self._counters.connections_closed_early[cause.value] += 1
         self._log.warning(
@@ -147,23 +155,25 @@
             is_idle=self._is_idle,
             idle_timeout_s=self._idle_timeout_s(),
             idle_s=round(time.monotonic() - self._idle_since, 3),
-            unsent_bytes=unsent_bytes,
+            unsent_bytes=self._channel.unacknowledged_bytes,
             **self._describe_response(),
         )
 
     def _record_error(self, error: Exception) -> None:
         """Records the loss of the connection."""
-        unsent_bytes = self._channel.unacknowledged_bytes
-        if self._response is None or not unsent_bytes:
+        if self._response is None or not self._channel.unacknowledged_bytes:
             self._log.debug("client_connection_error", error=str(error))
             return
-        self._counters.answers_unsent["connection_error"] += 1
+        self._record_unsent("connection_error", error=str(error))
+
+    def _record_unsent(self, cause: str, **fields: object) -> None:
+        self._counters.answers_unsent[cause] += 1
         self._log.warning(
             "answer_unsent",
-            cause="connection_error",
-            error=str(error),
-            unsent_bytes=unsent_bytes,
+            cause=cause,
+            unsent_bytes=self._channel.unacknowledged_bytes,
             **self._describe_response(),
+            **fields,
         )
 
     def _describe_response(self) -> dict[str, object]:
@@ -216,6 +226,7 @@
             self._end_failed(error, response, may_have_run=True)
         finally:
             self._channel.set_close_callback(None)
+        await self._deliver(response)
         self._is_idle = True
         self._idle_since = time.monotonic()
         return (
@@ -224,6 +235,18 @@
             and self._codec.their_state is h11.DONE
         )
 
+    async def _deliver(self, response: ClientResponse) -> None:
+        """Waits until a response is sent, as long as its client may read it."""
+        if response.is_aborted or not self._channel.has_unsent:
+            return
+        left_s = response.deliver_until - time.monotonic()
+        try:
+            async with asyncio.timeout(max(left_s, _MIN_DELIVERY_S)):
+                await self._channel.flush()
+        except TimeoutError:
+            self._record_unsent("deadline")
+            response.abort()
+
     async def _discard_input(self) -> None:
         """Reads on after a refusal of a request that is not whole.
 
--- a/src/tanagerport/gateway/client_messages.py
+++ b/src/tanagerport/gateway/client_messages.py
@@ -12,6 +12,10 @@
 from tanagerport.gateway.http_call import Headers
 from tanagerport.refusals import Refusal
 
+# Time in which a client may read the answer to a request without a known
+# deadline, in seconds.
+_DEFAULT_DELIVERY_S = 30.0
+
 _encode = msgspec.json.Encoder().encode
 
 
@@ -52,6 +56,7 @@
         upstream_id: Upstream to which the request was last sent; empty if it
             was not sent.
         received_at: Monotonic seconds at which the request came.
+        deliver_until: Monotonic seconds until which its client may read it.
     """
 
     def __init__(
@@ -72,6 +77,7 @@
         self.request_id = ""
         self.upstream_id = ""
         self.received_at = time.monotonic()
+        self.deliver_until = self.received_at + _DEFAULT_DELIVERY_S
 
     @property
     def is_started(self) -> bool:
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -155,6 +155,7 @@
         context: RequestContext | None = None
         try:
             context = await self._admit(request, response)
+            response.deliver_until = context.item.deadline_at
             await self._serve(context)
         except RefusedError as error:
             self._refuse(request_id, request, response, error.refusal)
