Give the doubles of responses the field that the log reads

14 tests of forwarding and of expiring waits failed since the log names the upstream of a refused request: their doubles had no such field.

--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -39,6 +39,7 @@
     """Records the refusal."""
 
     is_started = False
+    upstream_id = ""
     refusal: Refusal | None = None
 
     def refuse(self, refusal: Refusal) -> None:
