Don't begin answers late in a stop that may not end in its grace

Callers whose requests came up to 3.5 s after the SIGTERM of a node saw their streams cut at the end of its grace. Cause: the check used the estimate of placement, 1.3 times the expected length, and had no room for a silence of the upstream.

A new answer now needs time for twice its expected length and 1 s; moves of answers that have begun are judged as before. A refused request is served by another node, a cut answer is not.

Evidence: TestLateStreams failed before (7 of 12 streams cut) and passes. The double of the scheduler in test_gateway_forwarding.py names the new method; its three checks of the grace are unchanged and pass.

--- a/src/tanagerport/gateway/placement.py
+++ b/src/tanagerport/gateway/placement.py
@@ -24,6 +24,8 @@
 # Safety factor for the estimated output length. 95% of answers are at most
 # twice as long as estimated, but a factor of 2 would leave slow upstreams idle.
 _OUTPUT_LENGTH_FACTOR = 1.3
+# The same where an answer that takes longer is cut.
+LONG_OUTPUT_FACTOR = 2.0
 # Prompt tokens that an engine prefills in one step alongside running streams.
 _PREFILL_CHUNK_TOKENS = 1024
 # An upstream with pending requests is silent if it sends nothing for the
@@ -168,13 +170,24 @@
         load = self._load_tracker.load(upstream_id)
         return load.is_silent or self._is_silent(service, upstream_id, load)
 
-    def completion_s(self, placement: Placement, service: Service) -> float:
-        """Returns the predicted time to the end of the answer, in seconds."""
+    def completion_s(
+        self,
+        placement: Placement,
+        service: Service,
+        length_factor: float = _OUTPUT_LENGTH_FACTOR,
+    ) -> float:
+        """Returns the predicted time to the end of the answer, in seconds.
+
+        Args:
+            placement: Placement of the request.
+            service: Service of the request.
+            length_factor: Safety factor for the estimated output length.
+        """
         if not service.is_engine:
             return placement.predicted_first_byte_s
         work = placement.item.work
         tokens = min(
-            _OUTPUT_LENGTH_FACTOR * work.expected_output_tokens,
+            length_factor * work.expected_output_tokens,
             work.max_output_tokens,
         )
         event_interval_s = self._latencies.event_interval_s(
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -9,7 +9,7 @@
 from tanagerport.gateway.admission import AdmissionQueue
 from tanagerport.gateway.domain import Service, UpstreamRecord
 from tanagerport.gateway.io_timeout import expire
-from tanagerport.gateway.placement import UpstreamSelector
+from tanagerport.gateway.placement import LONG_OUTPUT_FACTOR, UpstreamSelector
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
 from tanagerport.gateway.rollout import RolloutController
 from tanagerport.gateway.slot_client import SlotClient
@@ -288,6 +288,14 @@
             placement, self._find_service(placement.item.service)
         )
 
+    def long_completion_s(self, placement: Placement) -> float:
+        """Returns the time in which nearly all such answers end, in seconds."""
+        return self._selector.completion_s(
+            placement,
+            self._find_service(placement.item.service),
+            LONG_OUTPUT_FACTOR,
+        )
+
     def record_events(self, placement: Placement, count: int) -> None:
         """Records that a number of events of a stream arrived."""
         placement.event_count += count
--- a/src/tanagerport/gateway/upstream_switch.py
+++ b/src/tanagerport/gateway/upstream_switch.py
@@ -22,6 +22,8 @@
 # While the process stops, a request is passed on only if this much time is
 # left, in seconds: a sound upstream may be silent for a second or two.
 _MIN_ANSWER_TIME_S = 2.0
+# Time for a silence of the upstream beside that for the answer, in seconds.
+_SILENCE_MARGIN_S = 1.0
 
 
 class UpstreamSwitch:
@@ -62,7 +64,19 @@
         self._stops_at = stops_at
 
     def has_time(self, placement: Placement) -> bool:
-        """Returns whether the answer would end before the process stops."""
+        """Returns whether a new answer will end before the process stops.
+
+        Another node serves a request that is refused, but not an answer that
+        is cut.
+        """
+        left_s = self._stops_at - self._now()
+        if math.isinf(left_s):
+            return True
+        needed_s = self._scheduler.long_completion_s(placement)
+        return left_s >= max(needed_s + _SILENCE_MARGIN_S, _MIN_ANSWER_TIME_S)
+
+    def _may_end(self, placement: Placement) -> bool:
+        """Returns whether an answer may end there before the process stops."""
         left_s = self._stops_at - self._now()
         if math.isinf(left_s):
             return True
@@ -94,7 +108,7 @@
         alternative = await self._acquire_alternative(placement)
         if alternative is None:
             return False
-        if not (self.has_time(alternative) and self._budget.try_spend(service)):
+        if not (self._may_end(alternative) and self._budget.try_spend(service)):
             self._scheduler.release_unused(alternative)
             return False
         context.next_placement = alternative
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -75,7 +75,7 @@
         for future in self._waiting:
             future.set_exception(RefusedError(refusal))
 
-    def completion_s(self, placement: Placement) -> float:
+    def long_completion_s(self, placement: Placement) -> float:
         del placement
         return self._completion_s
 
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -554,3 +554,97 @@
         assert completion_s - placement.predicted_first_byte_s == pytest.approx(
             0.2 * events, rel=0.1
         )
+
+
+class TestLateStreams:
+    """Guards against streams that are passed on late in the grace and cut.
+
+    Half of all answers are longer than their clients estimate, and a sound
+    upstream may fall silent on the way.
+    """
+
+    def test_stream_without_time_for_its_end_is_refused(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        grace_s = 8.0
+        # The estimate is 60 events; the first streams are as long.
+        event_counts = {"first": 60, "longer": 110, "silent": 80}
+
+        async def work(
+            upstream: standin.UpstreamStandin,
+            request: standin.HttpRequest,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            kind = request.headers["attempt-id"].partition("-")[0]
+            may_send = asyncio.Event()
+            may_send.set()
+
+            async def fall_silent() -> None:
+                await asyncio.sleep(0.6)
+                may_send.clear()
+                await asyncio.sleep(1.5)
+                may_send.set()
+
+            silence = asyncio.ensure_future(
+                fall_silent() if kind == "silent" else asyncio.sleep(0)
+            )
+            await standin.stream(event_counts[kind], 0.04, may_send=may_send)(
+                upstream, request, writer
+            )
+            await silence
+
+        async def send(
+            cluster: LocalCluster, attempt: str, delay_s: float
+        ) -> standin.ClientResponse:
+            """Sends a request whose last byte leaves after a delay."""
+            reader, writer = await asyncio.open_connection(
+                standin.HOST, cluster.gateway.port
+            )
+            fields = {
+                "Attempt-Id": attempt,
+                "Deadline-Ms": "20000",
+                "Token-Usage": "100,400",
+                "Length-Hint": "60",
+            }
+            data = standin.request_bytes("POST", "/call/x", b"body", fields)
+            writer.write(data[:-1])
+            await asyncio.sleep(delay_s)
+            writer.write(data[-1:])
+            try:
+                return await standin.read_response(reader)
+            finally:
+                writer.close()
+
+        async def run() -> None:
+            engine = {"name": "svc", "max_connections": 100}
+            engine["inference_engine"] = {"slot_count": 40, "step_size": 1}
+            async with standin.local_cluster(
+                tmp_path, configuration(1, _ROUTES, services=[engine])
+            ) as cluster:
+                await cluster.add_upstream("u-1", work, slot_count=40)
+                await cluster.add_gateway(drain_grace_s=grace_s)
+                await cluster.gateway.wait_ready()
+                await asyncio.gather(
+                    *(send(cluster, f"first-{n}", 0.0) for n in range(8))
+                )
+                cluster.gateway.signal(signal.SIGTERM)
+                await asyncio.sleep(2.0)
+                responses = await asyncio.gather(
+                    *(
+                        send(cluster, f"{kind}-{tenth}", 0.9 + tenth / 10)
+                        for kind in ("longer", "silent")
+                        for tenth in range(6)
+                    )
+                )
+                assert await cluster.gateway.wait() == 0
+                assert [
+                    entry.status
+                    for entry in responses
+                    if entry.status == 200 and not entry.is_complete
+                ] == []
+                for response in responses:
+                    if response.status != 200:
+                        assert response.status == 503
+                        assert "retry-after" in response.headers
+
+        asyncio.run(run())
