Reproduce upstreams that get more requests than their limit

Three real nodes, three upstreams, 24 requests a second: upstreams that name 3 or 2 requests a second get 34, 37, 28 and 38 in 4 s; 23 and 17 are allowed.

--- /dev/null
+++ b/tests/test_gateway_upstream_limits.py
@@ -0,0 +1,209 @@
+"""Tests of upstreams that name a limit of requests, with real nodes."""
+
+import asyncio
+import collections
+import pathlib
+import socket
+import time
+from collections.abc import Awaitable, Callable, Iterable
+
+import pytest
+
+import platform_standin as standin
+from platform_standin import LocalCluster, configuration, route
+
+_NODES = 3
+_RATE_PER_S = 24
+# Long enough for the requests to be spread over all upstreams.
+_WORK_S = 0.2
+_SLOTS = 4
+# Time after which all nodes keep to a limit, and the window in which requests
+# are counted, in seconds.
+_CONTACT_S = 4.0
+_WINDOW_S = 4.0
+_ROUTES = [route("read", timeout_ms=3000, target_latency_ms=600)]
+
+
+class LimitedUpstream(standin.UpstreamStandin):
+    """An upstream that may name a limit.
+
+    Attributes:
+        limit: Value of its header field; None for none.
+        arrivals: Monotonic times of its requests, in seconds.
+    """
+
+    def __init__(self, upstream_id: str, limit: str | None = None) -> None:
+        super().__init__(upstream_id, self._answer)
+        self.limit = limit
+        self.arrivals: list[float] = []
+
+    async def _answer(
+        self,
+        upstream: standin.UpstreamStandin,
+        request: standin.HttpRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.arrivals.append(request.received_at)
+        fields = standin.seal_headers(request)
+        if self.limit is not None:
+            fields["Server-Limit"] = self.limit
+        await asyncio.sleep(_WORK_S)
+        writer.write(standin.response_bytes(200, b"x", fields))
+
+    def count(self, from_s: float, to_s: float) -> int:
+        """Returns the number of requests between two monotonic times."""
+        return sum(from_s <= at < to_s for at in self.arrivals)
+
+    def most_in_window(self, from_s: float) -> int:
+        """Returns the most requests in any window from a time on."""
+        arrivals = [at for at in self.arrivals if at >= from_s]
+        return max(
+            (self.count(at, at + _WINDOW_S) for at in arrivals), default=0
+        )
+
+
+def allowed(limit: float) -> float:
+    """Returns the number of requests that a window may have."""
+    return 1.5 * limit * _WINDOW_S + 5
+
+
+Scenario = Callable[[LocalCluster, list[LimitedUpstream]], Awaitable[None]]
+
+
+def run_scenario(
+    directory: pathlib.Path, limits: Iterable[str | None], scenario: Scenario
+) -> None:
+    """Runs a scenario on nodes that hear each other."""
+
+    async def run_cluster() -> None:
+        async with standin.local_cluster(
+            directory, configuration(1, _ROUTES)
+        ) as cluster:
+            upstreams = []
+            for number, limit in enumerate(limits):
+                upstream = LimitedUpstream(f"u-{number}", limit)
+                await upstream.start()
+                cluster.upstreams.append(upstream)
+                upstreams.append(upstream)
+                await cluster.store.put(
+                    "servers",
+                    upstream.upstream_id,
+                    upstream.registration("svc", slot_count=_SLOTS),
+                )
+            shared = {
+                "peer_port": standin.free_port(socket.SOCK_DGRAM),
+                "coordination_port": standin.free_port(socket.SOCK_DGRAM),
+                "metrics_port": standin.free_port(),
+                "seeds": ["127.0.0.2:1"],
+            }
+            for number in range(_NODES):
+                await cluster.add_gateway(
+                    f"node-{number}",
+                    peer_host=f"127.0.0.{number + 2}",
+                    **shared,
+                )
+            for gateway in cluster.gateways:
+                await gateway.wait_ready()
+            # Until the coordinators grant slots.
+            await asyncio.sleep(1.5)
+            await scenario(cluster, upstreams)
+
+    asyncio.run(run_cluster())
+
+
+async def send_requests(
+    cluster: LocalCluster, duration_s: float, prefix: str = "a"
+) -> list[standin.ClientResponse]:
+    """Sends requests at a steady rate to the nodes in turn."""
+    started_at = time.monotonic()
+    tasks = []
+    for number in range(int(duration_s * _RATE_PER_S)):
+        due_at = started_at + number / _RATE_PER_S
+        await asyncio.sleep(max(due_at - time.monotonic(), 0))
+        gateway = cluster.gateways[number % len(cluster.gateways)]
+        fields = {"Attempt-Id": f"{prefix}{number}", "Deadline-Ms": "3000"}
+        tasks.append(
+            asyncio.create_task(
+                standin.fetch(gateway.port, "GET", "/read/x", b"", fields)
+            )
+        )
+    return await asyncio.gather(*tasks)
+
+
+def statuses(
+    responses: Iterable[standin.ClientResponse],
+) -> collections.Counter[int]:
+    return collections.Counter(entry.status for entry in responses)
+
+
+class TestLimit:
+    """Guards against sending an upstream more than it says that it takes.
+
+    The parameter names the limits of the three upstreams.
+    """
+
+    def test_requests_go_to_the_other_upstreams(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(
+            cluster: LocalCluster, upstreams: list[LimitedUpstream]
+        ) -> None:
+            started_at = time.monotonic()
+            responses = await send_requests(cluster, 12.0)
+            limited = upstreams[0]
+            assert limited.most_in_window(started_at + _CONTACT_S) <= (
+                allowed(3.0)
+            )
+            # The upstream gets what it takes, and nothing is refused.
+            assert limited.count(started_at + 4.0, started_at + 12.0) >= 16
+            assert statuses(responses) == {200: len(responses)}
+
+        run_scenario(tmp_path, ["3", None, None], scenario)
+
+    def test_requests_beyond_all_limits_are_refused_as_not_run(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(
+            cluster: LocalCluster, upstreams: list[LimitedUpstream]
+        ) -> None:
+            started_at = time.monotonic()
+            responses = await send_requests(cluster, 12.0)
+            for upstream in upstreams:
+                assert upstream.most_in_window(started_at + _CONTACT_S) <= (
+                    allowed(3.0)
+                )
+            served = sum(
+                upstream.count(started_at + 4.0, started_at + 12.0)
+                for upstream in upstreams
+            )
+            assert served >= 0.8 * 9 * 8.0
+            assert set(statuses(responses)) <= {200, 503}
+            for response in responses:
+                if response.status == 503:
+                    assert float(response.headers["retry-after"]) > 0
+
+        run_scenario(tmp_path, ["3"] * 3, scenario)
+
+    @pytest.mark.parametrize("later", [None, "12"])
+    def test_limit_that_ends_or_rises_takes_effect(
+        self, tmp_path: pathlib.Path, later: str | None
+    ) -> None:
+        """Guards against a limit that outlives what its upstream says."""
+
+        async def scenario(
+            cluster: LocalCluster, upstreams: list[LimitedUpstream]
+        ) -> None:
+            limited = upstreams[0]
+            started_at = time.monotonic()
+            first = await send_requests(cluster, 8.0, "a")
+            assert limited.most_in_window(started_at + _CONTACT_S) <= (
+                allowed(2.0)
+            )
+            limited.limit = later
+            changed_at = time.monotonic()
+            second = await send_requests(cluster, 8.0, "b")
+            # A third of all requests would be 32 in these 4 s.
+            assert limited.count(changed_at + 4.0, changed_at + 8.0) >= 20
+            assert statuses(first + second) == {200: len(first + second)}
+
+        run_scenario(tmp_path, ["2", None, None], scenario)
