Read the limits of requests that upstreams name, and report them

No line of the log and no metric told which limit an upstream had named, to which node, and when it ended.

A node reads the limit in any answer; the last answer counts, for one start of the upstream. A value that is no decimal number changes nothing and is counted; an answer without the field ends the limit if it bears the upstream's seal. Nodes tell each other what they read last, at once when it changes. upstream_limit logs each change, the metrics count them and the limited upstreams. Nothing is decided by it yet.

--- a/src/tanagerport/gateway/http_names.py
+++ b/src/tanagerport/gateway/http_names.py
@@ -25,6 +25,8 @@
         answering_upstream: Id of the upstream that answers, where it is not
             the target.
         leaving: `1` in any answer of an upstream that is leaving.
+        request_limit: Requests a second that an upstream takes from all nodes
+            together, a decimal number, in any of its answers.
         authorization_scheme: Scheme before the API key, in lowercase.
         reserved: Fields that only the gateway sets; they are removed from
             client requests.
@@ -44,6 +46,7 @@
     not_run: bytes
     answering_upstream: bytes
     leaving: bytes
+    request_limit: bytes
     authorization_scheme: bytes
     reserved: frozenset[bytes]
     reserved_prefixes: tuple[bytes, ...]
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -80,6 +80,7 @@
 from tanagerport.gateway.upstream_backoff import UpstreamBackoff
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_latency import LatencyEstimator
+from tanagerport.gateway.upstream_limits import UpstreamLimits
 from tanagerport.gateway.upstream_load import LoadTracker
 from tanagerport.gateway.upstream_losses import LossDetector
 from tanagerport.gateway.upstream_notices import UpstreamNotices
@@ -211,6 +212,7 @@
         self._attended_clock = AttendedClock()
         self._health = UpstreamHealth()
         self._backoff = UpstreamBackoff()
+        self._limits = UpstreamLimits(settings.node)
         self._latencies = LatencyEstimator()
         self._cache = PromptCacheIndex()
         self._crashes = CrashLedger(log)
@@ -350,6 +352,8 @@
                 self._registry.get,
                 self._registry.record_leaving,
                 self._backoff,
+                self._limits,
+                self._peer_exchange.send_early_report,
                 settings.drain_timeout_ms / 1000,
                 self._counters,
                 log,
@@ -500,6 +504,7 @@
         )
         gauges["quarantined_parts"] = lambda: len(self._crashes.quarantined)
         gauges["upstreams_backing_off"] = lambda: self._backoff.size
+        gauges["upstreams_limited"] = lambda: self._limits.size
         gauges["own_decisions"] = lambda: self._slots.own_decisions
         gauges["coordinated_waiting"] = lambda: sum(
             self._coordinator.waiting.values()
@@ -697,6 +702,7 @@
             self._coordinator.update()
             self._slots.update()
             self._crashes.expire()
+            self._limits.remove_expired()
             self._log.flush()
 
     def _log_load(self, loop_delay_s: float) -> None:
@@ -890,6 +896,7 @@
         self._cache.remove_upstream(record.upstream_id)
         self._load_tracker.remove_upstream(record.upstream_id)
         self._pool.close_idle(record.upstream_id)
+        self._limits.remove_upstream(record)
 
     def _make_report(
         self, sequence: int, known_hosts: list[str] | None
@@ -930,6 +937,7 @@
                 self._table_copies[self._codec.upstream_table].has_lost_rows,
             ),
             configuration_version=self._configuration_version,
+            limits=self._limits.report(),
         )
 
     def _apply_report(self, report: NodeReport) -> None:
@@ -953,6 +961,7 @@
             self._peer_exchange.peer_timeout_s(report.zone),
         )
         self._latencies.apply_samples(report.speeds)
+        self._limits.apply_report(report.node, report.limits)
         if report.crash_evidence is not None:
             self._crashes.apply_report(report.crash_evidence)
         self._rollouts.apply_report(
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -36,6 +36,7 @@
 from tanagerport.gateway.table_readers import ReaderRank, reader_rank
 from tanagerport.gateway.untrusted_data import Integer, Seconds
 from tanagerport.gateway.upstream_latency import Sample
+from tanagerport.gateway.upstream_limits import ReportedLimit
 
 # Minimum and maximum interval between reports to the local region. Two reports
 # are due before a node times out.
@@ -128,6 +129,7 @@
             lacks, for the same tables.
         configuration_version: The operator's number of the configuration that
             the node applies; 0 before the first.
+        limits: Limits of requests that upstreams named to the node.
     """
 
     node: str
@@ -156,6 +158,7 @@
     table_eras: tuple[int, int] = (0, 0)
     has_lost_rows: tuple[bool, bool] = (False, False)
     configuration_version: int = 0
+    limits: list[ReportedLimit] = []
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/src/tanagerport/gateway/upstream_limits.py
@@ -0,0 +1,189 @@
+"""Limits of requests that upstreams name in their answers."""
+
+import dataclasses
+import re
+import time
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from tanagerport.gateway.domain import UpstreamRecord
+from tanagerport.gateway.untrusted_data import Integer, Seconds
+
+# A higher limit is taken as this. No upstream gets as many requests.
+_MAX_PER_S = 1e6
+_DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+# Longest value that is read, in bytes.
+_MAX_VALUE_BYTES = 64
+# Time for which the end of a limit is reported, in seconds. By then all nodes
+# have had several reports, also across regions.
+_ENDED_LIFETIME_S = 10.0
+# Limits in one report; the newest ones go first.
+_MAX_REPORTED = 48
+# A fleet has a few thousand upstreams.
+_MAX_KNOWN = 8192
+
+
+class ReportedLimit(msgspec.Struct, array_like=True, frozen=True):
+    """What a node read in the last answer of an upstream.
+
+    Attributes:
+        upstream_id: The upstream.
+        started_ms: Its start in Unix milliseconds; the limit is that of this
+            start only.
+        per_s: Requests a second; None if it named no limit any more.
+        age_s: Seconds since the answer.
+    """
+
+    upstream_id: str
+    started_ms: Integer
+    per_s: Seconds | None
+    age_s: Seconds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """What is known of the limit of an upstream.
+
+    Attributes:
+        per_s: Requests a second; None after its end.
+        since: Monotonic time since which this value holds, in seconds.
+        read_at: Monotonic time of the answer that named it last, in seconds.
+        source: Name of the node that read it.
+    """
+
+    per_s: float | None
+    since: float
+    read_at: float
+    source: str
+
+
+def parse_limit(values: Iterable[bytes]) -> float | None:
+    """Returns the lowest of the limits, in requests a second.
+
+    Args:
+        values: Members of the header field. One that is no decimal number
+            without sign and exponent, or longer than 64 bytes, is ignored.
+
+    Returns:
+        The limit; None if no value is valid.
+    """
+    limits = [
+        float(value)
+        for value in values
+        if len(value) <= _MAX_VALUE_BYTES and _DECIMAL.fullmatch(value)
+    ]
+    return min([*limits, _MAX_PER_S]) if limits else None
+
+
+class UpstreamLimits:
+    """Limits that upstreams named to this node or to others.
+
+    The last answer of an upstream counts, whichever node got it. A limit holds
+    for one start of an upstream.
+
+    Args:
+        node: Name of this node.
+        now: Monotonic clock, in seconds.
+    """
+
+    def __init__(
+        self, node: str, now: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._node = node
+        self._now = now
+        self._limits: dict[tuple[str, int], NamedLimit] = {}
+
+    @property
+    def size(self) -> int:
+        """Number of upstreams that name a limit."""
+        return sum(named.per_s is not None for named in self._limits.values())
+
+    def per_s(self, upstream: UpstreamRecord) -> float | None:
+        """Returns the limit of an upstream, in requests a second, if any."""
+        if not self._limits:
+            return None
+        named = self._limits.get(_start_of(upstream))
+        return None if named is None else named.per_s
+
+    def get(self, upstream: UpstreamRecord) -> NamedLimit | None:
+        """Returns what is known of the limit of an upstream."""
+        return self._limits.get(_start_of(upstream))
+
+    def record(self, upstream: UpstreamRecord, per_s: float | None) -> bool:
+        """Records an answer of an upstream; returns whether its limit changed.
+
+        Args:
+            upstream: The upstream.
+            per_s: Limit that it named, in requests a second; None for none.
+        """
+        return self._update(_start_of(upstream), per_s, self._now(), self._node)
+
+    def report(self) -> list[ReportedLimit]:
+        """Returns what this node read last, for its report."""
+        if not self._limits:
+            return []
+        now = self._now()
+        own = [
+            (start, named)
+            for start, named in self._limits.items()
+            if named.source == self._node
+            and (
+                named.per_s is not None
+                or now - named.read_at < _ENDED_LIFETIME_S
+            )
+        ]
+        own.sort(key=lambda entry: -entry[1].read_at)
+        return [
+            ReportedLimit(*start, named.per_s, round(now - named.read_at, 3))
+            for start, named in own[:_MAX_REPORTED]
+        ]
+
+    def apply_report(self, node: str, limits: Iterable[ReportedLimit]) -> None:
+        """Applies what another node read."""
+        now = self._now()
+        for limit in limits:
+            per_s = limit.per_s
+            if per_s is not None:
+                per_s = min(max(per_s, 0.0), _MAX_PER_S)
+            self._update(
+                (limit.upstream_id, limit.started_ms),
+                per_s,
+                now - max(limit.age_s, 0.0),
+                node,
+            )
+
+    def remove_upstream(self, upstream: UpstreamRecord) -> None:
+        """Removes the limit of an upstream that has ended or restarted."""
+        self._limits.pop(_start_of(upstream), None)
+
+    def remove_expired(self) -> None:
+        """Forgets limits that ended a while ago."""
+        ended_before = self._now() - _ENDED_LIFETIME_S
+        for start, named in list(self._limits.items()):
+            if named.per_s is None and named.read_at < ended_before:
+                del self._limits[start]
+
+    def _update(
+        self,
+        start: tuple[str, int],
+        per_s: float | None,
+        read_at: float,
+        source: str,
+    ) -> bool:
+        known = self._limits.get(start)
+        if known is None:
+            if per_s is None:
+                return False
+        elif known.read_at >= read_at:
+            return False
+        has_changed = known is None or known.per_s != per_s
+        since = read_at if has_changed or known is None else known.since
+        self._limits[start] = NamedLimit(per_s, since, read_at, source)
+        if len(self._limits) > _MAX_KNOWN:
+            del self._limits[next(iter(self._limits))]
+        return has_changed
+
+
+def _start_of(upstream: UpstreamRecord) -> tuple[str, int]:
+    return upstream.upstream_id, upstream.started_ms
--- a/src/tanagerport/gateway/upstream_notices.py
+++ b/src/tanagerport/gateway/upstream_notices.py
@@ -12,6 +12,7 @@
     UpstreamBackoff,
     parse_backoff_s,
 )
+from tanagerport.gateway.upstream_limits import UpstreamLimits, parse_limit
 
 # Time before the end of the drain timeout at which the last request is placed,
 # in seconds: a connection to the upstream takes up to 0.4 s to open. At most
@@ -116,6 +117,9 @@
             for which it may be used where no other can; returns whether that is
             new.
         backoff: Receives the times for which upstreams want no requests.
+        limits: Receives the limits that upstreams name.
+        on_limit_changed: Called after an upstream named a new limit, or none
+            any more.
         drain_timeout_s: Seconds for which a leaving upstream accepts requests.
         counters: Metrics of the process.
         log: Structured log.
@@ -127,6 +131,8 @@
         find_upstream: Callable[[str], UpstreamRecord | None],
         record_leaving: Callable[[UpstreamRecord, float], bool],
         backoff: UpstreamBackoff,
+        limits: UpstreamLimits,
+        on_limit_changed: Callable[[], object],
         drain_timeout_s: float,
         counters: Counters,
         log: DecisionLog,
@@ -135,6 +141,8 @@
         self._find_upstream = find_upstream
         self._record_leaving = record_leaving
         self._backoff = backoff
+        self._limits = limits
+        self._on_limit_changed = on_limit_changed
         self._use_for_s = drain_timeout_s - min(
             _LAST_PLACEMENT_MARGIN_S, drain_timeout_s * _MAX_MARGIN_SHARE
         )
@@ -167,6 +175,7 @@
             )
         if head.status == 503:
             self._record_backoff(upstream, head)
+        self._record_limit(upstream, head)
 
     def _find_answering(
         self, target: UpstreamRecord, head: ResponseHead
@@ -199,6 +208,38 @@
                 backoff_s=backoff_s,
             )
 
+    def _record_limit(
+        self, upstream: UpstreamRecord, head: ResponseHead
+    ) -> None:
+        name = self._http_names.request_limit
+        per_s = None
+        if name in head.header_values:
+            per_s = parse_limit(find_values(head.headers, name))
+            if per_s is None:
+                # Neither a limit nor its end.
+                self._counters.upstream_notices["limit_invalid"] += 1
+                return
+        elif (
+            self._limits.per_s(upstream) is None
+            # Others may answer in the upstream's place, or before it has read
+            # the request.
+            or self._http_names.response_seal not in head.header_values
+        ):
+            return
+        if not self._limits.record(upstream, per_s):
+            return
+        kind = "limit_ended" if per_s is None else "limit"
+        self._counters.upstream_notices[kind] += 1
+        self._log.info(
+            "upstream_limit",
+            upstream=upstream.upstream_id,
+            service=upstream.service,
+            started_ms=upstream.started_ms,
+            limit_per_s=per_s,
+            status=head.status,
+        )
+        self._on_limit_changed()
+
 
 def _start_of(upstream: UpstreamRecord) -> tuple[str, int]:
     return upstream.upstream_id, upstream.started_ms
--- a/tests/test_gateway_odd_messages.py
+++ b/tests/test_gateway_odd_messages.py
@@ -47,6 +47,7 @@
 )
 from tanagerport.gateway.table_store import Row
 from tanagerport.gateway.upstream_latency import LatencyEstimator
+from tanagerport.gateway.upstream_limits import ReportedLimit
 from tanagerport.gateway.upstream_load import LoadTracker
 from tanagerport.gateway.version_evidence import Tally
 from tanagerport_platform.documents import StoreCodec
@@ -254,6 +255,7 @@
         crash_evidence=CrashEvidence(
             [("u/1", 1, [1])], [(1, 2, 1)], [(1, 1)], [1]
         ),
+        limits=[ReportedLimit("u", 1, 2.5, 0.1)],
     )
 )  # fmt: skip
 
--- a/tests/test_gateway_upstream_notices.py
+++ b/tests/test_gateway_upstream_notices.py
@@ -26,6 +26,7 @@
 from tanagerport.gateway.domain import UpstreamRecord
 from tanagerport.gateway.http_call import Headers, ResponseHead
 from tanagerport.gateway.upstream_backoff import UpstreamBackoff
+from tanagerport.gateway.upstream_limits import UpstreamLimits
 from tanagerport.gateway.upstream_notices import UpstreamNotices
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
 from tanagerport_platform.headers import HTTP_NAMES
@@ -316,6 +317,8 @@
             lambda upstream_id: None,
             record,
             UpstreamBackoff(),
+            UpstreamLimits("n"),
+            lambda: None,
             2.5,
             Counters(),
             DecisionLog("n"),
@@ -350,6 +353,8 @@
             registry.get,
             registry.record_leaving,
             backoff,
+            UpstreamLimits("n"),
+            lambda: None,
             2.5,
             Counters(),
             DecisionLog("n"),
