Keep all nodes together within the limits that upstreams name

Upstreams that named a limit of requests a second got several times as many: no node read it, and slots alone bounded what they got.

The coordinator of the slots takes a token of the limited upstream with each grant, so everything that reaches an upstream passes one gate. What is above a limit goes to other upstreams and regions, waits in the queue's order, or is refused with the time at which there will be room. A node that decides on its own has its share, in turns that are not saved up, and asks a coordinator again every 0.5 s; a coordinator that was replaced sends waiting requests on, and its successor begins empty. A waiting request whose task was cancelled before it ran was never forgotten; now it is.

--- a/src/tanagerport/gateway/admission.py
+++ b/src/tanagerport/gateway/admission.py
@@ -16,6 +16,7 @@
 
 from tanagerport.exceptions import RefusedError
 from tanagerport.gateway.placement import PlacementFinder
+from tanagerport.gateway.rate_gates import RateLimit
 from tanagerport.gateway.waiting_list import WaitingList
 from tanagerport.gateway.work_item import Placement, WorkItem
 from tanagerport.refusals import Refusal, RefusalReason
@@ -30,6 +31,9 @@
 _MIN_RETRY_AFTER_S = 0.1
 # Lower bound of the random factor that spreads the retries of clients.
 _MIN_JITTER_FACTOR = 0.7
+# Upper bound of the random factor where the time is known at which there is
+# room.
+_MAX_LATENESS_FACTOR = 1.3
 # Maximum length of the queue of one service. By then the wait is longer than
 # any request can afford, and each entry takes about a kilobyte.
 _MAX_QUEUED_REQUESTS = 2048
@@ -60,6 +64,8 @@
         now: Monotonic clock, in seconds.
         count_free_slots: Returns the number of free slots. Without it, waiting
             requests are tried whenever something changed.
+        get_rate_limit: Returns what the upstreams take together; None if one
+            of them takes all. Without it, none is limited.
     """
 
     def __init__(
@@ -69,6 +75,7 @@
         on_abandoned: Callable[[Placement], None],
         now: Callable[[], float] = time.monotonic,
         count_free_slots: Callable[[], int] | None = None,
+        get_rate_limit: Callable[[], RateLimit | None] = lambda: None,
     ) -> None:
         self._find_placement = find_placement
         self._on_placed = on_placed
@@ -80,6 +87,7 @@
         # Monotonic time since which some request has been waiting.
         self._waiting_since = float("inf")
         self._count_free_slots = count_free_slots
+        self._get_rate_limit = get_rate_limit
         # Free slots that no waiting request took, and when to try again.
         self._unwanted_slots = 0
         self._has_unwanted_slots = False
@@ -199,9 +207,13 @@
         """Returns the expected queueing time, in seconds."""
         now = self._now()
         ahead = self._waiting.count_ahead(item, now)
+        limit = self._get_rate_limit()
         if ahead == 0:
-            return 0.0
+            return 0.0 if limit is None else limit.next_s
         rate = self.placements_per_s()
+        if limit is not None:
+            rate = min(rate or limit.per_s, limit.per_s)
+            return limit.next_s + ahead / rate
         return 0.0 if rate is None else ahead / rate
 
     def placements_per_s(self) -> float | None:
@@ -240,12 +252,21 @@
 
     def _refusal(self, item: WorkItem, message: str) -> RefusedError:
         remaining_s = item.deadline_at - self._now()
-        retry_after_s = max(
+        retry_after_s = (
             remaining_s
             * _RETRY_AFTER_SHARE
-            * self._random.uniform(_MIN_JITTER_FACTOR, 1),
-            _MIN_RETRY_AFTER_S,
+            * self._random.uniform(_MIN_JITTER_FACTOR, 1)
         )
+        limit = self._get_rate_limit()
+        if limit is not None:
+            message = (
+                f"all upstreams together take {limit.per_s:.1f} requests a"
+                f" second: {message}"
+            )
+            retry_after_s = self.expected_wait_s(item) * self._random.uniform(
+                1, _MAX_LATENESS_FACTOR
+            )
+        retry_after_s = max(retry_after_s, _MIN_RETRY_AFTER_S)
         return RefusedError(
             Refusal(
                 RefusalReason.DEADLINE_UNREACHABLE,
--- a/src/tanagerport/gateway/coordinator.py
+++ b/src/tanagerport/gateway/coordinator.py
@@ -25,6 +25,11 @@
 from tanagerport.gateway.lease_table import Lease, LeaseKey, LeaseTable
 from tanagerport.gateway.placement import UpstreamSelector
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
+from tanagerport.gateway.rate_gates import (
+    GrantGate,
+    RateLimit,
+    join_limits,
+)
 from tanagerport.gateway.region_loads import RegionLoads
 from tanagerport.gateway.slot_demand import SlotDemand, as_demand
 from tanagerport.gateway.slot_messages import (
@@ -44,6 +49,7 @@
 )
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_latency import LatencyEstimator
+from tanagerport.gateway.upstream_limits import UpstreamLimits
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
 from tanagerport.gateway.work_item import Placement, WorkItem
 
@@ -68,6 +74,7 @@
         health: Failure statistics of upstreams, from all nodes.
         latencies: Latency estimates of upstreams.
         cache: Prompt parts that upstreams have probably cached.
+        limits: Limits that upstreams name.
         find_service: Returns a service of the applied configuration.
         is_first: Returns whether no other live node goes before this one as the
             coordinator of a service.
@@ -89,6 +96,7 @@
         health: UpstreamHealth,
         latencies: LatencyEstimator,
         cache: PromptCacheIndex,
+        limits: UpstreamLimits,
         find_service: Callable[[str], Service],
         is_first: Callable[[str], bool],
         find_others: Callable[[str], Sequence[str]],
@@ -114,8 +122,10 @@
         self._attended_now = attended_now or now
         self._leases = LeaseTable(self._attended_now)
         self._loads = RegionLoads(self._leases, self._attended_now)
+        self._limits = limits
+        self._gate = GrantGate(limits, now)
         self._selector = UpstreamSelector(
-            zone, regions, self._loads, health, latencies, cache
+            zone, regions, self._loads, health, latencies, cache, self
         )
         self._summary_sequence = itertools.count()
         self._summary_due_at = float("-inf")
@@ -124,7 +134,8 @@
         self._active_until: dict[str, float] = {}
         self._queues: dict[str, AdmissionQueue] = {}
         self._grants: dict[LeaseKey, Placement] = {}
-        self._waiting: dict[LeaseKey, asyncio.Task[None]] = {}
+        # Service and task of each waiting request.
+        self._waiting: dict[LeaseKey, tuple[str, asyncio.Task[None]]] = {}
         # Node that reported the last failure of an upstream since its last
         # success.
         self._failure_reporters: dict[str, str] = {}
@@ -143,11 +154,41 @@
             if queue.size
         }
 
+    def wait_s(self, upstream: UpstreamRecord) -> float:
+        """Implements `RateGate`; other regions have gates of their own."""
+        return self._gate.wait_s(upstream) if self._is_own(upstream) else 0.0
+
+    def rate_per_s(self, upstream: UpstreamRecord) -> float | None:
+        """Implements `RateGate`."""
+        if not self._is_own(upstream):
+            return None
+        return self._gate.rate_per_s(upstream)
+
+    def list_limits(self) -> list[dict[str, object]]:
+        """Returns the limits of upstreams in force, for operators."""
+        now = self._now()
+        return [
+            {
+                "upstream": upstream.upstream_id,
+                "service": upstream.service,
+                "limit_per_s": named.per_s,
+                "since_s": round(now - named.since, 1),
+                "read_s_ago": round(now - named.read_at, 1),
+                "read_by": named.source,
+                "coordinates": self._is_own(upstream)
+                and self._is_first(upstream.service),
+                "granted_in_4_s": self._gate.count_granted(upstream),
+            }
+            for upstream_id in self._limits.limited_ids()
+            if (upstream := self._registry.get(upstream_id)) is not None
+            and (named := self._limits.get(upstream)) is not None
+        ]
+
     def stop(self) -> None:
         """Sends all waiting requests to other coordinators."""
         self._is_stopping = True
-        for task in list(self._waiting.values()):
-            task.cancel()
+        for service in list(self._queues):
+            self._send_waiting_on(service)
 
     def handle_request(self, host: str, request: SlotRequest) -> None:
         """Grants a slot, queues the request or denies it."""
@@ -185,9 +226,12 @@
                     expected_wait_s=queue.expected_wait_s(item),
                 ),
             )
-            self._waiting[key] = asyncio.get_running_loop().create_task(
+            task = asyncio.get_running_loop().create_task(
                 self._wait(queue, item)
             )
+            self._waiting[key] = request.service, task
+            # A task that is cancelled before it runs has no other end.
+            task.add_done_callback(lambda _: self._waiting.pop(key, None))
 
     def handle_progress(self, host: str, progress: SlotProgress) -> None:
         """Records the first event of an answer."""
@@ -211,13 +255,14 @@
     def handle_release(self, host: str, release: SlotRelease) -> None:
         """Ends a lease, or removes a waiting request."""
         key = LeaseKey(host, release.start, release.lease)
-        task = self._waiting.get(key)
-        if task is not None:
-            task.cancel()
+        if key in self._waiting:
+            self._waiting[key][1].cancel()
         placement = self._grants.pop(key, None)
         lease = self._leases.end(key)
         if lease is None:
             return
+        if placement is not None and release.outcome == SlotOutcome.UNUSED:
+            self._gate.give_back(placement.upstream)
         self._record_outcome(host, lease, release)
         if placement is not None and self._is_local(placement):
             self._record_latency(lease, release)
@@ -265,10 +310,14 @@
             for service, until in self._active_until.items():
                 if until > self._now():
                     self._send_summary(service)
+        self._update_gate()
         if self._leases.remove_expired():
             self._remove_ended_grants()
-        for service in list(self._queues):
-            self._admit_waiting(service)
+        for service, queue in list(self._queues.items()):
+            if queue.size and self._is_replaced(service):
+                self._send_waiting_on(service)
+            else:
+                self._admit_waiting(service)
 
     def _send_summary(self, service: str) -> None:
         hosts = self._find_others(service)
@@ -281,7 +330,11 @@
             if self._regions.get(upstream.zone) != self._region:
                 continue
             load = self._leases.load(upstream_id)
-            if load.is_silent or self._health.is_ejected(upstream_id):
+            if (
+                load.is_silent
+                or self._health.is_ejected(upstream_id)
+                or self._gate.wait_s(upstream) > 0
+            ):
                 continue
             upstreams.append(
                 UpstreamSummary(
@@ -315,12 +368,35 @@
                 error.refusal.message,
                 error.refusal.retry_after_s,
             )
-        except asyncio.CancelledError:
-            if not self._is_stopping:
-                raise
-            self._deny(key, DenialReason.NOT_COORDINATING)
-        finally:
-            self._waiting.pop(key, None)
+
+    def _update_gate(self) -> None:
+        limited = [
+            upstream
+            for upstream_id in self._limits.limited_ids()
+            if (upstream := self._registry.get(upstream_id)) is not None
+        ]
+        self._gate.keep_only(limited)
+        for upstream in limited:
+            if self._is_own(upstream) and not self._is_first(upstream.service):
+                # The other coordinator may have granted what it saved up.
+                self._gate.empty(upstream)
+
+    def _is_replaced(self, service: str) -> bool:
+        """Returns whether another node grants what limited upstreams take.
+
+        Both together would exceed the limits.
+        """
+        return not self._is_first(service) and any(
+            self.rate_per_s(upstream) is not None
+            for upstream in self._registry.usable(service)
+        )
+
+    def _send_waiting_on(self, service: str) -> None:
+        """Sends the waiting requests of a service to other coordinators."""
+        for key, (waiting_for, task) in list(self._waiting.items()):
+            if waiting_for == service:
+                task.cancel()
+                self._deny(key, DenialReason.NOT_COORDINATING)
 
     def _create_demand(self, key: LeaseKey, request: SlotRequest) -> SlotDemand:
         now = self._now()
@@ -366,9 +442,29 @@
                 self._cancel_placement,
                 self._now,
                 lambda: self._count_free_slots(service),
+                lambda: self._find_rate_limit(service),
             )
         return queue
 
+    def _find_rate_limit(self, service: str) -> RateLimit | None:
+        """Returns what all usable upstreams of a service take together."""
+        return join_limits(
+            self,
+            [
+                upstream
+                for upstream in self._registry.usable(service)
+                if not self._health.is_ejected(upstream.upstream_id)
+                and (
+                    self._is_own(upstream)
+                    or self._loads.is_usable(
+                        service,
+                        self._regions.get(upstream.zone, ""),
+                        upstream.upstream_id,
+                    )
+                )
+            ],
+        )
+
     def _find_upstreams(self, item: SlotDemand) -> list[UpstreamRecord]:
         return [
             upstream
@@ -399,11 +495,13 @@
             if self._is_own(upstream) or self._loads.is_usable(
                 service, self._regions.get(upstream.zone, ""), upstream_id
             ):
-                free_slots += max(
+                free = (
                     self._selector.capacity(upstream, limits)
-                    - self._loads.load(upstream_id).requests,
-                    0,
+                    - self._loads.load(upstream_id).requests
                 )
+                if self._is_own(upstream):
+                    free = min(free, self._gate.count_tokens(upstream))
+                free_slots += max(free, 0)
         return free_slots
 
     def _find_placement(self, item: WorkItem) -> Placement | None:
@@ -426,6 +524,7 @@
             return
         key = as_demand(placement.item).lease
         self._grants[key] = placement
+        self._gate.take(upstream)
         self._leases.start(
             key,
             Lease(
@@ -442,6 +541,7 @@
         key = as_demand(placement.item).lease
         self._grants.pop(key, None)
         if self._leases.end(key) is not None:
+            self._gate.give_back(placement.upstream)
             self._admit_waiting(placement.item.service)
 
     def _send_grant(self, placement: Placement) -> None:
--- a/src/tanagerport/gateway/internal_server.py
+++ b/src/tanagerport/gateway/internal_server.py
@@ -15,6 +15,8 @@
 
 # Path of the quarantined prompt parts, in all and one by one.
 QUARANTINE_PATH = b"/quarantine"
+# Path of the limits of requests that upstreams name.
+LIMITS_PATH = b"/limits"
 _IDLE_TIMEOUT_S = 30.0
 
 _encode = msgspec.json.Encoder().encode
@@ -29,6 +31,7 @@
         counters: Metrics of the process.
         tables: Serves table copies to other nodes.
         quarantine: Shows and releases quarantined prompt parts.
+        list_limits: Returns the limits of requests that upstreams name.
     """
 
     def __init__(
@@ -38,12 +41,14 @@
         counters: Counters,
         tables: TableServer,
         quarantine: PromptQuarantine,
+        list_limits: Callable[[], list[dict[str, object]]],
     ) -> None:
         self._ready_path = ready_path
         self._is_ready = is_ready
         self._counters = counters
         self._tables = tables
         self._quarantine = quarantine
+        self._list_limits = list_limits
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, host: str, port: int) -> None:
@@ -104,6 +109,9 @@
             content_type = b"application/json"
             body = _encode(self._quarantine.list_quarantined())
             status = 200
+        elif path == LIMITS_PATH and request.method == b"GET":
+            content_type = b"application/json"
+            status, body = 200, _encode(self._list_limits())
         elif (
             path.startswith(QUARANTINE_PATH + b"/")
             and request.method == b"DELETE"
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -47,6 +47,7 @@
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.quota_checkpoint import QuotaCheckpoint
 from tanagerport.gateway.quotas import QuotaLimiter, QuotaSettings
+from tanagerport.gateway.rate_gates import ShareGate
 from tanagerport.gateway.request_validation import RequestValidator
 from tanagerport.gateway.response_buffers import ResponseBuffers
 from tanagerport.gateway.restored_rows import RestoredRows, RowAge
@@ -299,6 +300,7 @@
             UpstreamHealth(),
             self._latencies,
             self._cache,
+            self._limits,
             self._find_service,
             lambda service: directory.is_first(
                 settings.peer_host, service, settings.region
@@ -313,6 +315,9 @@
             attended_now=self._attended_clock.monotonic,
         )
         self._coordination.connect(self._coordinator, self._slots)
+        self._share_gate = ShareGate(
+            self._limits, self._peer_exchange.count_live_nodes
+        )
         self._scheduler = Scheduler(
             self._registry,
             UpstreamSelector(
@@ -322,6 +327,7 @@
                 self._health,
                 self._latencies,
                 self._cache,
+                self._share_gate,
             ),
             self._load_tracker,
             self._health,
@@ -333,6 +339,7 @@
             self._peer_exchange.send_early_report,
             self._slots,
             record_answer=self._crashes.record_answer,
+            gate=self._share_gate,
         )
         switch = UpstreamSwitch(
             self._scheduler,
@@ -396,6 +403,7 @@
             self._counters,
             TableServer(self._table_copies, settings.link_mbps),
             self._quarantine,
+            self._coordinator.list_limits,
         )
         self._registry.add_removal_callback(self._remove_upstream_state)
         self._registry.add_change_callback(self._scheduler.admit_waiting)
@@ -897,6 +905,7 @@
         self._load_tracker.remove_upstream(record.upstream_id)
         self._pool.close_idle(record.upstream_id)
         self._limits.remove_upstream(record)
+        self._share_gate.remove_upstream(record)
 
     def _make_report(
         self, sequence: int, known_hosts: list[str] | None
--- a/src/tanagerport/gateway/placement.py
+++ b/src/tanagerport/gateway/placement.py
@@ -6,6 +6,7 @@
 
 from tanagerport.gateway.domain import Service, UpstreamRecord
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
+from tanagerport.gateway.rate_gates import OpenGate, RateGate
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_latency import LatencyEstimator
 from tanagerport.gateway.upstream_load import UpstreamLoad
@@ -93,6 +94,8 @@
         health: Failure statistics of upstreams.
         latencies: Latency estimates of upstreams.
         cache: Prompt parts that upstreams have probably cached.
+        gate: Knows when limited upstreams take another request; None if none
+            is limited.
     """
 
     def __init__(
@@ -103,6 +106,7 @@
         health: UpstreamHealth,
         latencies: LatencyEstimator,
         cache: PromptCacheIndex,
+        gate: RateGate | None = None,
     ) -> None:
         self._zone = zone
         self._regions = regions
@@ -110,6 +114,7 @@
         self._health = health
         self._latencies = latencies
         self._cache = cache
+        self._gate = gate or OpenGate()
 
     def capacity(self, upstream: UpstreamRecord, service: Service) -> int:
         """Returns the maximum number of concurrent requests of an upstream."""
@@ -147,10 +152,13 @@
             if load.is_silent or self._is_silent(service, upstream_id, load):
                 continue
             prediction = self._predict(item, service, upstream, load, now)
-            any_meets_targets |= prediction.meets_targets
             item.best_first_byte_s = min(
                 item.best_first_byte_s, prediction.unloaded_first_byte_s
             )
+            if self._gate.wait_s(upstream) > 0:
+                # No request waits for it while another upstream may serve it.
+                continue
+            any_meets_targets |= prediction.meets_targets
             if self._has_free_slot(service, upstream, load):
                 candidates.append(prediction)
         selected = _select_best(candidates, any_meets_targets)
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -11,6 +11,7 @@
 from tanagerport.gateway.io_timeout import expire
 from tanagerport.gateway.placement import LONG_OUTPUT_FACTOR, UpstreamSelector
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
+from tanagerport.gateway.rate_gates import RateLimit, ShareGate, join_limits
 from tanagerport.gateway.rollout import RolloutController
 from tanagerport.gateway.slot_client import SlotClient
 from tanagerport.gateway.slot_messages import SlotOutcome
@@ -35,6 +36,10 @@
 # Interval at which a request that waits for the end of a backoff looks for
 # other upstreams: that of the housekeeping, which admits waiting requests.
 _BACKOFF_POLL_INTERVAL_S = 0.1
+# Time for which a request waits for this node's share of limited upstreams
+# before it asks a coordinator again, in seconds: as long as one that did not
+# answer is left out.
+_OWN_WAIT_S = 0.5
 
 
 class Scheduler:
@@ -54,6 +59,8 @@
         slots: Gets slots from the coordinators; None to decide on the reports
             of other nodes alone.
         now: Monotonic clock, in seconds.
+        gate: Limits what this node sends on its own to limited upstreams; None
+            if none is limited.
         record_answer: Called with the keys of the prompt parts on which an
             answer was whole or went on well beyond its first event.
     """
@@ -73,6 +80,7 @@
         slots: SlotClient | None = None,
         now: Callable[[], float] = time.monotonic,
         record_answer: Callable[[tuple[int, ...]], None] | None = None,
+        gate: ShareGate | None = None,
     ) -> None:
         self._registry = registry
         self._selector = selector
@@ -87,6 +95,7 @@
         self._slots = slots
         self._now = now
         self._record_answer = record_answer
+        self._gate = gate
         self._queues: dict[str, AdmissionQueue] = {}
         # Requests that wait for a coordinator or a backoff, and their refusal
         # once the process stops.
@@ -118,34 +127,76 @@
         Raises:
             RefusedError: The request can't be answered before its deadline.
         """
-        if self._slots is not None:
+        while True:
+            if self._slots is not None:
+                placement = await self._acquire_coordinated(self._slots, item)
+                if placement is not None:
+                    return placement
             await self._await_backoff(item)
-            placement = await self._acquire_granted(self._slots, item)
-            if placement is not None and not self._is_allowed(placement):
-                # The rollout went on while the request waited for the slot.
-                placement.outcome = SlotOutcome.UNUSED
-                self._slots.release(placement)
-                placement = None
+            placement = await self._acquire_own(item)
             if placement is not None:
-                self._load_tracker.record_start(
-                    placement.upstream.upstream_id, placement.prompt_tokens
-                )
-                self._rollouts.record_dispatch(placement.upstream)
-                return placement
+                break
+            if self._stop_refusal is not None:
+                raise RefusedError(self._stop_refusal)
+        if self._slots is not None:
+            self._slots.adopt(placement)
+        return placement
+
+    async def _acquire_coordinated(
+        self, slots: SlotClient, item: WorkItem
+    ) -> Placement | None:
+        """Waits for a slot that a coordinator grants, and records its use.
+
+        Returns:
+            The placement; None if this node has to decide on its own.
+
+        Raises:
+            RefusedError: The request can't be answered before its deadline.
+        """
         await self._await_backoff(item)
-        queue = self._queues.get(item.service)
+        placement = await self._acquire_granted(slots, item)
+        if placement is None:
+            return None
+        if not self._is_allowed(placement):
+            # The rollout went on while the request waited for the slot.
+            placement.outcome = SlotOutcome.UNUSED
+            slots.release(placement)
+            return None
+        self._load_tracker.record_start(
+            placement.upstream.upstream_id, placement.prompt_tokens
+        )
+        self._rollouts.record_dispatch(placement.upstream)
+        return placement
+
+    async def _acquire_own(self, item: WorkItem) -> Placement | None:
+        """Waits for a slot that this node chooses on its own.
+
+        Returns:
+            The placement; None if the upstreams are limited and it is time to
+            ask a coordinator again. Its grants and the shares of the nodes
+            would exceed the limits together.
+
+        Raises:
+            RefusedError: The request can't be answered before its deadline.
+        """
+        service = item.service
+        queue = self._queues.get(service)
         if queue is None:
             queue = AdmissionQueue(
                 self._find_placement,
                 self._record_placement,
                 self.release,
                 self._now,
+                get_rate_limit=lambda: self._find_rate_limit(service),
             )
-            self._queues[item.service] = queue
-        placement = await queue.acquire(item)
-        if self._slots is not None:
-            self._slots.adopt(placement)
-        return placement
+            self._queues[service] = queue
+        if self._slots is None or self._find_rate_limit(service) is None:
+            return await queue.acquire(item)
+        try:
+            async with asyncio.timeout(_OWN_WAIT_S):
+                return await queue.acquire(item)
+        except TimeoutError:
+            return None
 
     async def _acquire_granted(
         self, slots: SlotClient, item: WorkItem
@@ -503,7 +554,14 @@
             self._now(),
         )
 
+    def _find_rate_limit(self, service: str) -> RateLimit | None:
+        if self._gate is None:
+            return None
+        return join_limits(self._gate, self._registry.usable(service))
+
     def _record_placement(self, placement: Placement) -> None:
+        if self._gate is not None:
+            self._gate.take(placement.upstream)
         self._load_tracker.record_start(
             placement.upstream.upstream_id, placement.prompt_tokens
         )
--- a/src/tanagerport/gateway/upstream_limits.py
+++ b/src/tanagerport/gateway/upstream_limits.py
@@ -99,6 +99,14 @@
         """Number of upstreams that name a limit."""
         return sum(named.per_s is not None for named in self._limits.values())
 
+    def limited_ids(self) -> list[str]:
+        """Returns the ids of the upstreams that name a limit."""
+        return [
+            upstream_id
+            for (upstream_id, _), named in self._limits.items()
+            if named.per_s is not None
+        ]
+
     def per_s(self, upstream: UpstreamRecord) -> float | None:
         """Returns the limit of an upstream, in requests a second, if any."""
         if not self._limits:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -624,10 +624,11 @@
     body: bytes = b"",
     headers: dict[str, str] | None = None,
     raw: bytes | None = None,
+    host: str = HOST,
 ) -> ClientResponse:
     """Sends one request on a new connection and reads the response."""
     started_at = time.monotonic()
-    reader, writer = await asyncio.open_connection(HOST, port)
+    reader, writer = await asyncio.open_connection(host, port)
     try:
         writer.write(raw or request_bytes(method, target, body, headers))
         response = await read_response(reader)
--- a/tests/simulated_slots.py
+++ b/tests/simulated_slots.py
@@ -32,6 +32,7 @@
 from tanagerport.gateway.upstream_backoff import UpstreamBackoff
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_latency import LatencyEstimator
+from tanagerport.gateway.upstream_limits import UpstreamLimits
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
 from tanagerport.gateway.work_item import Placement, WorkItem
 
@@ -164,6 +165,7 @@
             self.registry.put(upstream)
         self.health = UpstreamHealth()
         self.backoff = UpstreamBackoff()
+        self.limits = UpstreamLimits(host)
         self.silent: list[str] = []
         start = random.getrandbits(48)
         directory = CoordinatorDirectory(self._find_candidates)
@@ -184,6 +186,7 @@
             self.health,
             LatencyEstimator(),
             PromptCacheIndex(),
+            self.limits,
             lambda name: SERVICE,
             lambda service: directory.is_first(host, service, REGIONS[zone]),
             lambda service: [
--- a/tests/test_gateway_upstream_limits.py
+++ b/tests/test_gateway_upstream_limits.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import collections
+import json
 import pathlib
+import signal
 import socket
 import time
 from collections.abc import Awaitable, Callable, Iterable
@@ -154,6 +156,25 @@
             assert limited.most_in_window(started_at + _CONTACT_S) <= (
                 allowed(3.0)
             )
+            pages = [
+                json.loads(
+                    (
+                        await standin.fetch(
+                            gateway.settings["metrics_port"],
+                            "GET",
+                            "/limits",
+                            host=gateway.settings["peer_host"],
+                        )
+                    ).body
+                )
+                for gateway in cluster.gateways
+            ]
+            assert [page[0]["upstream"] for page in pages] == ["u-0"] * _NODES
+            (coordinating,) = (
+                page[0] for page in pages if page[0]["coordinates"]
+            )
+            assert coordinating["limit_per_s"] == 3.0
+            assert 8 <= coordinating["granted_in_4_s"] <= allowed(3.0)
             # The upstream gets what it takes, and nothing is refused.
             assert limited.count(started_at + 4.0, started_at + 12.0) >= 16
             assert statuses(responses) == {200: len(responses)}
@@ -207,3 +228,86 @@
             assert statuses(first + second) == {200: len(first + second)}
 
         run_scenario(tmp_path, ["2", None, None], scenario)
+
+    @pytest.mark.parametrize("value", ["0", "-3", "3, nan", "9" * 300])
+    def test_odd_values_end_no_node(
+        self, tmp_path: pathlib.Path, value: str
+    ) -> None:
+        """Guards against a value of an upstream that breaks a node."""
+
+        async def scenario(
+            cluster: LocalCluster, upstreams: list[LimitedUpstream]
+        ) -> None:
+            responses = await send_requests(cluster, 3.0)
+            assert statuses(responses) == {200: len(responses)}
+            for gateway in cluster.gateways:
+                assert await gateway.ready_status() == 200
+
+        run_scenario(tmp_path, [value, None, None], scenario)
+
+
+class TestDisturbedNodes:
+    """Guards against a limit that holds only while all nodes are well.
+
+    One node after the other stands still, or is killed and starts again; one
+    of them coordinates. The others go on, each within its share.
+    """
+
+    @pytest.mark.parametrize("number", [signal.SIGSTOP, signal.SIGKILL])
+    def test_limit_holds_and_no_request_waits_in_vain(
+        self, tmp_path: pathlib.Path, number: signal.Signals
+    ) -> None:
+        async def disturb(cluster: LocalCluster, disturbed: set[int]) -> None:
+            for index, gateway in enumerate(cluster.gateways):
+                await asyncio.sleep(1.5)
+                disturbed.add(index)
+                # What it has in progress ends first.
+                await asyncio.sleep(2.2)
+                gateway.signal(number)
+                await asyncio.sleep(2.5)
+                if number is signal.SIGSTOP:
+                    gateway.signal(signal.SIGCONT)
+                else:
+                    await gateway.wait()
+                    await gateway.start()
+                    await gateway.wait_ready()
+                await asyncio.sleep(0.5)
+                disturbed.discard(index)
+
+        async def scenario(
+            cluster: LocalCluster, upstreams: list[LimitedUpstream]
+        ) -> None:
+            disturbed: set[int] = set()
+            started_at = time.monotonic()
+            disturbance = asyncio.ensure_future(disturb(cluster, disturbed))
+            tasks: list[asyncio.Task[standin.ClientResponse]] = []
+            while not disturbance.done():
+                for index, gateway in enumerate(cluster.gateways):
+                    await asyncio.sleep(1 / _RATE_PER_S)
+                    if index in disturbed:
+                        continue
+                    fields = {
+                        "Attempt-Id": f"a{len(tasks)}",
+                        "Deadline-Ms": "2000",
+                    }
+                    tasks.append(
+                        asyncio.create_task(
+                            standin.fetch(
+                                gateway.port, "GET", "/read/x", b"", fields
+                            )
+                        )
+                    )
+            await disturbance
+            responses = await asyncio.gather(*tasks)
+            length_s = time.monotonic() - started_at
+            assert set(statuses(responses)) <= {200, 503}
+            for response in responses:
+                assert response.duration_s < 2.3
+            for upstream in upstreams:
+                assert upstream.most_in_window(started_at + _CONTACT_S) <= (
+                    allowed(3.0)
+                )
+            # Beside a lost coordinator, a share is left unused.
+            assert statuses(responses)[200] >= 0.6 * 9 * length_s
+
+        run_scenario(tmp_path, ["3"] * 3, scenario)
