--- a/src/tanagerport/gateway/coordinator.py
+++ b/src/tanagerport/gateway/coordinator.py
@@ -25,11 +25,8 @@
 from tanagerport.gateway.lease_table import Lease, LeaseKey, LeaseTable
 from tanagerport.gateway.placement import UpstreamSelector
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
-from tanagerport.gateway.rate_gates import (
-    GrantGate,
-    RateLimit,
-    join_limits,
-)
+from tanagerport.gateway.rate_gates import RateLimit, join_limits
+from tanagerport.gateway.region_limits import RegionLimits
 from tanagerport.gateway.region_loads import RegionLoads
 from tanagerport.gateway.slot_demand import SlotDemand, as_demand
 from tanagerport.gateway.slot_messages import (
@@ -122,10 +119,11 @@
         self._attended_now = attended_now or now
         self._leases = LeaseTable(self._attended_now)
         self._loads = RegionLoads(self._leases, self._attended_now)
-        self._limits = limits
-        self._gate = GrantGate(limits, now)
+        self._limits = RegionLimits(
+            limits, registry, self._is_own, is_first, now
+        )
         self._selector = UpstreamSelector(
-            zone, regions, self._loads, health, latencies, cache, self
+            zone, regions, self._loads, health, latencies, cache, self._limits
         )
         self._summary_sequence = itertools.count()
         self._summary_due_at = float("-inf")
@@ -140,6 +138,11 @@
         # success.
         self._failure_reporters: dict[str, str] = {}
 
+    @property
+    def limits(self) -> RegionLimits:
+        """Limits of the upstreams of the region."""
+        return self._limits
+
     @property
     def is_ready(self) -> bool:
         """Whether this node may grant slots."""
@@ -154,36 +157,6 @@
             if queue.size
         }
 
-    def wait_s(self, upstream: UpstreamRecord) -> float:
-        """Implements `RateGate`; other regions have gates of their own."""
-        return self._gate.wait_s(upstream) if self._is_own(upstream) else 0.0
-
-    def rate_per_s(self, upstream: UpstreamRecord) -> float | None:
-        """Implements `RateGate`."""
-        if not self._is_own(upstream):
-            return None
-        return self._gate.rate_per_s(upstream)
-
-    def list_limits(self) -> list[dict[str, object]]:
-        """Returns the limits of upstreams in force, for operators."""
-        now = self._now()
-        return [
-            {
-                "upstream": upstream.upstream_id,
-                "service": upstream.service,
-                "limit_per_s": named.per_s,
-                "since_s": round(now - named.since, 1),
-                "read_s_ago": round(now - named.read_at, 1),
-                "read_by": named.source,
-                "coordinates": self._is_own(upstream)
-                and self._is_first(upstream.service),
-                "granted_in_4_s": self._gate.count_granted(upstream),
-            }
-            for upstream_id in self._limits.limited_ids()
-            if (upstream := self._registry.get(upstream_id)) is not None
-            and (named := self._limits.get(upstream)) is not None
-        ]
-
     def stop(self) -> None:
         """Sends all waiting requests to other coordinators."""
         self._is_stopping = True
@@ -262,7 +235,7 @@
         if lease is None:
             return
         if placement is not None and release.outcome == SlotOutcome.UNUSED:
-            self._gate.give_back(placement.upstream)
+            self._limits.give_back(placement.upstream)
         self._record_outcome(host, lease, release)
         if placement is not None and self._is_local(placement):
             self._record_latency(lease, release)
@@ -310,11 +283,11 @@
             for service, until in self._active_until.items():
                 if until > self._now():
                     self._send_summary(service)
-        self._update_gate()
+        self._limits.update()
         if self._leases.remove_expired():
             self._remove_ended_grants()
         for service, queue in list(self._queues.items()):
-            if queue.size and self._is_replaced(service):
+            if queue.size and self._limits.is_replaced(service):
                 self._send_waiting_on(service)
             else:
                 self._admit_waiting(service)
@@ -333,7 +306,7 @@
             if (
                 load.is_silent
                 or self._health.is_ejected(upstream_id)
-                or self._gate.wait_s(upstream) > 0
+                or self._limits.wait_s(upstream) > 0
             ):
                 continue
             upstreams.append(
@@ -369,28 +342,6 @@
                 error.refusal.retry_after_s,
             )
 
-    def _update_gate(self) -> None:
-        limited = [
-            upstream
-            for upstream_id in self._limits.limited_ids()
-            if (upstream := self._registry.get(upstream_id)) is not None
-        ]
-        self._gate.keep_only(limited)
-        for upstream in limited:
-            if self._is_own(upstream) and not self._is_first(upstream.service):
-                # The other coordinator may have granted what it saved up.
-                self._gate.empty(upstream)
-
-    def _is_replaced(self, service: str) -> bool:
-        """Returns whether another node grants what limited upstreams take.
-
-        Both together would exceed the limits.
-        """
-        return not self._is_first(service) and any(
-            self.rate_per_s(upstream) is not None
-            for upstream in self._registry.usable(service)
-        )
-
     def _send_waiting_on(self, service: str) -> None:
         """Sends the waiting requests of a service to other coordinators."""
         for key, (waiting_for, task) in list(self._waiting.items()):
@@ -449,7 +400,7 @@
     def _find_rate_limit(self, service: str) -> RateLimit | None:
         """Returns what all usable upstreams of a service take together."""
         return join_limits(
-            self,
+            self._limits,
             [
                 upstream
                 for upstream in self._registry.usable(service)
@@ -499,9 +450,7 @@
                     self._selector.capacity(upstream, limits)
                     - self._loads.load(upstream_id).requests
                 )
-                if self._is_own(upstream):
-                    free = min(free, self._gate.count_tokens(upstream))
-                free_slots += max(free, 0)
+                free_slots += max(self._limits.limit_slots(upstream, free), 0)
         return free_slots
 
     def _find_placement(self, item: WorkItem) -> Placement | None:
@@ -524,7 +473,7 @@
             return
         key = as_demand(placement.item).lease
         self._grants[key] = placement
-        self._gate.take(upstream)
+        self._limits.take(upstream)
         self._leases.start(
             key,
             Lease(
@@ -541,7 +490,7 @@
         key = as_demand(placement.item).lease
         self._grants.pop(key, None)
         if self._leases.end(key) is not None:
-            self._gate.give_back(placement.upstream)
+            self._limits.give_back(placement.upstream)
             self._admit_waiting(placement.item.service)
 
     def _send_grant(self, placement: Placement) -> None:
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -403,7 +403,7 @@
             self._counters,
             TableServer(self._table_copies, settings.link_mbps),
             self._quarantine,
-            self._coordinator.list_limits,
+            self._coordinator.limits.describe,
         )
         self._registry.add_removal_callback(self._remove_upstream_state)
         self._registry.add_change_callback(self._scheduler.admit_waiting)
