--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -432,6 +432,7 @@
     reset_after: int | None = None,
     skipped_event: int | None = None,
     may_send: asyncio.Event | None = None,
+    fields: dict[str, str] | None = None,
 ) -> RequestHandler:
     """Returns a handler that streams events with ids starting at 1.
 
@@ -443,6 +444,7 @@
         reset_after: Id of the event after which the connection is reset.
         skipped_event: Id of an event that is not sent.
         may_send: Nothing is sent while it is not set.
+        fields: Further header fields.
     """
 
     async def wait_until_sending() -> None:
@@ -458,7 +460,8 @@
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         head += ["Transfer-Encoding: chunked"]
         head += [
-            f"{name}: {value}" for name, value in seal_headers(request).items()
+            f"{name}: {value}"
+            for name, value in seal_headers(request, **(fields or {})).items()
         ]
         await wait_until_sending()
         writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -34,6 +34,11 @@
 _NOT_RUN = (408, 429, 503)
 _EXPECTED = (200, 502, 504, *_NOT_RUN)
 _LOG_LINES = 15
+# Time without a disturbance of a node after which limits bind it, and the
+# window in which the requests to a limited upstream are counted, in seconds.
+_CONTACT_S = 4.0
+_LIMIT_WINDOW_S = 4.0
+_LIMITS = (None, None, 2.0, 5.0, 12.0)
 _FAULT_LINES = ("connection_failed", "connection_closed_early", "task_failed")
 
 
@@ -72,6 +77,14 @@
     def was_killed(self, since: float) -> bool:
         return any(at > since - _EXIT_SLACK_S for at in self.kills)
 
+    def was_disturbed(self, at: float) -> bool:
+        """Whether its process was not calm until a time."""
+        spans = [(kill, kill) for kill in self.kills]
+        return any(
+            start <= at and end >= at - _CONTACT_S
+            for start, end in spans + self.terms + self.standstills
+        )
+
     def was_stopping(self, since: float, after_s: float = 0.0) -> bool:
         """Whether a planned stop had lasted for a time at some moment."""
         now = time.monotonic()
@@ -106,6 +119,9 @@
         self._limits: list[tuple[float, float, float]] = []
         self._upstreams: list[standin.UpstreamStandin] = []
         self._not_run: dict[str, Node] = {}
+        self.senders: dict[str, Node] = {}
+        # Limit of an upstream, and the time of the first answer with it.
+        self._named: dict[str, tuple[float, float]] = {}
         self._is_over = False
         self._longest_lag_s = 0.0
 
@@ -146,6 +162,7 @@
                 task.cancel()
             await asyncio.gather(*others, *clients, return_exceptions=True)
         self._check_runs()
+        self._check_limits()
         self._check_logs()
 
     def report(self) -> str:
@@ -276,14 +293,21 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         rng = self.generator(request.headers["attempt-id"])
+        limit = self.generator(upstream.upstream_id).choice(_LIMITS)
+        named = {}
+        if limit is not None:
+            named["Server-Limit"] = f"{limit:g}"
+            self._named.setdefault(
+                upstream.upstream_id, (limit, time.monotonic())
+            )
         pause_s = 1.0 if rng.random() < 0.2 else 0.02
         if request.path.startswith("/call/"):
-            stream = standin.stream(_EVENTS, pause_s / _EVENTS)
+            stream = standin.stream(_EVENTS, pause_s / _EVENTS, fields=named)
             await stream(upstream, request, writer)
             return
         upstream.started_attempts.append(request.headers["attempt-id"])
         await asyncio.sleep(pause_s)
-        fields = standin.seal_headers(request)
+        fields = standin.seal_headers(request, **named)
         writer.write(
             standin.response_bytes(200, b"ran:" + request.body, fields)
         )
@@ -468,6 +492,28 @@
             if attempt.startswith("pay") and count > 1:
                 self.fail(self._nodes[0], f"{attempt}: ran {count} times")
 
+    def _check_limits(self) -> None:
+        for upstream in self._upstreams:
+            limit, named_at = self._named.get(
+                upstream.upstream_id, (0.0, math.inf)
+            )
+            times = [
+                request.received_at
+                for request in upstream.received_requests
+                if request.received_at > named_at + _CONTACT_S
+                and not self.senders[
+                    request.headers["attempt-id"]
+                ].was_disturbed(request.received_at)
+            ]
+            for at in times:
+                count = sum(
+                    at <= other < at + _LIMIT_WINDOW_S for other in times
+                )
+                if count > 1.5 * limit * _LIMIT_WINDOW_S + 5:
+                    text = f"{upstream.upstream_id}: {count} at {limit:g}/s"
+                    self.fail(self._nodes[0], text, at)
+                    break
+
     def _check_logs(self) -> None:
         for node in self._nodes:
             for line in node.gateway.log_lines():
@@ -534,6 +580,7 @@
             attempt = f"{kind}-{name}-{number}-{rng.getrandbits(32):x}"
             body = rng.randbytes(rng.choice([1, 10, 5000])).hex().encode()
             requests.append((attempt, kind, body[:9000]))
+            self._soak.senders[attempt] = self._node
         data = b"".join(
             standin.request_bytes(
                 "POST",
