Bound the time for the last answer of a connection, too

The end of a connection waited without a bound until its write buffer was empty; TCP_USER_TIMEOUT had bounded it before. A client that is alive and never reads could hold the connection for good. It now waits until the request's deadline, like after each answer.

--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -126,7 +126,8 @@
                 if self._channel.has_unread or self._codec.trailing_data[0]:
                     # The client sends requests without waiting for answers.
                     await self._time_slice.pause_if_over()
-            await self._channel.flush()
+            if self._response is not None:
+                await self._deliver(self._response)
         except asyncio.CancelledError:
             # The client disconnected, or the server is closing.
             self._channel.abort()
