Report the limits that a node read itself, though others read them later

A node that starts could miss a limit: each limit was reported only by the node that had read the last answer, and that one may be gone. Each node now reports what it read last itself, with its age; the newest answer wins.

--- a/src/tanagerport/gateway/coordinator.py
+++ b/src/tanagerport/gateway/coordinator.py
@@ -399,6 +399,8 @@
 
     def _find_rate_limit(self, service: str) -> RateLimit | None:
         """Returns what all usable upstreams of a service take together."""
+        if not self._limits.has_limits:
+            return None
         return join_limits(
             self._limits,
             [
--- a/src/tanagerport/gateway/domain.py
+++ b/src/tanagerport/gateway/domain.py
@@ -214,6 +214,11 @@
     state: UpstreamState = UpstreamState.AVAILABLE
     started_ms: int = 0
 
+    @property
+    def start(self) -> tuple[str, int]:
+        """Identity of this start of the upstream: id and start time."""
+        return self.upstream_id, self.started_ms
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
--- a/src/tanagerport/gateway/rate_gates.py
+++ b/src/tanagerport/gateway/rate_gates.py
@@ -114,7 +114,7 @@
 
     def count_granted(self, upstream: UpstreamRecord) -> int:
         """Returns the requests that were granted in the last 4 s."""
-        bucket = self._buckets.get(_start_of(upstream))
+        bucket = self._buckets.get(upstream.start)
         if bucket is None:
             return 0
         return round(bucket.granted.total(self._now()))
@@ -129,17 +129,17 @@
     def keep_only(self, upstreams: Iterable[UpstreamRecord]) -> None:
         """Forgets all but the given upstreams."""
         if self._buckets:
-            kept = set(map(_start_of, upstreams))
+            kept = {upstream.start for upstream in upstreams}
             for start in set(self._buckets) - kept:
                 del self._buckets[start]
 
     def _fill(self, upstream: UpstreamRecord, rate: float) -> _Bucket:
         now = self._now()
-        bucket = self._buckets.get(_start_of(upstream))
+        bucket = self._buckets.get(upstream.start)
         if bucket is None:
             named = self._limits.get(upstream)
             since = now if named is None else named.since
-            bucket = self._buckets[_start_of(upstream)] = _Bucket(
+            bucket = self._buckets[upstream.start] = _Bucket(
                 0.0, max(since, self._started_at), SlidingWindow(_COUNTED_S)
             )
         bucket.tokens = min(
@@ -183,7 +183,7 @@
             return 0.0
         turn, elapsed_s = self._find_turn(rate)
         turn_s = max(1 / (rate * self._count_nodes()), _MIN_TURN_S)
-        is_used = self._used_turns.get(_start_of(upstream)) == turn
+        is_used = self._used_turns.get(upstream.start) == turn
         if elapsed_s < turn_s and not is_used:
             return 0.0
         return 1 / rate - elapsed_s
@@ -199,11 +199,11 @@
         """Records a request that is sent to an upstream."""
         rate = self.rate_per_s(upstream)
         if rate is not None:
-            self._used_turns[_start_of(upstream)], _ = self._find_turn(rate)
+            self._used_turns[upstream.start], _ = self._find_turn(rate)
 
     def remove_upstream(self, upstream: UpstreamRecord) -> None:
         """Forgets an upstream that has ended or restarted."""
-        self._used_turns.pop(_start_of(upstream), None)
+        self._used_turns.pop(upstream.start, None)
 
     def _find_turn(self, rate: float) -> tuple[int, float]:
         """Returns the number of the present turn, and its age in seconds."""
@@ -245,7 +245,3 @@
 
 def _capacity(rate: float) -> float:
     return _BURST_REQUESTS + _BURST_S * rate
-
-
-def _start_of(upstream: UpstreamRecord) -> tuple[str, int]:
-    return upstream.upstream_id, upstream.started_ms
--- a/src/tanagerport/gateway/region_limits.py
+++ b/src/tanagerport/gateway/region_limits.py
@@ -37,15 +37,20 @@
         self._now = now
         self._gate = GrantGate(limits, now)
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any upstream names a limit."""
+        return self._limits.size > 0
+
     def wait_s(self, upstream: UpstreamRecord) -> float:
         """Implements `RateGate`."""
-        return self._gate.wait_s(upstream) if self._is_own(upstream) else 0.0
+        wait_s = self._gate.wait_s(upstream)
+        return wait_s if wait_s and self._is_own(upstream) else 0.0
 
     def rate_per_s(self, upstream: UpstreamRecord) -> float | None:
         """Implements `RateGate`."""
-        if not self._is_own(upstream):
-            return None
-        return self._gate.rate_per_s(upstream)
+        rate = self._gate.rate_per_s(upstream)
+        return rate if rate and self._is_own(upstream) else None
 
     def take(self, upstream: UpstreamRecord) -> None:
         """Records a grant."""
@@ -66,9 +71,13 @@
 
         Both together would exceed the limits.
         """
-        return not self._is_first(service) and any(
-            self.rate_per_s(upstream) is not None
-            for upstream in self._registry.usable(service)
+        return (
+            self.has_limits
+            and not self._is_first(service)
+            and any(
+                self.rate_per_s(upstream) is not None
+                for upstream in self._registry.usable(service)
+            )
         )
 
     def update(self) -> None:
--- a/src/tanagerport/gateway/upstream_backoff.py
+++ b/src/tanagerport/gateway/upstream_backoff.py
@@ -66,7 +66,7 @@
         """
         was_usable = not self.is_blocked(upstream)
         self._remove_expired()
-        start = upstream.upstream_id, upstream.started_ms
+        start = upstream.start
         self._until[start] = max(
             self._until.get(start, 0.0), self._now() + backoff_s
         )
@@ -96,9 +96,7 @@
         return max(min(map(self._end_of, upstreams)) - self._now(), 0.0)
 
     def _end_of(self, upstream: UpstreamRecord) -> float:
-        return self._until.get(
-            (upstream.upstream_id, upstream.started_ms), float("-inf")
-        )
+        return self._until.get(upstream.start, float("-inf"))
 
     def _remove_expired(self) -> None:
         now = self._now()
--- a/src/tanagerport/gateway/upstream_limits.py
+++ b/src/tanagerport/gateway/upstream_limits.py
@@ -93,6 +93,8 @@
         self._node = node
         self._now = now
         self._limits: dict[tuple[str, int], NamedLimit] = {}
+        # What this node read last, which others may have superseded.
+        self._own: dict[tuple[str, int], NamedLimit] = {}
 
     @property
     def size(self) -> int:
@@ -111,12 +113,12 @@
         """Returns the limit of an upstream, in requests a second, if any."""
         if not self._limits:
             return None
-        named = self._limits.get(_start_of(upstream))
+        named = self._limits.get(upstream.start)
         return None if named is None else named.per_s
 
     def get(self, upstream: UpstreamRecord) -> NamedLimit | None:
         """Returns what is known of the limit of an upstream."""
-        return self._limits.get(_start_of(upstream))
+        return self._limits.get(upstream.start)
 
     def record(self, upstream: UpstreamRecord, per_s: float | None) -> bool:
         """Records an answer of an upstream; returns whether its limit changed.
@@ -125,23 +127,14 @@
             upstream: The upstream.
             per_s: Limit that it named, in requests a second; None for none.
         """
-        return self._update(_start_of(upstream), per_s, self._now(), self._node)
+        return self._update(upstream.start, per_s, self._now(), self._node)
 
     def report(self) -> list[ReportedLimit]:
         """Returns what this node read last, for its report."""
         if not self._limits:
             return []
         now = self._now()
-        own = [
-            (start, named)
-            for start, named in self._limits.items()
-            if named.source == self._node
-            and (
-                named.per_s is not None
-                or now - named.read_at < _ENDED_LIFETIME_S
-            )
-        ]
-        own.sort(key=lambda entry: -entry[1].read_at)
+        own = sorted(self._own.items(), key=lambda entry: -entry[1].read_at)
         return [
             ReportedLimit(*start, named.per_s, round(now - named.read_at, 3))
             for start, named in own[:_MAX_REPORTED]
@@ -163,7 +156,8 @@
 
     def remove_upstream(self, upstream: UpstreamRecord) -> None:
         """Removes the limit of an upstream that has ended or restarted."""
-        self._limits.pop(_start_of(upstream), None)
+        self._limits.pop(upstream.start, None)
+        self._own.pop(upstream.start, None)
 
     def remove_expired(self) -> None:
         """Forgets limits that ended a while ago."""
@@ -171,6 +165,7 @@
         for start, named in list(self._limits.items()):
             if named.per_s is None and named.read_at < ended_before:
                 del self._limits[start]
+                self._own.pop(start, None)
 
     def _update(
         self,
@@ -187,11 +182,12 @@
             return False
         has_changed = known is None or known.per_s != per_s
         since = read_at if has_changed or known is None else known.since
-        self._limits[start] = NamedLimit(per_s, since, read_at, source)
+        named = NamedLimit(per_s, since, read_at, source)
+        self._limits[start] = named
+        if source == self._node:
+            self._own[start] = named
         if len(self._limits) > _MAX_KNOWN:
-            del self._limits[next(iter(self._limits))]
+            oldest = next(iter(self._limits))
+            del self._limits[oldest]
+            self._own.pop(oldest, None)
         return has_changed
-
-
-def _start_of(upstream: UpstreamRecord) -> tuple[str, int]:
-    return upstream.upstream_id, upstream.started_ms
--- a/src/tanagerport/gateway/upstream_notices.py
+++ b/src/tanagerport/gateway/upstream_notices.py
@@ -66,14 +66,14 @@
         """
         if self.is_leaving(upstream):
             return False
-        self._use_until[_start_of(upstream)] = self._now() + use_for_s
+        self._use_until[upstream.start] = self._now() + use_for_s
         if len(self._use_until) > _MAX_DEPARTURES:
             del self._use_until[next(iter(self._use_until))]
         return True
 
     def is_leaving(self, upstream: UpstreamRecord) -> bool:
         """Whether this start of an upstream announced that it is leaving."""
-        return _start_of(upstream) in self._use_until
+        return upstream.start in self._use_until
 
     def usable(
         self, upstreams: Iterable[UpstreamRecord]
@@ -83,7 +83,7 @@
         return tuple(
             upstream
             for upstream in upstreams
-            if self._use_until.get(_start_of(upstream), now) > now
+            if self._use_until.get(upstream.start, now) > now
         )
 
     def record_replacement(
@@ -93,9 +93,9 @@
 
         A row without a start time does not show that the upstream restarted.
         """
-        use_until = self._use_until.get(_start_of(previous))
+        use_until = self._use_until.get(previous.start)
         if use_until is not None and record.started_ms == 0:
-            self._use_until.setdefault(_start_of(record), use_until)
+            self._use_until.setdefault(record.start, use_until)
 
     def record_removal(self, upstream: UpstreamRecord) -> None:
         """Records that the row of an upstream was removed.
@@ -104,7 +104,7 @@
         when its id returns.
         """
         if upstream.started_ms == 0:
-            self._use_until.pop(_start_of(upstream), None)
+            self._use_until.pop(upstream.start, None)
 
 
 class UpstreamNotices:
@@ -239,7 +239,3 @@
             status=head.status,
         )
         self._on_limit_changed()
-
-
-def _start_of(upstream: UpstreamRecord) -> tuple[str, int]:
-    return upstream.upstream_id, upstream.started_ms
