Send to the old version what a limited new version has no room for

Requests that a rollout gave to a new version whose upstreams all name limits waited for them, and could be refused, while the old version had room. They are now sent to the old version at once if no slot with a token is free; the other way round is as before.

TestRollout failed before (a request waited above 0.3 s) and passes; 129 tests of rollouts, coordination and waits pass. A double of the rollout controller got the method that is asked now.

--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -209,10 +209,38 @@
         Raises:
             RefusedError: The request can't be answered before its deadline.
         """
-        usable = self._registry.usable(item.service)
         allowed = self._find_allowed(item)
         if not allowed:
             return None
+        if self._gate is not None and join_limits(self._gate, allowed):
+            old = self._rollouts.old_version_upstreams(
+                item.service, self._registry.usable(item.service)
+            )
+            if old and not set(old) & set(allowed):
+                # The old version takes what the new one has no room for.
+                placement = await self._ask(slots, item, allowed, False)
+                if placement is not None:
+                    return placement
+                allowed = old
+        return await self._ask(slots, item, allowed, True)
+
+    async def _ask(
+        self,
+        slots: SlotClient,
+        item: WorkItem,
+        allowed: Sequence[UpstreamRecord],
+        may_wait: bool,
+    ) -> Placement | None:
+        """Asks a coordinator for a slot of some upstreams.
+
+        Returns:
+            The placement; None if this node has to decide on its own, or if the
+            request may not wait for a slot.
+
+        Raises:
+            RefusedError: The request can't be answered before its deadline.
+        """
+        usable = self._registry.usable(item.service)
         versions: list[str] = []
         if len(allowed) < len(usable):
             versions = sorted({upstream.version for upstream in allowed})
@@ -241,7 +269,8 @@
             async with asyncio.timeout(None) as wait:
                 self._version_waits[wait] = item, versions
                 async with self._interrupt_on_stop():
-                    return await slots.acquire(item, versions, excluded)
+                    acquire = slots.acquire if may_wait else slots.try_acquire
+                    return await acquire(item, versions, excluded)
         except TimeoutError:
             # None of the versions may serve the request any more.
             return None
@@ -313,9 +342,18 @@
         """Returns whether a rollout lets the upstream serve the request."""
         return any(
             upstream.upstream_id == placement.upstream.upstream_id
-            for upstream in self._find_allowed(placement.item)
+            for upstream in self._find_servable(placement.item)
         )
 
+    def _find_servable(self, item: WorkItem) -> list[UpstreamRecord]:
+        """Returns the allowed upstreams, and those of the old version."""
+        return [
+            *self._find_allowed(item),
+            *self._rollouts.old_version_upstreams(
+                item.service, self._registry.usable(item.service)
+            ),
+        ]
+
     def find_overdue(
         self, service: str, upstream_ids: Iterable[str]
     ) -> list[str]:
@@ -534,7 +572,7 @@
         for wait, (item, versions) in self._version_waits.items():
             if versions and not any(
                 upstream.version in versions
-                for upstream in self._find_allowed(item)
+                for upstream in self._find_servable(item)
             ):
                 expire(wait)
 
--- a/src/tanagerport/gateway/slot_client.py
+++ b/src/tanagerport/gateway/slot_client.py
@@ -162,9 +162,29 @@
         Raises:
             RefusedError: The request can't be answered before its deadline.
         """
+        placement = await self._acquire(item, versions, excluded, may_wait=True)
+        if placement is None:
+            self._own_decisions += 1
+        return placement
+
+    async def try_acquire(
+        self, item: WorkItem, versions: list[str], excluded: Iterable[str]
+    ) -> Placement | None:
+        """Returns a slot that is free now, if a coordinator knows one."""
+        return await self._acquire(item, versions, excluded, may_wait=False)
+
+    async def _acquire(
+        self,
+        item: WorkItem,
+        versions: list[str],
+        excluded: Iterable[str],
+        may_wait: bool,
+    ) -> Placement | None:
         rejected = set(excluded)
         for _ in range(_MAX_REJECTED_GRANTS):
-            outcome = await self._acquire_once(item, versions, rejected)
+            outcome = await self._acquire_once(
+                item, versions, rejected, may_wait
+            )
             if outcome is None:
                 break
             grant, host, region = outcome
@@ -187,7 +207,6 @@
             )
             self._held[grant.lease] = _Held(placement, region)
             return placement
-        self._own_decisions += 1
         return None
 
     def adopt(self, placement: Placement) -> None:
@@ -316,7 +335,11 @@
         )
 
     async def _acquire_once(
-        self, item: WorkItem, versions: list[str], excluded: set[str]
+        self,
+        item: WorkItem,
+        versions: list[str],
+        excluded: set[str],
+        may_wait: bool,
     ) -> tuple[SlotGrant, str, str] | None:
         """Gets a grant, its coordinator and that one's region."""
         may_redirect = True
@@ -326,7 +349,7 @@
                 self._region,
                 versions,
                 excluded,
-                may_wait=True,
+                may_wait=may_wait,
                 may_redirect=may_redirect,
             )
             if pending is None:
--- a/tests/simulated_slots.py
+++ b/tests/simulated_slots.py
@@ -11,6 +11,7 @@
 from tanagerport.gateway.coordinator_directory import CoordinatorDirectory
 from tanagerport.gateway.domain import Service, UpstreamRecord
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
+from tanagerport.gateway.rate_gates import ShareGate
 from tanagerport.gateway.rollout import RolloutController
 from tanagerport.gateway.scheduler import Scheduler
 from tanagerport.gateway.slot_client import SlotClient
@@ -120,7 +121,9 @@
         del upstream
 
 
-def create_scheduler(node: "SimulatedNode") -> Scheduler:
+def create_scheduler(
+    node: "SimulatedNode", rollouts: object = _NoRollouts()
+) -> Scheduler:
     """Returns a scheduler that requests its slots through a node."""
     harness = NodeHarness()
     return Scheduler(
@@ -131,10 +134,11 @@
         node.backoff,
         harness.latencies,
         harness.cache,
-        cast(RolloutController, _NoRollouts()),
+        cast(RolloutController, rollouts),
         lambda name: SERVICE,
         lambda: None,
         node.client,
+        gate=ShareGate(node.limits, lambda: 1),
     )
 
 
--- a/tests/test_gateway_expiring_waits.py
+++ b/tests/test_gateway_expiring_waits.py
@@ -74,6 +74,12 @@
         del service, request_id
         return [entry for entry in upstreams if entry.version == self.version]
 
+    def old_version_upstreams(
+        self, service: str, upstreams: Sequence[UpstreamRecord]
+    ) -> list[UpstreamRecord]:
+        del service, upstreams
+        return []
+
     def record_dispatch(self, upstream: UpstreamRecord) -> None:
         del upstream
 
--- a/tests/test_gateway_rate_gates.py
+++ b/tests/test_gateway_rate_gates.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import time
+from collections.abc import Sequence
 
 import pytest
 from hypothesis import given, settings
@@ -13,9 +14,11 @@
     SimulatedEngines,
     SimulatedNetwork,
     SimulatedNode,
+    create_scheduler,
 )
 from tanagerport.clock import FakeClock
 from tanagerport.exceptions import RefusedError
+from tanagerport.gateway.domain import UpstreamRecord
 from tanagerport.gateway.rate_gates import (
     MIN_PER_S,
     GrantGate,
@@ -224,6 +227,57 @@
             node.limits.record(upstream, limit)
 
 
+class _Rollout:
+    """Sends every request to the new version."""
+
+    def select_upstreams(
+        self,
+        service: str,
+        request_id: str,
+        upstreams: Sequence[UpstreamRecord],
+    ) -> list[UpstreamRecord]:
+        del service, request_id
+        return [entry for entry in upstreams if entry.version == "v2"]
+
+    def old_version_upstreams(
+        self, service: str, upstreams: Sequence[UpstreamRecord]
+    ) -> list[UpstreamRecord]:
+        del service
+        return [entry for entry in upstreams if entry.version == "v1"]
+
+    def record_dispatch(self, upstream: UpstreamRecord) -> None:
+        del upstream
+
+
+class TestRollout:
+    """Guards against requests that wait for a limited new version."""
+
+    def test_old_version_serves_what_is_above_the_limit(self) -> None:
+        async def run() -> list[str]:
+            network = SimulatedNetwork()
+            records = [
+                make_upstream("old", slots=30, version="v1"),
+                make_upstream("new", slots=30, version="v2"),
+            ]
+            node = SimulatedNode(network, "h1", "zone-a", records)
+            housekeeping = asyncio.create_task(node.run_housekeeping())
+            scheduler = create_scheduler(node, _Rollout())
+            node.limits.record(records[1], 1.0)
+            used = []
+            for _ in range(20):
+                item = make_item(time.monotonic())
+                async with asyncio.timeout(0.3):
+                    placement = await scheduler.acquire(item)
+                used.append(placement.upstream.upstream_id)
+                await asyncio.sleep(0.1)
+                scheduler.release(placement)
+            housekeeping.cancel()
+            return used
+
+        used = asyncio.run(run())
+        assert 1 <= used.count("new") <= 4
+
+
 class TestCoordinators:
     """Guards against limits that hold for each node alone."""
 
