Reproduce large configurations that are in force late, and say what was learned

The log shows that nodes of the region without the store begin to read from it one after the other, until nothing gets through the link between the regions. No logic changed.

--- /dev/null
+++ b/tests/test_gateway_large_configuration.py
@@ -0,0 +1,200 @@
+"""Tests of large configurations at many nodes behind a thin link."""
+
+import asyncio
+import time
+
+from tanagerport.exceptions import StoreUnavailableError
+from tanagerport.gateway.decision_log import DecisionLog
+from tanagerport.gateway.restored_rows import RestoredRows
+from tanagerport.gateway.store_watch import TableWatch
+from tanagerport.gateway.table_copy import TableChanges, TableCopy
+from tanagerport.gateway.table_readers import (
+    MAX_READER_WAIT_S,
+    ReaderRank,
+    follower_age_s,
+)
+from tanagerport.gateway.table_store import Row, StoreVersion, TableRows
+
+_NODES = 23
+_LINK_BYTES_PER_S = 60e6 / 8
+# A configuration of 2,851 routes, and the answer that has it, in base64.
+_ROW_BYTES = 600_000
+_ANSWER_BYTES = 810_000
+# A call that gets no bytes for so long is given up.
+_IDLE_TIMEOUT_S = 1.0
+_REPORT_INTERVAL_S = 0.3
+_CHANGE_INTERVAL_S = 3.0
+_CHANGES = 6
+# `config_apply_ms` of the deployments.
+_CONFIG_APPLY_S = 2.5
+
+
+class _Link:
+    """The link from the store to a region; its calls share it evenly.
+
+    Attributes:
+        sent_bytes: Bytes that went over the link.
+    """
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0.0
+        self._transfers = 0
+
+    async def transfer(self, size: float) -> None:
+        """Sends an answer."""
+        self._transfers += 1
+        try:
+            while size > 0:
+                started_at = time.monotonic()
+                share = _LINK_BYTES_PER_S / self._transfers
+                await asyncio.sleep(0.02)
+                part = min(share * (time.monotonic() - started_at), size)
+                size -= part
+                self.sent_bytes += part
+        finally:
+            self._transfers -= 1
+
+
+class _Store:
+    """The store as the nodes of one region reach it."""
+
+    def __init__(self, link: _Link) -> None:
+        self.version = 1
+        self._link = link
+        self._changed = asyncio.Condition()
+
+    async def change(self) -> None:
+        async with self._changed:
+            self.version += 1
+            self._changed.notify_all()
+
+    async def read(self, table: str) -> TableRows:
+        del table
+        await self._link.transfer(_ANSWER_BYTES)
+        return self._rows()
+
+    async def watch(self, table: str, after: int, wait_s: float) -> TableRows:
+        del table
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(lambda: self.version > after)
+        except TimeoutError:
+            return TableRows((), self.version)
+        await self._link.transfer(_ANSWER_BYTES)
+        return self._rows()
+
+    def _rows(self) -> TableRows:
+        row = Row("config", b"x" * _ROW_BYTES, self.version)
+        return TableRows((row,), self.version)
+
+
+class _Node:
+    """A node of the region; rank 0 is selected first as a reader.
+
+    Attributes:
+        applied_at: Monotonic time at which it applied each version.
+    """
+
+    def __init__(self, rank: int, store: _Store, nodes: "list[_Node]") -> None:
+        self.host = str(rank)
+        self.rank = ReaderRank(-1.0, rank)
+        self.copy = TableCopy()
+        self.applied_at: dict[int, float] = {}
+        self.reported_age_s = float("inf")
+        self.reported_at = time.monotonic()
+        self._nodes = nodes
+        self.watch = TableWatch(
+            store,  # type: ignore[arg-type]
+            "op",
+            self.copy,
+            self,
+            self._follower_age_s,
+            lambda: MAX_READER_WAIT_S,
+            RestoredRows(lambda row: None, keeps_missing=True),
+            self._apply,
+            self._apply,
+            lambda is_reachable: None,
+            DecisionLog("n"),
+        )
+
+    async def fetch(
+        self, host: str, table: str, after: StoreVersion
+    ) -> TableChanges:
+        """Implements `TableFetcher` within the region."""
+        del table
+        await asyncio.sleep(0.1)
+        other = self._nodes[int(host)].copy
+        if other.version <= after:
+            raise StoreUnavailableError("no newer rows")
+        return other._collect_changes(after)
+
+    async def report(self) -> None:
+        """Tells the other nodes its version, as the reports do."""
+        while True:
+            await asyncio.sleep(
+                _REPORT_INTERVAL_S * (0.8 + int(self.host) / 60)
+            )
+            self.reported_age_s = self.watch.own_response_age_s
+            self.reported_at = time.monotonic()
+            for node in self._nodes:
+                if node is not self:
+                    node.watch.handle_peer_version(self.copy.version, self.host)
+
+    def _follower_age_s(self) -> float | None:
+        now = time.monotonic()
+        return follower_age_s(
+            self.rank,
+            [
+                (node.rank, node.reported_age_s + now - node.reported_at)
+                for node in self._nodes
+                if node is not self
+            ],
+        )
+
+    def _apply(self, rows: TableRows) -> None:
+        for row in rows.rows:
+            self.applied_at.setdefault(row.version, time.monotonic())
+
+
+class TestManyNodes:
+    """Guards against nodes that all read a large change from the store."""
+
+    def test_change_reaches_all_nodes_in_time(self) -> None:
+        """Guards against readers that count as lost while they read.
+
+        The nodes that took their place read the same change over the same
+        link, and no change of a series was in force in time.
+        """
+
+        async def run() -> tuple[list[float], float]:
+            link = _Link()
+            store = _Store(link)
+            nodes: list[_Node] = []
+            nodes += [_Node(rank, store, nodes) for rank in range(_NODES)]
+            tasks = [
+                asyncio.create_task(run)
+                for node in nodes
+                for run in (node.watch.run(), node.report())
+            ]
+            await asyncio.sleep(6.0)
+            sent_before = link.sent_bytes
+            delays_s = []
+            for _ in range(_CHANGES):
+                changed_at = time.monotonic()
+                await store.change()
+                await asyncio.sleep(_CHANGE_INTERVAL_S)
+                delays_s.append(
+                    max(
+                        node.applied_at.get(store.version, float("inf"))
+                        for node in nodes
+                    )
+                    - changed_at
+                )
+            for task in tasks:
+                task.cancel()
+            return delays_s, (link.sent_bytes - sent_before) / _ANSWER_BYTES
+
+        delays_s, answers = asyncio.run(run())
+        assert max(delays_s) <= _CONFIG_APPLY_S
+        # Six nodes of a region read from the store.
+        assert answers <= 1.5 * 6 * _CHANGES
