--- a/src/tanagerport/gateway/channel.py
+++ b/src/tanagerport/gateway/channel.py
@@ -98,11 +98,6 @@
         transport = self._transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
-    @property
-    def written_bytes(self) -> int:
-        """Number of bytes written since the connection was opened."""
-        return self._written_bytes
-
     @property
     def unacknowledged_bytes(self) -> int | None:
         """Number of written bytes that the peer's host has not acknowledged.
--- a/src/tanagerport/gateway/client_messages.py
+++ b/src/tanagerport/gateway/client_messages.py
@@ -73,7 +73,7 @@
         self._started = False
         self._finished = False
         self._aborted = False
-        # What is known of its request, for the log.
+        # Set by the handler, as it learns of them.
         self.request_id = ""
         self.upstream_id = ""
         self.received_at = time.monotonic()
