Keep log lines out of the output of commands

Cause: structlog writes to standard output until it is configured, and only the commands node and demo configured it.

Change: all commands configure it first, to standard error. The destination is looked up with each line, since a process may replace its standard error.

Evidence: the new test writes a line while the command runs. Before: Extra data: line 1 column 5. The fixture configures the logs of its node as the command node does.

--- a/src/tanagerport/cli.py
+++ b/src/tanagerport/cli.py
@@ -13,6 +13,7 @@
     OperatorRequestError,
     OperatorUnreachableError,
 )
+from tanagerport.logs import configure_logs
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -161,12 +162,15 @@
 def main(argv: Sequence[str]) -> int:
     """Runs one sub-command.
 
+    Standard output is the command's; log lines go to standard error.
+
     Args:
         argv: Program name and arguments.
 
     Returns:
         Exit code, see `tanagerport --help`.
     """
+    configure_logs("warning")
     names = {command.name: command for command in COMMANDS}
     name = argv[1] if len(argv) > 1 else ""
     if name in ("--help", "-h", "help"):
--- a/src/tanagerport/logs.py
+++ b/src/tanagerport/logs.py
@@ -29,10 +29,15 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=_create_logger,
     )
 
 
+def _create_logger(*_: Any) -> structlog.PrintLogger:
+    """Returns a logger for the standard error of the moment."""
+    return structlog.PrintLogger(sys.stderr)
+
+
 def _remove_secrets(logger: Any, method_name: str, event: Any) -> Any:
     del logger, method_name
     for field in _SECRET_FIELDS & event.keys():
--- a/tests/test_cli_node.py
+++ b/tests/test_cli_node.py
@@ -3,13 +3,17 @@
 import json
 import pathlib
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
+import structlog
 
 from tanagerport import cli
 from tanagerport.clock import SystemClock
+from tanagerport.logs import configure_logs
 from tanagerport.model import VM, UpstreamKind, VMRole, WorkClass
 from tanagerport.node import Node, create_node
+from tanagerport.operator_client import OperatorClient
 from tanagerport.settings import PlatformSettings, Settings
 
 _TOKEN = "operator-secret"
@@ -39,6 +43,7 @@
         caller_threads=8,
         log_level="error",
     )
+    configure_logs(settings.log_level)
     node = create_node(settings, SystemClock())
     node.start()
     yield node
@@ -102,6 +107,23 @@
         assert {row["name"] for row in status["classes"]} == {"hint", "note"}
         assert _TOKEN not in out and "peer-secret" not in out
 
+    def test_log_lines_do_not_reach_the_output(
+        self, run: _Runner, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against log lines between the JSON that scripts read."""
+        structlog.reset_defaults()
+        get_status = OperatorClient.get
+
+        def log_and_get(client: OperatorClient, path: str) -> Any:
+            status = get_status(client, path)
+            structlog.get_logger().warning("load_unread")
+            return status
+
+        monkeypatch.setattr(OperatorClient, "get", log_and_get)
+        code, out, err = run("status", "--json")
+        assert code == 0
+        assert json.loads(out)["classes"] and "load_unread" in err
+
     def test_invalid_change_lists_findings_and_changes_nothing(
         self, run: _Runner
     ) -> None:
