Test limits beside a cut, a fall and a new life of their upstream

No logic changes. The postmortem had listed a coordinator that is cut off by the network as not tested, and falling limits and new lives as tested without processes only.

--- a/tests/simulated_slots.py
+++ b/tests/simulated_slots.py
@@ -52,6 +52,8 @@
         self.cut_pairs: set[tuple[str, str]] = set()
         # Unreachable nodes that the others presume down.
         self.timed_out: set[str] = set()
+        # Pairs of an observer and a node that it presumes down.
+        self.presumed_down: set[tuple[str, str]] = set()
         self.sent: collections.Counter[str] = collections.Counter()
         self._loss = loss
         self._random = random.Random(seed)
@@ -122,10 +124,21 @@
 
 
 def create_scheduler(
-    node: "SimulatedNode", rollouts: object = _NoRollouts()
+    node: "SimulatedNode",
+    rollouts: object = _NoRollouts(),
+    node_count: int = 1,
 ) -> Scheduler:
-    """Returns a scheduler that requests its slots through a node."""
+    """Returns a scheduler that requests its slots through a node.
+
+    Args:
+        node: The node.
+        rollouts: Decides which versions may serve a request.
+        node_count: Number of nodes that share the limits of upstreams.
+    """
     harness = NodeHarness()
+    gate = ShareGate(node.limits, lambda: node_count)
+    # Its own decisions keep to the limits, as those of a gateway process.
+    harness.selector._gate = gate
     return Scheduler(
         node.registry,
         harness.selector,
@@ -138,7 +151,7 @@
         lambda name: SERVICE,
         lambda: None,
         node.client,
-        gate=ShareGate(node.limits, lambda: 1),
+        gate=gate,
     )
 
 
@@ -250,6 +263,7 @@
             for host, node in self._network.nodes.items()
             if REGIONS[node.zone] == region and node.coordinator.is_ready
             if host not in self._network.timed_out
+            and (self.host, host) not in self._network.presumed_down
         )
 
     def _find_upstream(
--- a/tests/test_gateway_rate_gates.py
+++ b/tests/test_gateway_rate_gates.py
@@ -336,6 +336,80 @@
 
         asyncio.run(run())
 
+    def test_sum_while_the_coordinator_is_cut_off(self) -> None:
+        """Guards against several coordinators that grant at once.
+
+        The coordinator is cut off from the others, is presumed down a second
+        later, and coordinates again after the cut. What it grants to itself
+        meanwhile is bounded as well.
+        """
+
+        async def run() -> list[tuple[float, str]]:
+            network = SimulatedNetwork()
+            engines = SimulatedEngines(1, slots=30)
+            hosts = ("h1", "h2", "h3")
+            nodes = [
+                SimulatedNode(network, host, "zone-a", engines.records)
+                for host in hosts
+            ]
+            schedulers = [
+                create_scheduler(node, node_count=len(nodes)) for node in nodes
+            ]
+            granted: list[tuple[float, str]] = []
+
+            async def housekeep() -> None:
+                while True:
+                    await asyncio.sleep(0.1)
+                    for node, scheduler in zip(nodes, schedulers, strict=True):
+                        node.coordinator.update()
+                        node.client.update()
+                        scheduler.admit_waiting()
+
+            async def request(index: int) -> None:
+                try:
+                    placement = await schedulers[index].acquire(
+                        make_item(time.monotonic())
+                    )
+                except RefusedError:
+                    return
+                granted.append((time.monotonic(), hosts[index]))
+                await asyncio.sleep(0.05)
+                schedulers[index].release(placement)
+
+            async def cut() -> None:
+                pairs = {
+                    pair
+                    for other in hosts[1:]
+                    for pair in ((hosts[0], other), (other, hosts[0]))
+                }
+                await asyncio.sleep(3.0)
+                network.cut_pairs |= pairs
+                await asyncio.sleep(1.0)
+                network.presumed_down |= pairs
+                await asyncio.sleep(3.0)
+                network.cut_pairs.clear()
+                await asyncio.sleep(0.5)
+                network.presumed_down.clear()
+
+            await name_limits(nodes, 4.0)
+            tasks = [asyncio.create_task(task) for task in (housekeep(), cut())]
+            requests = []
+            for number in range(12 * 24):
+                await asyncio.sleep(1 / 24)
+                requests.append(asyncio.create_task(request(number % 3)))
+            await asyncio.gather(*requests)
+            for task in tasks:
+                task.cancel()
+            return granted
+
+        granted = asyncio.run(run())
+        in_touch = [at for at, host in granted if host != "h1"]
+        assert most_in_window(in_touch) <= allowed(4.0)
+        cut_off = [at for at, host in granted if host == "h1"]
+        assert most_in_window(cut_off) <= allowed(4.0)
+        # Both sides go on; 4 a second are taken.
+        assert len(granted) >= 0.7 * 4.0 * 12
+
     def test_grant_that_is_not_used_is_given_back(self) -> None:
         async def run() -> None:
             network = SimulatedNetwork()
--- a/tests/test_gateway_upstream_limits.py
+++ b/tests/test_gateway_upstream_limits.py
@@ -229,6 +229,50 @@
 
         run_scenario(tmp_path, ["2", None, None], scenario)
 
+    def test_limit_that_falls_takes_effect(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against tokens of a higher limit that outlive it."""
+
+        async def scenario(
+            cluster: LocalCluster, upstreams: list[LimitedUpstream]
+        ) -> None:
+            limited = upstreams[0]
+            first = await send_requests(cluster, 4.0, "a")
+            limited.limit = "2"
+            changed_at = time.monotonic()
+            second = await send_requests(cluster, 8.0, "b")
+            # Nodes learn of it with an answer, half a second later at most.
+            assert limited.most_in_window(changed_at + 0.5) <= allowed(2.0)
+            assert limited.count(changed_at + 4.0, changed_at + 8.0) >= 5
+            assert statuses(first + second) == {200: len(first + second)}
+
+        run_scenario(tmp_path, ["12", None, None], scenario)
+
+    @pytest.mark.parametrize("upstream_id", ["u-0", "u-9"])
+    def test_limit_ends_with_the_life_of_its_upstream(
+        self, tmp_path: pathlib.Path, upstream_id: str
+    ) -> None:
+        """Guards against the limit of a former process on the address."""
+
+        async def scenario(
+            cluster: LocalCluster, upstreams: list[LimitedUpstream]
+        ) -> None:
+            upstream = upstreams[0]
+            await send_requests(cluster, 5.0, "a")
+            upstream.upstream_id, upstream.limit = upstream_id, None
+            row = upstream.registration("svc", slot_count=_SLOTS, born=2)
+            if upstream_id != "u-0":
+                await cluster.store.remove("servers", "u-0")
+            await cluster.store.put("servers", upstream_id, row)
+            started_at = time.monotonic()
+            await send_requests(cluster, 3.0, "b")
+            # A third of all requests would be 16 in these 2 s. Only its row
+            # can tell, as nobody asks it for 5 s.
+            assert upstream.count(started_at + 1.0, started_at + 3.0) >= 10
+
+        run_scenario(tmp_path, ["0", None, None], scenario)
+
     @pytest.mark.parametrize("value", ["0", "-3", "3, nan", "9" * 300])
     def test_odd_values_end_no_node(
         self, tmp_path: pathlib.Path, value: str
