Count bytes of a response that is being received as a sign of life

One that receives a large configuration over a thin link is older than 2.5 s with it, so the next nodes by rank request the same change over the same link.

Change: the store client tells the progress of a successful response that is being received. Its bytes count as a response, for 3 s from the first: a response that trickles must not hold the followers back. Responses of another status don't count, or a store that turns a node away would keep it a reader.

Its store became one client a node, since progress is that of one connection; bounds and rates are the same.

--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -459,6 +459,7 @@
             on_changes,
             self._update_store_reachability,
             self._log,
+            get_receiving=lambda: self._store.receiving(table),
         )
 
     def _handle_new_era(self) -> None:
--- a/src/tanagerport/gateway/store_watch.py
+++ b/src/tanagerport/gateway/store_watch.py
@@ -20,6 +20,7 @@
 from tanagerport.gateway.table_store import (
     NO_VERSION,
     HistoryLostError,
+    Receiving,
     StoreVersion,
     TableRows,
     TableStore,
@@ -48,6 +49,9 @@
 _MIN_ADOPTION_INTERVAL_S = 1.0
 # Interval at which a follower checks whether it has to become a reader.
 _ROLE_CHECK_INTERVAL_S = 0.25
+# Time for which bytes of a response count as a sign of life of the store, in
+# seconds. Followers need the rows, not the bytes.
+_MAX_RECEIVING_S = 3.0
 # Number of consecutive failed fetches from other nodes after which a follower
 # calls the store instead.
 _MAX_FETCH_FAILURES = 3
@@ -85,6 +89,8 @@
         log: Decision log.
         now: Monotonic clock, in seconds.
         sleep: Sleeps for a number of seconds.
+        get_receiving: Returns the progress of the store's answer about the
+            table that is being received; None if there is none.
     """
 
     def __init__(
@@ -102,6 +108,7 @@
         log: DecisionLog,
         now: Callable[[], float] = time.monotonic,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        get_receiving: Callable[[], Receiving | None] = lambda: None,
     ) -> None:
         self._store = store
         self._table = table
@@ -116,6 +123,7 @@
         self._log = log
         self._now = now
         self._sleep = sleep
+        self._get_receiving = get_receiving
         self._random = random.Random()
         self._version: StoreVersion | None = None
         self._last_response_at = float("-inf")
@@ -145,9 +153,18 @@
     def own_response_age_s(self) -> float:
         """Seconds since the store last responded to this node.
 
-        Infinite before the first response.
+        Bytes of a response that is being received count for a while: if a
+        large one did not, other nodes would request it as well, over the same
+        link. Infinite before the first response.
         """
-        return self._now() - self._last_response_at
+        responded_at = self._last_response_at
+        receiving = self._get_receiving()
+        if receiving is not None:
+            responded_at = max(
+                responded_at,
+                min(receiving.last_at, receiving.began_at + _MAX_RECEIVING_S),
+            )
+        return self._now() - responded_at
 
     @property
     def age_s(self) -> float:
--- a/src/tanagerport/gateway/table_store.py
+++ b/src/tanagerport/gateway/table_store.py
@@ -95,6 +95,19 @@
     expected_era: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Receiving:
+    """Progress of a response that is being received.
+
+    Attributes:
+        began_at: Monotonic time of its first bytes, in seconds.
+        last_at: Monotonic time of its last bytes so far, in seconds.
+    """
+
+    began_at: float
+    last_at: float
+
+
 class TableStore(Protocol):
     """Client of the table store.
 
@@ -139,6 +152,12 @@
 class RestorableTableStore(TableStore, Protocol):
     """Table store that tells when it was restored from a copy."""
 
+    def receiving(self, table: str) -> Receiving | None:
+        """Returns the progress of a successful response about a table.
+
+        None if no such response is being received.
+        """
+
     @property
     def era(self) -> int:
         """Highest era of the store that a response showed; 0 before that."""
--- a/tests/test_gateway_large_configuration.py
+++ b/tests/test_gateway_large_configuration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 from tanagerport.exceptions import StoreUnavailableError
 from tanagerport.gateway.decision_log import DecisionLog
@@ -13,7 +14,12 @@
     ReaderRank,
     follower_age_s,
 )
-from tanagerport.gateway.table_store import Row, StoreVersion, TableRows
+from tanagerport.gateway.table_store import (
+    Receiving,
+    Row,
+    StoreVersion,
+    TableRows,
+)
 
 _NODES = 23
 _LINK_BYTES_PER_S = 60e6 / 8
@@ -40,7 +46,9 @@
         self.sent_bytes = 0.0
         self._transfers = 0
 
-    async def transfer(self, size: float) -> None:
+    async def transfer(
+        self, size: float, on_progress: Callable[[], None]
+    ) -> None:
         """Sends an answer."""
         self._transfers += 1
         try:
@@ -51,41 +59,64 @@
                 part = min(share * (time.monotonic() - started_at), size)
                 size -= part
                 self.sent_bytes += part
+                on_progress()
         finally:
             self._transfers -= 1
 
 
 class _Store:
-    """The store as the nodes of one region reach it."""
+    """The store."""
 
-    def __init__(self, link: _Link) -> None:
+    def __init__(self) -> None:
         self.version = 1
-        self._link = link
-        self._changed = asyncio.Condition()
+        self.changed = asyncio.Condition()
 
     async def change(self) -> None:
-        async with self._changed:
+        async with self.changed:
             self.version += 1
-            self._changed.notify_all()
+            self.changed.notify_all()
+
+
+class _StoreClient:
+    """The store as one node of a region reaches it.
+
+    Attributes:
+        receiving: Progress of the answer that is being received.
+    """
+
+    def __init__(self, store: _Store, link: _Link) -> None:
+        self.receiving: Receiving | None = None
+        self._store = store
+        self._link = link
 
     async def read(self, table: str) -> TableRows:
         del table
-        await self._link.transfer(_ANSWER_BYTES)
-        return self._rows()
+        return await self._receive()
 
     async def watch(self, table: str, after: int, wait_s: float) -> TableRows:
         del table
         try:
-            async with asyncio.timeout(wait_s), self._changed:
-                await self._changed.wait_for(lambda: self.version > after)
+            async with asyncio.timeout(wait_s), self._store.changed:
+                await self._store.changed.wait_for(
+                    lambda: self._store.version > after
+                )
         except TimeoutError:
-            return TableRows((), self.version)
-        await self._link.transfer(_ANSWER_BYTES)
-        return self._rows()
+            return TableRows((), self._store.version)
+        return await self._receive()
+
+    async def _receive(self) -> TableRows:
+        began_at = time.monotonic()
 
-    def _rows(self) -> TableRows:
-        row = Row("config", b"x" * _ROW_BYTES, self.version)
-        return TableRows((row,), self.version)
+        def record_progress() -> None:
+            self.receiving = Receiving(began_at, time.monotonic())
+
+        try:
+            await self._link.transfer(_ANSWER_BYTES, record_progress)
+        finally:
+            self.receiving = None
+        version = self._store.version
+        row = Row("config", b"x" * _ROW_BYTES, version)
+        return TableRows((row,), version)
 
 
 class _Node:
@@ -95,7 +126,9 @@
         applied_at: Monotonic time at which it applied each version.
     """
 
-    def __init__(self, rank: int, store: _Store, nodes: "list[_Node]") -> None:
+    def __init__(
+        self, rank: int, store: _StoreClient, nodes: "list[_Node]"
+    ) -> None:
         self.host = str(rank)
         self.rank = ReaderRank(-1.0, rank)
         self.copy = TableCopy()
@@ -115,6 +148,7 @@
             self._apply,
             lambda is_reachable: None,
             DecisionLog("n"),
+            get_receiving=lambda: store.receiving,
         )
 
     async def fetch(
@@ -168,9 +202,12 @@
 
         async def run() -> tuple[list[float], float]:
             link = _Link()
-            store = _Store(link)
+            store = _Store()
             nodes: list[_Node] = []
-            nodes += [_Node(rank, store, nodes) for rank in range(_NODES)]
+            nodes += [
+                _Node(rank, _StoreClient(store, link), nodes)
+                for rank in range(_NODES)
+            ]
             tasks = [
                 asyncio.create_task(run)
                 for node in nodes
--- a/tests/test_gateway_silent_store.py
+++ b/tests/test_gateway_silent_store.py
@@ -1,6 +1,7 @@
 """Tests of connections to the store that go silent while new ones work."""
 
 import asyncio
+import contextlib
 import pathlib
 import time
 from collections.abc import Awaitable, Callable
@@ -195,3 +196,37 @@
                 await scenario(cluster)
 
         asyncio.run(run())
+
+
+class TestReceiving:
+    """Guards against progress of a response that is missed, or no rows."""
+
+    @pytest.mark.parametrize("status", [200, 503])
+    def test_bytes_of_a_successful_response_are_progress(
+        self, status: int
+    ) -> None:
+        async def respond(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                b"HTTP/1.1 %d X\r\nContent-Length: 100\r\n\r\n{" % status
+            )
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+            writer.close()
+
+        async def run() -> None:
+            server = await asyncio.start_server(respond, standin.HOST, 0)
+            port = server.sockets[0].getsockname()[1]
+            client = PlatformStore(Address(standin.HOST, port), Counters())
+            call = asyncio.create_task(client.watch("op", 1, 1.0))
+            await asyncio.sleep(0.3)
+            assert (client.receiving("op") is not None) == (status == 200)
+            assert client.receiving("servers") is None
+            call.cancel()
+            await asyncio.sleep(0.05)
+            assert client.receiving("op") is None
+            server.close()
+
+        asyncio.run(run())
--- a/tests/test_gateway_watch.py
+++ b/tests/test_gateway_watch.py
@@ -28,6 +28,7 @@
 )
 from tanagerport.gateway.table_store import (
     NO_VERSION,
+    Receiving,
     Row,
     StoreVersion,
     TableRows,
@@ -117,6 +118,7 @@
     on_reachability: Callable[[bool], None] = lambda is_reachable: None,
     sleep: Callable[[float], Awaitable[None]] = _yield_once,
     get_age: Callable[[Row], RowAge | None] = lambda row: None,
+    get_receiving: Callable[[], Receiving | None] = lambda: None,
 ) -> TableWatch:
     return TableWatch(
         store,  # type: ignore[arg-type]
@@ -132,6 +134,7 @@
         DecisionLog("n"),
         clock.monotonic,
         sleep,
+        get_receiving,
     )
 
 
@@ -419,6 +422,41 @@
         assert states[-1] is True
 
 
+class TestReceiving:
+    """Guards against readers that count as lost while a response comes."""
+
+    @pytest.mark.parametrize(
+        ("began_at", "last_at", "age_s"),
+        [
+            # Half a second ago.
+            (108.0, 109.5, 0.5),
+            # Bytes still come, but the followers need rows.
+            (101.0, 110.0, 6.0),
+        ],
+    )
+    def test_bytes_count_for_a_while(
+        self, began_at: float, last_at: float, age_s: float
+    ) -> None:
+        clock = FakeClock(100.0)
+        receiving: list[Receiving] = []
+
+        async def run() -> float:
+            watch = _create_watch(
+                _FullReadStore(),
+                clock,
+                get_receiving=lambda: receiving[0] if receiving else None,
+            )
+            task = asyncio.create_task(watch.run())
+            await gateway_doubles.run_pending_tasks()
+            clock.advance(10.0)
+            assert watch.own_response_age_s == 10.0
+            receiving.append(Receiving(began_at, last_at))
+            task.cancel()
+            return watch.own_response_age_s
+
+        assert asyncio.run(run()) == pytest.approx(age_s)
+
+
 class TestReaders:
     """Guards against regions with no readers, or too many of them."""
 
