Count the pause after a large change as part of a reader's wait

Cause: after an answer of 400 KB a reader pauses for 1 s, and then waits for changes for up to 1.5 s. With the age of its report, its last response is older than the 2.5 s after which followers take it for cut off. They became readers, all at once, and each read the next change from the store.

Change: the wait of a call ends as early as if there had been no pause, after at least a fifth of the maximum wait.

--- a/src/tanagerport/gateway/store_watch.py
+++ b/src/tanagerport/gateway/store_watch.py
@@ -41,6 +41,9 @@
 # reading it after each change of a series left no bandwidth for requests.
 _PAUSE_BOUNDS_S = (0.2, 1.0)
 _MAX_READ_BYTES_PER_S = 200_000
+# Share of the maximum wait that remains after any pause, so that calls for
+# changes do not follow each other closely.
+_MIN_WAIT_SHARE = 0.2
 # Number of nodes from which a node that started after the store was restored
 # fetches the rows that the store has lost; more than one, as they may differ.
 _MAX_ADOPTIONS = 2
@@ -381,7 +384,7 @@
         else:
             asked = self._version
             rows = await self._store.watch(
-                self._table, asked.number, self._get_wait_s()
+                self._table, asked.number, self._remaining_wait_s()
             )
             if rows.era > asked.era:
                 # The number has another meaning in the new era.
@@ -403,6 +406,16 @@
         if not is_whole:
             self._pause_s = _compute_pause_s(rows)
 
+    def _remaining_wait_s(self) -> float:
+        """Returns the maximum wait of the next call, in seconds.
+
+        A pause counts, since other nodes take a reader for cut off by the time
+        since its last response.
+        """
+        wait_s = self._get_wait_s()
+        since_s = self._now() - self._last_response_at
+        return max(wait_s - since_s, _MIN_WAIT_SHARE * wait_s)
+
     def _apply(self, rows: TableRows, is_whole: bool) -> None:
         if self._first_era is None:
             self._first_era = rows.era
--- a/tests/test_gateway_watch.py
+++ b/tests/test_gateway_watch.py
@@ -264,6 +264,42 @@
         # The first call is made without a pause.
         assert 1 <= store.calls <= max_calls
 
+    def test_reader_that_pauses_is_not_taken_for_cut_off(self) -> None:
+        """Guards against followers that read a series from the store, too.
+
+        After a large change a reader paused for 1 s and then waited for 1.5 s;
+        followers take one that has had no response for 2.5 s for cut off.
+        """
+        clock = FakeClock(100.0)
+        waited: list[float] = []
+
+        class Store(_FullReadStore):
+            async def watch(
+                self, table: str, after: int, wait_s: float
+            ) -> TableRows:
+                waited.append(clock.monotonic() - responded_at[-1] + wait_s)
+                if len(waited) == 3:
+                    await asyncio.Event().wait()
+                row = Row("a", b"1" * 400_000, after + 1)
+                responded_at.append(clock.monotonic())
+                return TableRows((row,), after + 1)
+
+        responded_at = [100.0]
+
+        async def advance(seconds: float) -> None:
+            clock.advance(seconds)
+
+        async def run_watch() -> None:
+            watch = _create_watch(Store(), clock, sleep=advance)
+            task = asyncio.create_task(watch.run())
+            await gateway_doubles.run_pending_tasks()
+            await gateway_doubles.run_pending_tasks()
+            task.cancel()
+
+        asyncio.run(run_watch())
+        # The pause and the wait together are at most one wait, 3 s here.
+        assert waited == pytest.approx([3.0, 3.0, 3.0])
+
 
 class _FullReadStore:
     """Store that serves full reads; counted watch calls hang or fail."""
