Watch tables of a distant store through nodes that are near it

Change: nodes report their round trip to the store. A reader with a reader of another region at half of it or less watches the table there: the same long poll, but compressed (a configuration of 9,000 routes: 2.5 MB to 0.14 MB). The other node answers with a change, or with the next response of the store and its age, so a reader knows as early as before that the store is away. It says nothing once the store has been silent to it for 2.5 s; what is no newer, or of another era and not whole, is refused; after a failure the reader calls the store itself for 1 to 3 s.

Evidence: the new test of two regions fails without relays (36 answers of the store cross the link in six changes, 7.2 are allowed) and passes.

--- a/src/tanagerport/gateway/internal_server.py
+++ b/src/tanagerport/gateway/internal_server.py
@@ -1,6 +1,7 @@
 """HTTP server for readiness checks, metrics and tables for other nodes."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import h11
@@ -74,7 +75,7 @@
                         return
                     codec.receive_data(data)
                 elif isinstance(event, h11.Request):
-                    self._respond(channel, codec, event)
+                    await self._respond(channel, codec, event)
                 elif event is h11.PAUSED:
                     codec.start_next_cycle()
                 elif event is h11.ConnectionClosed or isinstance(
@@ -87,11 +88,12 @@
         finally:
             channel.close()
 
-    def _respond(
+    async def _respond(
         self, channel: Channel, codec: h11.Connection, request: h11.Request
     ) -> None:
         path = bytes(request.target).partition(b"?")[0]
         content_type = b"text/plain; version=0.0.4; charset=utf-8"
+        headers: list[tuple[bytes, bytes]] = []
         if path == self._ready_path:
             status, body = (200, b"") if self._is_ready() else (503, b"")
         elif path == b"/metrics":
@@ -102,9 +104,13 @@
             status, body = 200, metrics_rendering.render(self._counters)
         elif path == table_exchange.TABLE_PATH.encode():
             content_type = b"application/octet-stream"
-            status, body = self._tables.handle_request(
+            response = await self._tables.respond(
                 bytes(request.target).decode("latin-1")
             )
+            status, body = response.status, response.body
+            if response.age_s is not None and math.isfinite(response.age_s):
+                age_ms = round(response.age_s * 1000)
+                headers.append((table_exchange.AGE_HEADER, b"%d" % age_ms))
         elif path == QUARANTINE_PATH and request.method == b"GET":
             content_type = b"application/json"
             body = _encode(self._quarantine.list_quarantined())
@@ -122,7 +128,7 @@
             )
         else:
             status, body = 404, b""
-        headers = [
+        headers += [
             (b"Content-Type", content_type),
             (b"Content-Length", b"%d" % len(body)),
         ]
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -71,6 +71,7 @@
     follower_age_s,
     reader_rank,
 )
+from tanagerport.gateway.table_relays import TableRelays
 from tanagerport.gateway.table_store import (
     RestorableTableStore,
     Row,
@@ -460,6 +461,11 @@
             self._update_store_reachability,
             self._log,
             get_receiving=lambda: self._store.receiving(table),
+            relays=TableRelays(
+                lambda: self._peer_exchange.nearer_readers(
+                    index, self._store.round_trip_s
+                )
+            ),
         )
 
     def _handle_new_era(self) -> None:
@@ -948,6 +954,7 @@
             ),
             configuration_version=self._configuration_version,
             limits=self._limits.report(),
+            store_round_trip_us=round(self._store.round_trip_s * 1e6),
         )
 
     def _apply_report(self, report: NodeReport) -> None:
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -20,6 +20,7 @@
 import collections
 import contextlib
 import dataclasses
+import heapq
 import time
 import zlib
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -33,7 +34,13 @@
 from tanagerport.gateway.quotas import CustomerUsage
 from tanagerport.gateway.report_traffic import ReportTraffic
 from tanagerport.gateway.rollout_report import RolloutReport
-from tanagerport.gateway.table_readers import ReaderRank, reader_rank
+from tanagerport.gateway.table_readers import (
+    MAX_READER_AGE_S,
+    READERS_PER_REGION,
+    ReaderRank,
+    reader_rank,
+)
+from tanagerport.gateway.table_relays import is_nearer
 from tanagerport.gateway.untrusted_data import Integer, Seconds
 from tanagerport.gateway.upstream_latency import Sample
 from tanagerport.gateway.upstream_limits import ReportedLimit
@@ -130,6 +137,8 @@
         configuration_version: The operator's number of the configuration that
             the node applies; 0 before the first.
         limits: Limits of requests that upstreams named to the node.
+        store_round_trip_us: Round trip from the node to the store in
+            microseconds; 0 if unknown.
     """
 
     node: str
@@ -159,6 +168,7 @@
     has_lost_rows: tuple[bool, bool] = (False, False)
     configuration_version: int = 0
     limits: list[ReportedLimit] = []
+    store_round_trip_us: Integer = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -179,6 +189,8 @@
         rank: Rank in the selection of readers; None before the first report.
         started_at: Monotonic time at which its process started, in seconds.
         is_draining: Whether it is stopping.
+        store_round_trip_s: Its round trip to the store, in seconds; 0 if
+            unknown.
     """
 
     host: str
@@ -193,6 +205,7 @@
     rank: ReaderRank | None = None
     started_at: float = float("inf")
     is_draining: bool = False
+    store_round_trip_s: float = 0.0
 
 
 def report_interval_s(
@@ -343,6 +356,29 @@
             if peer.rank is not None and self._is_local_zone(peer.zone)
         ]
 
+    def nearer_readers(self, table: int, own_round_trip_s: float) -> list[str]:
+        """Returns the hosts of readers that are much nearer to the store.
+
+        They are those with the fastest links in other regions; in its own, a
+        node follows readers anyway.
+
+        Args:
+            table: Index of the table in `NodeReport.table_versions`.
+            own_round_trip_s: Round trip from this node to the store.
+        """
+        candidates = [
+            (peer.rank, peer.host)
+            for peer in self.live_peers()
+            if peer.rank is not None
+            and not self._is_local_zone(peer.zone)
+            and not peer.is_draining
+            and peer.table_ages_ms[table] <= MAX_READER_AGE_S * 1000
+            and is_nearer(peer.store_round_trip_s, own_round_trip_s)
+        ]
+        return [
+            host for _, host in heapq.nsmallest(READERS_PER_REGION, candidates)
+        ]
+
     async def start(self) -> None:
         """Opens the UDP socket."""
         loop = asyncio.get_running_loop()
@@ -707,6 +743,7 @@
         peer.rank = reader_rank(report.host, report.link_mbps)
         peer.started_at = self._now() - report.uptime_s
         peer.is_draining = report.is_draining
+        peer.store_round_trip_s = report.store_round_trip_us / 1e6
         self.add_hosts(report.known_hosts)
         self._on_report(report)
         return True
--- a/src/tanagerport/gateway/store_watch.py
+++ b/src/tanagerport/gateway/store_watch.py
@@ -17,6 +17,8 @@
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.restored_rows import RestoredRows
 from tanagerport.gateway.table_copy import TableChanges, TableCopy
+from tanagerport.gateway.table_exchange import RelayedChanges
+from tanagerport.gateway.table_relays import TableRelays
 from tanagerport.gateway.table_store import (
     NO_VERSION,
     HistoryLostError,
@@ -61,7 +63,7 @@
 
 
 class TableFetcher(Protocol):
-    """Fetches rows from other nodes."""
+    """Gets rows from other nodes."""
 
     async def fetch(
         self, host: str, table: str, after: StoreVersion
@@ -72,6 +74,16 @@
             StoreUnavailableError: The node did not return the rows.
         """
 
+    async def await_changes(
+        self, host: str, table: str, after: StoreVersion, wait_s: float
+    ) -> RelayedChanges:
+        """Waits for changes at a node that reads from the store.
+
+        Raises:
+            StoreUnavailableError: The node did not respond, or does not read
+                the table from the store.
+        """
+
 
 class TableWatch:
     """Watches one table of the store, directly or through other nodes.
@@ -94,6 +106,8 @@
         sleep: Sleeps for a number of seconds.
         get_receiving: Returns the progress of the store's answer about the
             table that is being received; None if there is none.
+        relays: Selects nodes nearer to the store that this node watches in its
+            place; None for none.
     """
 
     def __init__(
@@ -112,6 +126,7 @@
         now: Callable[[], float] = time.monotonic,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
         get_receiving: Callable[[], Receiving | None] = lambda: None,
+        relays: TableRelays | None = None,
     ) -> None:
         self._store = store
         self._table = table
@@ -127,6 +142,7 @@
         self._now = now
         self._sleep = sleep
         self._get_receiving = get_receiving
+        self._relays = relays
         self._random = random.Random()
         self._version: StoreVersion | None = None
         self._last_response_at = float("-inf")
@@ -312,10 +328,7 @@
             changes = await self._fetcher.fetch(
                 host, self._table, self._copy.version
             )
-            if changes.era != self._copy.version.era and not changes.is_whole:
-                raise StoreUnavailableError(
-                    f"{host} returned changes of era {changes.era}"
-                )
+            _check_newer(changes, self._copy.version, host)
         except PlatformError as error:
             self._newer_hosts.pop(host, None)
             self._fetch_failures += 1
@@ -363,7 +376,12 @@
     async def _call_store_until_woken(self) -> None:
         """Calls the store, but cancels a call that is presumed stalled."""
         self._wake_up.clear()
-        store_call = asyncio.ensure_future(self._call_store())
+        relay = None
+        if self._relays is not None and self._version is not None:
+            relay = self._relays.select()
+        store_call = asyncio.ensure_future(
+            self._call_store() if relay is None else self._call_relay(relay)
+        )
         wake_up = asyncio.ensure_future(self._wake_up.wait())
         try:
             await asyncio.wait(
@@ -377,6 +395,40 @@
             store_call.cancel()
             wake_up.cancel()
 
+    async def _call_relay(self, host: str) -> None:
+        """Watches the table at a node that is nearer to the store."""
+        assert self._relays is not None
+        after = self._copy.version
+        try:
+            relayed = await self._fetcher.await_changes(
+                host, self._table, after, self._get_wait_s()
+            )
+            changes = relayed.changes
+            if changes is not None:
+                _check_newer(changes, after, host)
+        except PlatformError as error:
+            self._relays.record_failure()
+            self._log.info("relay_failed", table=self._table, error=str(error))
+            return
+        self._last_response_at = max(
+            self._last_response_at, self._now() - relayed.age_s
+        )
+        self._mark_reachable(relayed.age_s)
+        if changes is None:
+            return
+        self._log.info(
+            "table_relayed",
+            table=self._table,
+            host=host,
+            after=after.number,
+            version=changes.version,
+            era=changes.era,
+            is_whole=changes.is_whole,
+            rows=len(changes.rows),
+        )
+        self._apply(changes.table_rows, changes.is_whole)
+        self._pause_s = _PAUSE_BOUNDS_S[0]
+
     async def _call_store(self) -> None:
         is_whole = self._version is None
         if self._version is None:
@@ -403,6 +455,7 @@
         self._last_response_at = self._now()
         self._mark_reachable(0.0)
         self._apply(rows, is_whole)
+        self._copy.confirm(self._last_response_at)
         if not is_whole:
             self._pause_s = _compute_pause_s(rows)
 
@@ -462,6 +515,22 @@
         self._on_reachability(False)
 
 
+def _check_newer(changes: TableChanges, after: StoreVersion, host: str) -> None:
+    """Checks that changes lead from one version to a newer one.
+
+    Raises:
+        StoreUnavailableError: They don't.
+    """
+    if changes.era != after.era and not changes.is_whole:
+        raise StoreUnavailableError(
+            f"{host} returned changes of era {changes.era}"
+        )
+    if changes.table_rows.store_version <= after:
+        raise StoreUnavailableError(
+            f"{host} returned version {changes.version} of era {changes.era}"
+        )
+
+
 def _compute_pause_s(rows: TableRows) -> float:
     """Returns the pause before the next call, in seconds."""
     if not rows.rows:
--- a/src/tanagerport/gateway/table_copy.py
+++ b/src/tanagerport/gateway/table_copy.py
@@ -1,5 +1,7 @@
 """A node's local copy of a table, from which it serves other nodes."""
 
+import asyncio
+import contextlib
 import zlib
 
 import msgspec
@@ -95,6 +97,8 @@
         # known.
         self._history_start = 0
         self._encoded_changes: dict[StoreVersion, bytes] = {}
+        self._confirmed_at = float("-inf")
+        self._updated = asyncio.Event()
 
     @property
     def version(self) -> StoreVersion:
@@ -106,6 +110,33 @@
         """Whether it holds rows that the restored store lacks."""
         return bool(self._lost_keys)
 
+    @property
+    def confirmed_at(self) -> float:
+        """Monotonic time at which the store last confirmed the copy.
+
+        Negative infinity before the first response of the store to this node.
+        """
+        return self._confirmed_at
+
+    def confirm(self, at: float) -> None:
+        """Records that the store itself confirmed the copy.
+
+        Args:
+            at: Monotonic time of its response, in seconds.
+        """
+        self._confirmed_at = at
+        self._wake_waiting()
+
+    async def wait_for_update(self, timeout_s: float) -> None:
+        """Waits until the copy changes or is confirmed, or for the timeout."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._updated.wait()
+
+    def _wake_waiting(self) -> None:
+        self._updated.set()
+        self._updated = asyncio.Event()
+
     def replace(self, rows: TableRows) -> None:
         """Replaces all rows with the result of a full read."""
         self._rows = {row.key: row for row in rows.rows}
@@ -114,6 +145,7 @@
         self._version = rows.store_version
         self._history_start = rows.version
         self._encoded_changes.clear()
+        self._wake_waiting()
 
     def apply_changes(self, rows: TableRows) -> None:
         """Applies changes made since the current version, in the same era."""
@@ -135,6 +167,8 @@
         while len(self._tombstones) > _MAX_TOMBSTONES:
             oldest = min(self._tombstones, key=self._tombstones.__getitem__)
             self._history_start = self._tombstones.pop(oldest)
+        if rows.rows:
+            self._wake_waiting()
 
     def encode_changes(self, after: StoreVersion) -> bytes:
         """Returns the changes after a version, encoded and compressed.
--- a/src/tanagerport/gateway/table_readers.py
+++ b/src/tanagerport/gateway/table_readers.py
@@ -15,7 +15,7 @@
 # A reader whose last response from the store is older may be cut off from it.
 # The limit allows for the wait of its call, up to `MAX_READER_WAIT_S`, and the
 # age of its report, up to 0.6 s.
-_MAX_READER_AGE_S = 2.5
+MAX_READER_AGE_S = 2.5
 # Maximum wait of a reader's call for changes in a region that has followers, so
 # that a stalled connection is detected before a change is late.
 MAX_READER_WAIT_S = 1.5
@@ -60,6 +60,6 @@
     ages = [
         age_s
         for rank, age_s in candidates
-        if rank < own_rank and age_s <= _MAX_READER_AGE_S
+        if rank < own_rank and age_s <= MAX_READER_AGE_S
     ]
     return min(ages) if len(ages) >= READERS_PER_REGION else None
--- a/src/tanagerport/gateway/table_store.py
+++ b/src/tanagerport/gateway/table_store.py
@@ -152,6 +152,10 @@
 class RestorableTableStore(TableStore, Protocol):
     """Table store that tells when it was restored from a copy."""
 
+    @property
+    def round_trip_s(self) -> float:
+        """Round trip to the store in seconds; 0 before the first call."""
+
     def receiving(self, table: str) -> Receiving | None:
         """Returns the progress of a successful response about a table.
 
--- a/tests/gateway_doubles.py
+++ b/tests/gateway_doubles.py
@@ -19,6 +19,8 @@
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.retry_budget import RetryBudget
 from tanagerport.gateway.scheduler import Scheduler
+from tanagerport.gateway.table_exchange import RelayedChanges
+from tanagerport.gateway.table_store import StoreVersion
 from tanagerport.gateway.upstream_backoff import UpstreamBackoff
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_latency import LatencyEstimator
@@ -118,6 +120,17 @@
             )
 
 
+class NoRelays:
+    """Base of fetchers that watch no table at another node."""
+
+    async def await_changes(
+        self, host: str, table: str, after: StoreVersion, wait_s: float
+    ) -> RelayedChanges:
+        raise AssertionError(
+            f"watched {table} after {after} at {host} for {wait_s} s"
+        )
+
+
 async def run_pending_tasks() -> None:
     """Runs five event loop iterations, to let ready tasks block or end."""
     for _ in range(5):
--- a/tests/test_gateway_large_configuration.py
+++ b/tests/test_gateway_large_configuration.py
@@ -1,19 +1,27 @@
 """Tests of large configurations at many nodes behind a thin link."""
 
 import asyncio
+import json
+import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from tanagerport.exceptions import StoreUnavailableError
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.restored_rows import RestoredRows
 from tanagerport.gateway.store_watch import TableWatch
-from tanagerport.gateway.table_copy import TableChanges, TableCopy
+from tanagerport.gateway.table_copy import (
+    TableChanges,
+    TableCopy,
+    decode_changes,
+)
+from tanagerport.gateway.table_exchange import RelayedChanges, TableServer
 from tanagerport.gateway.table_readers import (
     MAX_READER_WAIT_S,
     ReaderRank,
     follower_age_s,
 )
+from tanagerport.gateway.table_relays import TableRelays
 from tanagerport.gateway.table_store import (
     Receiving,
     Row,
@@ -35,6 +43,30 @@
 _CONFIG_APPLY_S = 2.5
 
 
+def _make_document() -> bytes:
+    """Returns a configuration with names as different as those of operators."""
+    names = random.Random(1)
+    routes = []
+    size = 0
+    while size < _ROW_BYTES:
+        name = f"{names.getrandbits(40):x}"
+        route = json.dumps(
+            {
+                "name": name,
+                "hostname": f"{name[:6]}.example",
+                "prefix": f"/{name[6:]}/",
+                "route_type": "streaming",
+                "timeout_ms": 12000.0,
+                "target_latency_ms": 800.0,
+                "service": "tutor-models",
+                "max_attempts": 2,
+            }
+        )
+        routes.append(route)
+        size += len(route)
+    return "".join(routes).encode()
+
+
 class _Link:
     """The link from the store to a region; its calls share it evenly.
 
@@ -69,6 +101,7 @@
 
     def __init__(self) -> None:
         self.version = 1
+        self.document = _make_document()
         self.changed = asyncio.Condition()
 
     async def change(self) -> None:
@@ -115,7 +148,7 @@
         finally:
             self.receiving = None
         version = self._store.version
-        row = Row("config", b"x" * _ROW_BYTES, version)
+        row = Row("config", self._store.document, version)
         return TableRows((row,), version)
 
 
@@ -133,6 +166,9 @@
         self.rank = ReaderRank(-1.0, rank)
         self.copy = TableCopy()
         self.applied_at: dict[int, float] = {}
+        self.relay_link: _Link | None = None
+        self.relay_hosts: Sequence[str] = ()
+        self.relays: list[_Node] = []
         self.reported_age_s = float("inf")
         self.reported_at = time.monotonic()
         self._nodes = nodes
@@ -149,8 +185,27 @@
             lambda is_reachable: None,
             DecisionLog("n"),
             get_receiving=lambda: store.receiving,
+            relays=TableRelays(lambda: self.relay_hosts),
         )
 
+    async def await_changes(
+        self, host: str, table: str, after: StoreVersion, wait_s: float
+    ) -> RelayedChanges:
+        """Implements `TableFetcher` over the link between the regions."""
+        server = TableServer({table: self.relays[int(host)].copy}, 100.0)
+        response = await server.respond(
+            f"/tables?table={table}&after={after.number}"
+            f"&wait_ms={wait_s * 1000:.0f}"
+        )
+        assert response.age_s is not None and self.relay_link is not None
+        if response.status == 204:
+            return RelayedChanges(None, response.age_s)
+        if response.status != 200:
+            raise StoreUnavailableError(f"{host}: {response.status}")
+        await self.relay_link.transfer(len(response.body), lambda: None)
+        changes = decode_changes(response.body, 10 * _ROW_BYTES)
+        return RelayedChanges(changes, response.age_s)
+
     async def fetch(
         self, host: str, table: str, after: StoreVersion
     ) -> TableChanges:
@@ -190,6 +245,39 @@
             self.applied_at.setdefault(row.version, time.monotonic())
 
 
+async def _measure_changes(
+    store: _Store, nodes: list[_Node], link: _Link
+) -> tuple[list[float], float]:
+    """Makes changes in series.
+
+    Returns:
+        Seconds until each change was in force at all nodes, and the bytes that
+        crossed the link, in answers of the store.
+    """
+    tasks = [
+        asyncio.create_task(run)
+        for node in nodes
+        for run in (node.watch.run(), node.report())
+    ]
+    await asyncio.sleep(6.0)
+    sent_before = link.sent_bytes
+    delays_s = []
+    for _ in range(_CHANGES):
+        changed_at = time.monotonic()
+        await store.change()
+        await asyncio.sleep(_CHANGE_INTERVAL_S)
+        delays_s.append(
+            max(
+                node.applied_at.get(store.version, float("inf"))
+                for node in nodes
+            )
+            - changed_at
+        )
+    for task in tasks:
+        task.cancel()
+    return delays_s, (link.sent_bytes - sent_before) / _ANSWER_BYTES
+
+
 class TestManyNodes:
     """Guards against nodes that all read a large change from the store."""
 
@@ -208,30 +296,40 @@
                 _Node(rank, _StoreClient(store, link), nodes)
                 for rank in range(_NODES)
             ]
-            tasks = [
-                asyncio.create_task(run)
-                for node in nodes
-                for run in (node.watch.run(), node.report())
-            ]
-            await asyncio.sleep(6.0)
-            sent_before = link.sent_bytes
-            delays_s = []
-            for _ in range(_CHANGES):
-                changed_at = time.monotonic()
-                await store.change()
-                await asyncio.sleep(_CHANGE_INTERVAL_S)
-                delays_s.append(
-                    max(
-                        node.applied_at.get(store.version, float("inf"))
-                        for node in nodes
-                    )
-                    - changed_at
-                )
-            for task in tasks:
-                task.cancel()
-            return delays_s, (link.sent_bytes - sent_before) / _ANSWER_BYTES
+            return await _measure_changes(store, nodes, link)
 
         delays_s, answers = asyncio.run(run())
         assert max(delays_s) <= _CONFIG_APPLY_S
         # Six nodes of a region read from the store.
         assert answers <= 1.5 * 6 * _CHANGES
+
+
+class TestDistantRegion:
+    """Guards against a change that crosses a thin link again and again."""
+
+    def test_change_crosses_the_link_compressed(self) -> None:
+        """Guards against readers that each read it as the store encodes it."""
+
+        async def run() -> tuple[list[float], float]:
+            link, near_link = _Link(), _Link()
+            store = _Store()
+            near: list[_Node] = []
+            near += [
+                _Node(rank, _StoreClient(store, near_link), near)
+                for rank in range(6)
+            ]
+            far: list[_Node] = []
+            far += [
+                _Node(rank, _StoreClient(store, link), far)
+                for rank in range(_NODES)
+            ]
+            for node in far:
+                node.relay_link = link
+                node.relay_hosts = [other.host for other in near]
+                node.relays = near
+            return await _measure_changes(store, near + far, link)
+
+        delays_s, answers = asyncio.run(run())
+        assert max(delays_s) <= _CONFIG_APPLY_S
+        # Compression makes a configuration five times as small, and more.
+        assert answers <= 6 * _CHANGES / 5
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -10,6 +10,7 @@
 import pytest
 
 import platform_standin as standin
+from gateway_doubles import NoRelays
 from platform_standin import LocalCluster, StoreStandin, configuration, route
 from tanagerport.clock import FakeClock
 from tanagerport.exceptions import (
@@ -204,7 +205,7 @@
         return TableRows((), self.rows.version, self.rows.era)
 
 
-class _CopyFetcher:
+class _CopyFetcher(NoRelays):
     """Fetcher that serves all requests from one table copy."""
 
     def __init__(self, copy: TableCopy) -> None:
--- a/tests/test_gateway_watch.py
+++ b/tests/test_gateway_watch.py
@@ -79,7 +79,7 @@
         return TableRows((Row("a", b"2", after + 2),), after + 2)
 
 
-class _FailingFetcher:
+class _FailingFetcher(gateway_doubles.NoRelays):
     """Fetcher whose calls to other nodes all fail."""
 
     async def fetch(
@@ -88,7 +88,7 @@
         raise StoreUnavailableError(f"{host} serves no {table} after {after}")
 
 
-class _CopyFetcher:
+class _CopyFetcher(gateway_doubles.NoRelays):
     """Fetcher that serves all requests from one table copy."""
 
     def __init__(self, copy: TableCopy) -> None:
