Read configurations in time slices, and unchanged routes once

What callers saw: all requests of a node wait while it decodes a large configuration (184 ms in one turn of the event loop for 9,000 routes on the arm64 machine, docs/incidents/requests-lost-on-kept-connections.md).

Cause: the whole document was decoded and converted in one turn, with each change of one route.

Change: a reader that goes on in steps, between which other tasks get their turns after 2 ms, and that keeps the routes of the last configuration by the hash of their documents. The row is taken into the node's copy at once, so other nodes can fetch it meanwhile; of rows that come while one is read, only the last one is read afterwards. Decoding moved to a module of its own.

Kept routes equal those that are read anew (hypothesis).

--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -18,6 +18,10 @@
 from tanagerport.gateway.attended_clock import AttendedClock
 from tanagerport.gateway.canary_budget import CanaryLimits
 from tanagerport.gateway.client_server import ClientServer
+from tanagerport.gateway.configuration_loader import (
+    ConfigurationLoader,
+    ConfigurationReader,
+)
 from tanagerport.gateway.coordination import CoordinationTransport
 from tanagerport.gateway.coordinator import START_DELAY_S, SlotCoordinator
 from tanagerport.gateway.coordinator_directory import CoordinatorDirectory
@@ -138,12 +142,11 @@
     def upstream_table(self) -> str:
         """Name of the table that holds the upstreams."""
 
-    def decode_configuration(self, row: Row) -> Configuration | None:
-        """Decodes a configuration; returns None for a row of another kind.
+    def is_configuration(self, row: Row) -> bool:
+        """Returns whether a row is the configuration."""
 
-        Raises:
-            DocumentError: The configuration is invalid.
-        """
+    def create_configuration_reader(self) -> ConfigurationReader:
+        """Returns a reader of configurations."""
 
     def configuration_age(self, row: Row) -> RowAge | None:
         """Returns the age of a configuration; None for another kind of row."""
@@ -406,11 +409,26 @@
             self._quarantine,
             self._coordinator.limits.describe,
         )
+        self._add_registry_callbacks()
+        self._configuration_loader = ConfigurationLoader(
+            codec.create_configuration_reader(),
+            self._apply_configuration,
+            self._log,
+        )
+        self._reader_rank = reader_rank(settings.peer_host, settings.link_mbps)
+        self._watches = self._create_watches()
+        store.add_era_callback(self._handle_new_era)
+        self._register_gauges()
+
+    def _add_registry_callbacks(self) -> None:
         self._registry.add_removal_callback(self._remove_upstream_state)
         self._registry.add_change_callback(self._scheduler.admit_waiting)
         self._registry.add_change_callback(self._coordinator.update)
-        self._reader_rank = reader_rank(settings.peer_host, settings.link_mbps)
-        self._watches = (
+
+    def _create_watches(self) -> tuple[TableWatch, TableWatch]:
+        """Creates the watches in the order of `NodeReport.table_versions`."""
+        codec = self._codec
+        return (
             self._create_watch(
                 0,
                 codec.configuration_table,
@@ -426,8 +444,6 @@
                 self._update_upstreams,
             ),
         )
-        store.add_era_callback(self._handle_new_era)
-        self._register_gauges()
 
     def _create_watch(
         self,
@@ -570,6 +586,7 @@
             for name, run in (
                 ("clock", self._attended_clock.run),
                 ("configuration", self._watches[0].run),
+                ("configuration_loader", self._configuration_loader.run),
                 ("upstreams", self._watches[1].run),
                 ("reports", self._peer_exchange.run),
                 ("membership", self._directory.run),
@@ -818,17 +835,15 @@
                 continue
             try:
                 order = self._codec.decode_rollout(row)
-                if order is not None:
-                    self._rollouts.apply_order(order)
-                    continue
-                configuration = self._codec.decode_configuration(row)
             except DocumentError as error:
                 self._log.error(
                     "configuration_unreadable", key=row.key, error=str(error)
                 )
                 continue
-            if configuration is not None:
-                self._apply_configuration(configuration)
+            if order is not None:
+                self._rollouts.apply_order(order)
+            elif self._codec.is_configuration(row):
+                self._configuration_loader.submit(row)
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         current = self._routes
