Tell operators how long a configuration takes to reach all nodes

Which of the hypotheses on late configurations held could be seen only by comparing the logs of 69 nodes. Added: the time from the first to the last node that applies a configuration and the number of nodes behind (gauges, and a line of the node with the lowest name), reads of tables by source, and the round trip to the store.

Two tests of the spread: a newer change counts from its own time, and a node that comes back with an older configuration is behind.

--- a/src/tanagerport/gateway/counters.py
+++ b/src/tanagerport/gateway/counters.py
@@ -58,6 +58,7 @@
         )
         self.answers_unsent: collections.Counter[str] = collections.Counter()
         self.request_errors: collections.Counter[str] = collections.Counter()
+        self.table_reads: collections.Counter[str] = collections.Counter()
         self.store_bytes_read = 0
         self.clients_gone = 0
         self.wait = Histogram()
--- a/src/tanagerport/gateway/metrics_rendering.py
+++ b/src/tanagerport/gateway/metrics_rendering.py
@@ -27,6 +27,12 @@
             ("retries", "Repeated dispatches.", "reason", counters.retries),
             ("answers", "Answers of upstreams.", "outcome", counters.answers),
             ("store_calls", "Store calls.", "outcome", counters.store_calls),
+            (
+                "table_reads",
+                "Rows of the store that were read, and failed relays.",
+                "source",
+                counters.table_reads,
+            ),
             (
                 "upstream_losses",
                 "Upstreams lost with requests in progress.",
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -22,6 +22,7 @@
     ConfigurationLoader,
     ConfigurationReader,
 )
+from tanagerport.gateway.configuration_spread import ConfigurationSpread
 from tanagerport.gateway.coordination import CoordinationTransport
 from tanagerport.gateway.coordinator import START_DELAY_S, SlotCoordinator
 from tanagerport.gateway.coordinator_directory import CoordinatorDirectory
@@ -410,6 +411,7 @@
             self._coordinator.limits.describe,
         )
         self._add_registry_callbacks()
+        self._configuration_spread = ConfigurationSpread()
         self._configuration_loader = ConfigurationLoader(
             codec.create_configuration_reader(),
             self._apply_configuration,
@@ -477,6 +479,7 @@
             self._update_store_reachability,
             self._log,
             get_receiving=lambda: self._store.receiving(table),
+            reads=self._counters.table_reads,
             relays=TableRelays(
                 lambda: self._peer_exchange.nearer_readers(
                     index, self._store.round_trip_s
@@ -511,6 +514,10 @@
         gauges["configuration_answer_age_seconds"] = lambda: configuration.age_s
         gauges["upstreams_answer_age_seconds"] = lambda: upstreams.age_s
         gauges["configuration_version"] = lambda: self._configuration_version
+        spread = self._configuration_spread
+        gauges["configuration_spread_seconds"] = lambda: spread.spread_s
+        gauges["configuration_nodes_behind"] = lambda: spread.nodes_behind
+        gauges["store_round_trip_seconds"] = lambda: self._store.round_trip_s
         gauges["store_era"] = lambda: self._store.era
         gauges["upstreams_known"] = lambda: len(self._registry.all_records())
         gauges["nodes_heard"] = self._peer_exchange.count_live_nodes
@@ -735,8 +742,26 @@
             self._slots.update()
             self._crashes.expire()
             self._limits.remove_expired()
+            self._update_spread()
             self._log.flush()
 
+    def _update_spread(self) -> None:
+        spread = self._configuration_spread
+        versions = [
+            peer.configuration_version
+            for peer in self._peer_exchange.live_peers()
+        ]
+        if (
+            spread.update([*versions, self._configuration_version])
+            and self._is_first_node()
+        ):
+            self._log.info(
+                "configuration_in_force",
+                version=spread.newest,
+                nodes=len(versions) + 1,
+                spread_s=round(spread.spread_s, 3),
+            )
+
     def _log_load(self, loop_delay_s: float) -> None:
         """Logs statistics that show whether the link or the process is busy.
 
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -191,6 +191,8 @@
         is_draining: Whether it is stopping.
         store_round_trip_s: Its round trip to the store, in seconds; 0 if
             unknown.
+        configuration_version: The operator's number of the configuration that
+            it applies; 0 before the first.
     """
 
     host: str
@@ -206,6 +208,7 @@
     started_at: float = float("inf")
     is_draining: bool = False
     store_round_trip_s: float = 0.0
+    configuration_version: int = 0
 
 
 def report_interval_s(
@@ -744,6 +747,7 @@
         peer.started_at = self._now() - report.uptime_s
         peer.is_draining = report.is_draining
         peer.store_round_trip_s = report.store_round_trip_us / 1e6
+        peer.configuration_version = report.configuration_version
         self.add_hosts(report.known_hosts)
         self._on_report(report)
         return True
--- a/src/tanagerport/gateway/store_watch.py
+++ b/src/tanagerport/gateway/store_watch.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import random
@@ -111,6 +112,7 @@
             table that is being received; None if there is none.
         relays: Selects nodes nearer to the store that this node watches in its
             place; None for none.
+        reads: Counts the reads of tables by source, if given.
     """
 
     def __init__(
@@ -130,6 +132,7 @@
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
         get_receiving: Callable[[], Receiving | None] = lambda: None,
         relays: TableRelays | None = None,
+        reads: collections.Counter[str] | None = None,
     ) -> None:
         self._store = store
         self._table = table
@@ -146,6 +149,7 @@
         self._sleep = sleep
         self._get_receiving = get_receiving
         self._relays = relays
+        self._reads = collections.Counter() if reads is None else reads
         self._random = random.Random()
         self._version: StoreVersion | None = None
         self._last_response_at = float("-inf")
@@ -363,6 +367,7 @@
             if self._newer_hosts and self._fetch_failures < _MAX_FETCH_FAILURES:
                 self._wake_up.set()
             return
+        self._reads["node"] += 1
         self._log.info(
             "table_fetched",
             table=self._table,
@@ -433,6 +438,7 @@
                 _check_newer(changes, after, host)
         except PlatformError as error:
             self._relays.record_failure()
+            self._reads["relay_failed"] += 1
             self._log.info("relay_failed", table=self._table, error=str(error))
             return
         self._last_response_at = max(
@@ -441,6 +447,7 @@
         self._mark_reachable(relayed.age_s)
         if changes is None:
             return
+        self._reads["relay"] += 1
         self._log.info(
             "table_relayed",
             table=self._table,
@@ -481,6 +488,8 @@
         self._mark_reachable(0.0)
         self._apply(rows, is_whole)
         self._copy.confirm(self._last_response_at)
+        if rows.rows:
+            self._reads["store_whole" if is_whole else "store"] += 1
         if not is_whole:
             self._pause_s = _compute_pause_s(rows)
 
--- a/tests/test_gateway_configuration_loader.py
+++ b/tests/test_gateway_configuration_loader.py
@@ -8,7 +8,9 @@
 from hypothesis import strategies as st
 
 from platform_standin import configuration, route
+from tanagerport.clock import FakeClock
 from tanagerport.gateway.configuration_loader import ConfigurationLoader
+from tanagerport.gateway.configuration_spread import ConfigurationSpread
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import Configuration
 from tanagerport.gateway.table_store import Row
@@ -117,3 +119,30 @@
             assert [entry.max_dispatches for entry in read.routes] == [
                 count for _, count in routes
             ]
+
+
+class TestSpread:
+    """Guards against a metric that hides nodes with an older configuration."""
+
+    def test_time_until_the_last_node_has_it(self) -> None:
+        clock = FakeClock(100.0)
+        spread = ConfigurationSpread(clock.monotonic)
+        assert spread.update([0, 3, 3])
+        clock.advance(1.0)
+        assert not spread.update([3, 4, 3])
+        clock.advance(2.0)
+        assert (spread.spread_s, spread.nodes_behind) == (2.0, 2)
+        # A newer change counts from its own time.
+        assert not spread.update([4, 5, 4])
+        clock.advance(0.5)
+        assert spread.update([5, 5, 5])
+        clock.advance(9.0)
+        assert (spread.spread_s, spread.nodes_behind) == (0.5, 0)
+
+    def test_node_that_returns_with_an_older_one_is_behind(self) -> None:
+        clock = FakeClock(100.0)
+        spread = ConfigurationSpread(clock.monotonic)
+        spread.update([5, 5])
+        clock.advance(60.0)
+        assert not spread.update([5, 5, 3])
+        assert (spread.spread_s, spread.nodes_behind) == (60.0, 1)
