--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -6,23 +6,16 @@
 import signal
 import time
 from collections.abc import Callable, Coroutine, Iterable
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 
 from tanagerport.exceptions import (
-    DocumentError,
     SettingsError,
 )
-from tanagerport.findings import Finding
 from tanagerport.gateway.attended_clock import AttendedClock
 from tanagerport.gateway.canary_budget import CanaryLimits
 from tanagerport.gateway.client_server import ClientServer
-from tanagerport.gateway.configuration_loader import (
-    ConfigurationLoader,
-    ConfigurationReader,
-)
-from tanagerport.gateway.configuration_spread import ConfigurationSpread
 from tanagerport.gateway.coordination import CoordinationTransport
 from tanagerport.gateway.coordinator import START_DELAY_S, SlotCoordinator
 from tanagerport.gateway.coordinator_directory import CoordinatorDirectory
@@ -32,22 +25,19 @@
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.dispatch import Dispatcher
 from tanagerport.gateway.domain import (
-    ClientLimits,
-    Configuration,
-    RolloutOrder,
-    Service,
     UpstreamRecord,
 )
 from tanagerport.gateway.forwarding import RequestForwarder
 from tanagerport.gateway.http_names import HttpNames
 from tanagerport.gateway.internal_server import InternalServer
 from tanagerport.gateway.node_directory import NodeDirectory
+from tanagerport.gateway.node_tables import NodeTables
 from tanagerport.gateway.peer_exchange import (
-    MAX_TABLE_AGE_MS,
     NodeReport,
     PeerExchange,
 )
 from tanagerport.gateway.placement import UpstreamSelector
+from tanagerport.gateway.platform_codec import PlatformCodec
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.quota_checkpoint import QuotaCheckpoint
@@ -55,34 +45,18 @@
 from tanagerport.gateway.rate_gates import ShareGate
 from tanagerport.gateway.request_validation import RequestValidator
 from tanagerport.gateway.response_buffers import ResponseBuffers
-from tanagerport.gateway.restored_rows import RestoredRows, RowAge
 from tanagerport.gateway.retry_budget import RetryBudget
 from tanagerport.gateway.rollout import RolloutController
-from tanagerport.gateway.rollout_lease import RolloutState
 from tanagerport.gateway.route_table import RouteTable
 from tanagerport.gateway.scheduler import Scheduler
 from tanagerport.gateway.settings import (
-    Address,
     GatewaySettings,
     parse_address,
 )
 from tanagerport.gateway.slot_client import SlotClient
-from tanagerport.gateway.store_watch import TableWatch
-from tanagerport.gateway.table_copy import TableCopy
-from tanagerport.gateway.table_exchange import TableClient, TableServer
-from tanagerport.gateway.table_readers import (
-    MAX_READER_WAIT_S,
-    READERS_PER_REGION,
-    follower_age_s,
-    reader_rank,
-)
-from tanagerport.gateway.table_relays import TableRelays
+from tanagerport.gateway.table_exchange import TableServer
 from tanagerport.gateway.table_store import (
     RestorableTableStore,
-    Row,
-    RowWrite,
-    StoreVersion,
-    TableRows,
 )
 from tanagerport.gateway.upstream_backoff import UpstreamBackoff
 from tanagerport.gateway.upstream_health import UpstreamHealth
@@ -120,61 +94,11 @@
 # Minimum length of a pause of the process after which its connections and table
 # copies are considered stale.
 _MIN_PROCESS_PAUSE_S = 1.0
-# A call for changes ends this long before the time limit for regaining contact
-# with the store (setting `contact_ms`), so that a stalled connection is
-# detected in time. If the connection of only one node stalls, the node detects
-# it earlier from the reports of the others.
-_WATCH_MARGIN_S = 1.0
-_MIN_WATCH_WAIT_S = 0.5
-_UNKNOWN_SERVICE = Service("")
 # Settings that apply when they are reloaded. The others belong to components
 # that were created at the start.
 _RELOADED_SETTINGS = ("seeds", "contact_ms", "drain_grace_s")
 
 
-class PlatformCodec(Protocol):
-    """Decodes rows of the platform's store and encodes rollout statuses."""
-
-    @property
-    def configuration_table(self) -> str:
-        """Name of the table that holds the configuration."""
-
-    @property
-    def upstream_table(self) -> str:
-        """Name of the table that holds the upstreams."""
-
-    def is_configuration(self, row: Row) -> bool:
-        """Returns whether a row is the configuration."""
-
-    def create_configuration_reader(self) -> ConfigurationReader:
-        """Returns a reader of configurations."""
-
-    def configuration_age(self, row: Row) -> RowAge | None:
-        """Returns the age of a configuration; None for another kind of row."""
-
-    def upstream_age(self, row: Row) -> RowAge | None:
-        """Returns the age of an upstream's row; None if it is malformed."""
-
-    def decode_rollout(self, row: Row) -> RolloutOrder | None:
-        """Decodes a rollout order; returns None for a row of another kind.
-
-        Raises:
-            DocumentError: The order is invalid.
-        """
-
-    def rollout_status(
-        self, order: RolloutOrder, state: RolloutState
-    ) -> RowWrite:
-        """Returns the row write that reports a rollout's state to operators."""
-
-    def decode_upstream(self, row: Row) -> UpstreamRecord:
-        """Decodes an upstream.
-
-        Raises:
-            DocumentError: The row is not a valid upstream record.
-        """
-
-
 class GatewayNode:
     """One gateway process.
 
@@ -204,16 +128,9 @@
         self._store = store
         self._log = log
         self._load_settings = load_settings
-        self._routes: RouteTable | None = None
         self._start_id = secrets.randbits(48)
-        self._own_addresses = {
-            parse_address(settings.listen),
-            parse_address(settings.ready_listen),
-            Address(settings.peer_host, settings.metrics_port),
-        }
         self._stop_requested = asyncio.Event()
         self._is_draining = False
-        self._has_read_upstreams = False
         self._counters = counters
         self._attended_clock = AttendedClock()
         self._health = UpstreamHealth()
@@ -284,6 +201,16 @@
             log,
             is_ejected=self._health.is_ejected,
         )
+        self._tables = NodeTables(
+            lambda: self._settings,
+            codec,
+            store,
+            self._peer_exchange,
+            self._registry,
+            self._rollouts.apply_order,
+            counters,
+            log,
+        )
         self._coordination = CoordinationTransport(
             settings.peer_host, settings.coordination_port, log
         )
@@ -306,7 +233,7 @@
             self._latencies,
             self._cache,
             self._limits,
-            self._find_service,
+            self._tables.find_service,
             lambda service: directory.is_first(
                 settings.peer_host, service, settings.region
             ),
@@ -340,7 +267,7 @@
             self._latencies,
             self._cache,
             self._rollouts,
-            self._find_service,
+            self._tables.find_service,
             self._peer_exchange.send_early_report,
             self._slots,
             record_answer=self._crashes.record_answer,
@@ -396,29 +323,17 @@
             log,
         )
         self._client_server = ClientServer(
-            self._forwarder, self._get_limits, counters, log
+            self._forwarder, lambda: self._tables.client_limits, counters, log
         )
-        self._table_copies = {
-            codec.configuration_table: TableCopy(),
-            codec.upstream_table: TableCopy(),
-        }
         self._internal_server = InternalServer(
             http_names.ready_path,
             lambda: self.is_ready,
             self._counters,
-            TableServer(self._table_copies, settings.link_mbps),
+            TableServer(self._tables.copies, settings.link_mbps),
             self._quarantine,
             self._coordinator.limits.describe,
         )
         self._add_registry_callbacks()
-        self._configuration_spread = ConfigurationSpread()
-        self._configuration_loader = ConfigurationLoader(
-            codec.create_configuration_reader(),
-            self._apply_configuration,
-            self._log,
-        )
-        self._reader_rank = reader_rank(settings.peer_host, settings.link_mbps)
-        self._watches = self._create_watches()
         store.add_era_callback(self._handle_new_era)
         self._register_gauges()
 
@@ -427,99 +342,14 @@
         self._registry.add_change_callback(self._scheduler.admit_waiting)
         self._registry.add_change_callback(self._coordinator.update)
 
-    def _create_watches(self) -> tuple[TableWatch, TableWatch]:
-        """Creates the watches in the order of `NodeReport.table_versions`."""
-        codec = self._codec
-        return (
-            self._create_watch(
-                0,
-                codec.configuration_table,
-                RestoredRows(codec.configuration_age, keeps_missing=True),
-                self._apply_configuration_rows,
-                self._apply_configuration_rows,
-            ),
-            self._create_watch(
-                1,
-                codec.upstream_table,
-                RestoredRows(codec.upstream_age, keeps_missing=False),
-                self._replace_upstreams,
-                self._update_upstreams,
-            ),
-        )
-
-    def _create_watch(
-        self,
-        index: int,
-        table: str,
-        restored: RestoredRows,
-        on_full_read: Callable[[TableRows], None],
-        on_changes: Callable[[TableRows], None],
-    ) -> TableWatch:
-        """Creates the watch of a table.
-
-        Args:
-            index: Index of the table in `NodeReport.table_versions`.
-            table: Name of the table.
-            restored: Keeps rows that are newer than those of a restored store.
-            on_full_read: Called with all rows after a full read.
-            on_changes: Called with the changed rows.
-        """
-        return TableWatch(
-            self._store,
-            table,
-            self._table_copies[table],
-            TableClient(self._settings.metrics_port),
-            lambda: follower_age_s(
-                self._reader_rank, self._peer_exchange.reader_candidates(index)
-            ),
-            self._get_watch_wait_s,
-            restored,
-            on_full_read,
-            on_changes,
-            self._update_store_reachability,
-            self._log,
-            get_receiving=lambda: self._store.receiving(table),
-            reads=self._counters.table_reads,
-            relays=TableRelays(
-                lambda: self._peer_exchange.nearer_readers(
-                    index, self._store.round_trip_s
-                )
-            ),
-        )
-
     def _handle_new_era(self) -> None:
         """Reads again what the store holds after it was restored."""
         self._log.warning("store_restored", era=self._store.era)
-        for watch in self._watches:
-            watch.handle_new_era()
+        self._tables.handle_new_era()
         self._directory.handle_new_era()
 
-    def _get_watch_wait_s(self) -> float:
-        """Returns the maximum wait of a call for changes, in seconds.
-
-        It is shorter in a region where some nodes follow readers of the table
-        (see `table_readers`).
-        """
-        wait_s = max(
-            self._settings.contact_ms / 1000 - _WATCH_MARGIN_S,
-            _MIN_WATCH_WAIT_S,
-        )
-        if len(self._peer_exchange.reader_candidates(0)) >= READERS_PER_REGION:
-            return min(wait_s, MAX_READER_WAIT_S)
-        return wait_s
-
     def _register_gauges(self) -> None:
         gauges = self._counters.gauges
-        configuration, upstreams = self._watches
-        gauges["configuration_answer_age_seconds"] = lambda: configuration.age_s
-        gauges["upstreams_answer_age_seconds"] = lambda: upstreams.age_s
-        gauges["configuration_version"] = lambda: self._configuration_version
-        spread = self._configuration_spread
-        gauges["configuration_spread_seconds"] = lambda: spread.spread_s
-        gauges["configuration_nodes_behind"] = lambda: spread.nodes_behind
-        gauges["store_round_trip_seconds"] = lambda: self._store.round_trip_s
-        gauges["store_era"] = lambda: self._store.era
-        gauges["upstreams_known"] = lambda: len(self._registry.all_records())
         gauges["nodes_heard"] = self._peer_exchange.count_live_nodes
         traffic = self._peer_exchange.traffic
         gauges["report_bytes_sent"] = lambda: traffic.sent_bytes
@@ -561,8 +391,8 @@
     def _is_initialized(self) -> bool:
         """Whether the node has loaded all state required to serve requests."""
         return (
-            self._routes is not None
-            and self._has_read_upstreams
+            self._tables.routes is not None
+            and self._tables.has_read_upstreams
             and self._quota_checkpoint.is_loaded
         )
 
@@ -592,9 +422,7 @@
             loop.create_task(self._run_with_restarts(name, run))
             for name, run in (
                 ("clock", self._attended_clock.run),
-                ("configuration", self._watches[0].run),
-                ("configuration_loader", self._configuration_loader.run),
-                ("upstreams", self._watches[1].run),
+                *self._tables.tasks,
                 ("reports", self._peer_exchange.run),
                 ("membership", self._directory.run),
                 ("checkpoint", self._quota_checkpoint.run),
@@ -625,7 +453,7 @@
             if time.monotonic() > deadline_at:
                 return None
             await asyncio.sleep(_STARTUP_POLL_INTERVAL_S)
-        return self._routes
+        return self._tables.routes
 
     async def _drain(self) -> None:
         """Waits for requests in progress, at most for `drain_grace_s`."""
@@ -731,8 +559,7 @@
                     pause_s=round(boot_time - last_boot_time, 3),
                 )
                 self._store.drop_connections()
-                for watch in self._watches:
-                    watch.force_full_read()
+                self._tables.force_full_read()
             last_boot_time, last_monotonic = boot_time, monotonic
             self._quotas.observe_time()
             self._registry.remove_expired()
@@ -742,26 +569,9 @@
             self._slots.update()
             self._crashes.expire()
             self._limits.remove_expired()
-            self._update_spread()
+            self._tables.update_spread(self._is_first_node)
             self._log.flush()
 
-    def _update_spread(self) -> None:
-        spread = self._configuration_spread
-        versions = [
-            peer.configuration_version
-            for peer in self._peer_exchange.live_peers()
-        ]
-        if (
-            spread.update([*versions, self._configuration_version])
-            and self._is_first_node()
-        ):
-            self._log.info(
-                "configuration_in_force",
-                version=spread.newest,
-                nodes=len(versions) + 1,
-                spread_s=round(spread.spread_s, 3),
-            )
-
     def _log_load(self, loop_delay_s: float) -> None:
         """Logs statistics that show whether the link or the process is busy.
 
@@ -783,7 +593,9 @@
             reports_received=traffic.received_reports,
             nodes_heard=self._peer_exchange.count_live_nodes(),
             store_bytes_read=self._counters.store_bytes_read,
-            configuration_answer_age_s=round(self._watches[0].age_s, 3),
+            configuration_answer_age_s=round(
+                self._tables.configuration_age_s, 3
+            ),
             requests=self._client_server.requests_in_progress,
             waiting=sum(self._scheduler.waiting.values()),
             coordinated_waiting=sum(self._coordinator.waiting.values()),
@@ -806,7 +618,7 @@
             and settings.regions.get(peer.zone) == region
         ]
         if region == settings.region and self._coordinator.is_ready:
-            hosts.append((settings.peer_host, self._reader_rank))
+            hosts.append((settings.peer_host, self._tables.reader_rank))
         return rank_coordinators(service, hosts)
 
     def _find_overdue(
@@ -826,123 +638,15 @@
             return None
         return upstream
 
-    def _find_service(self, name: str) -> Service:
-        if self._routes is None:
-            return _UNKNOWN_SERVICE
-        return self._routes.configuration.services.get(name, _UNKNOWN_SERVICE)
-
     def _idle_connection_limit(self, service: str) -> int:
         """Returns the maximum number of idle connections to an upstream.
 
         Idle connections of all nodes together take at most half of the
         connections that an upstream accepts; the rest is left for requests.
         """
-        accepted = self._find_service(service).max_connections
+        accepted = self._tables.find_service(service).max_connections
         return max(accepted // (2 * self._peer_exchange.count_nodes()), 1)
 
-    @property
-    def _configuration_version(self) -> int:
-        if self._routes is None:
-            return 0
-        return self._routes.configuration.version
-
-    def _get_limits(self) -> ClientLimits:
-        if self._routes is None:
-            return ClientLimits()
-        return self._routes.configuration.limits
-
-    def _update_store_reachability(self, is_reachable: bool) -> None:
-        self._registry.record_store_state(is_reachable)
-
-    def _apply_configuration_rows(self, rows: TableRows) -> None:
-        for row in rows.rows:
-            if row.value is None:
-                continue
-            try:
-                order = self._codec.decode_rollout(row)
-            except DocumentError as error:
-                self._log.error(
-                    "configuration_unreadable", key=row.key, error=str(error)
-                )
-                continue
-            if order is not None:
-                self._rollouts.apply_order(order)
-            elif self._codec.is_configuration(row):
-                self._configuration_loader.submit(row)
-
-    def _apply_configuration(self, configuration: Configuration) -> None:
-        current = self._routes
-        if current is not None and (
-            current.configuration.version >= configuration.version
-        ):
-            return
-        self._routes = RouteTable(configuration)
-        self._log.info(
-            "configuration_applied",
-            version=configuration.version,
-            routes=len(configuration.routes),
-            customers=len(configuration.customers),
-        )
-
-    def _replace_upstreams(self, rows: TableRows) -> None:
-        self._has_read_upstreams = True
-        self._registry.replace_all(
-            (
-                record
-                for row in rows.rows
-                if (record := self._decode_upstream(row)) is not None
-            ),
-            rows.era,
-        )
-
-    def _update_upstreams(self, rows: TableRows) -> None:
-        for row in rows.rows:
-            if row.value is None:
-                self._log.info("upstream_row_gone", upstream=row.key)
-                self._registry.remove(row.key)
-                continue
-            record = self._decode_upstream(row)
-            if record is not None:
-                self._registry.put(record)
-
-    def _decode_upstream(self, row: Row) -> UpstreamRecord | None:
-        """Decodes a row; an unreadable one takes its upstream out of use."""
-        try:
-            record = self._codec.decode_upstream(row)
-            self._check_upstream_address(record)
-        except DocumentError as error:
-            self._log.warning(
-                "upstream_unreadable", key=row.key, error=str(error)
-            )
-            self._registry.discard(row.key)
-            return None
-        previous = self._registry.get(record.upstream_id)
-        if previous is None or previous.state is not record.state:
-            self._log.info(
-                "upstream_changed",
-                upstream=record.upstream_id,
-                service=record.service,
-                zone=record.zone,
-                state=record.state.value,
-                version=record.version,
-                slots=record.slots,
-            )
-        return record
-
-    def _check_upstream_address(self, record: UpstreamRecord) -> None:
-        """Checks that an upstream isn't this node itself.
-
-        The node would forward a request to itself again and again.
-
-        Raises:
-            DocumentError: The address is one of this node.
-        """
-        if Address(record.host, record.port) in self._own_addresses:
-            raise DocumentError(
-                f"upstream {record.upstream_id}",
-                [Finding("address", "is an address of this node")],
-            )
-
     def _remove_upstream_state(self, record: UpstreamRecord) -> None:
         self._log.info("upstream_gone", upstream=record.upstream_id)
         self._health.remove_upstream(record.upstream_id)
@@ -958,16 +662,14 @@
         self, sequence: int, known_hosts: list[str] | None
     ) -> NodeReport:
         is_whole = known_hosts is not None
+        tables = self._tables
         return NodeReport(
             self._settings.node,
             self._start_id,
             sequence,
             self._settings.peer_host,
             self._settings.zone,
-            (
-                self._watches[0].newest_row_version.number,
-                self._watches[1].newest_row_version.number,
-            ),
+            tables.versions,
             self._load_tracker.local_loads(),
             self._latencies.take_samples(),
             round(self._quotas.uptime_s, 1),
@@ -975,48 +677,19 @@
             self._quotas.report() if is_whole else self._quotas.changes(),
             self._rollouts.report(),
             known_hosts or [],
-            table_ages_ms=(
-                _own_response_age_ms(self._watches[0]),
-                _own_response_age_ms(self._watches[1]),
-            ),
+            table_ages_ms=tables.ages_ms,
             link_mbps=round(self._settings.link_mbps),
             is_draining=self._is_draining,
             crash_evidence=self._crashes.report(is_whole),
-            table_eras=(
-                self._watches[0].newest_row_version.era,
-                self._watches[1].newest_row_version.era,
-            ),
-            has_lost_rows=(
-                self._table_copies[
-                    self._codec.configuration_table
-                ].has_lost_rows,
-                self._table_copies[self._codec.upstream_table].has_lost_rows,
-            ),
-            configuration_version=self._configuration_version,
+            table_eras=tables.eras,
+            has_lost_rows=tables.has_lost_rows,
+            configuration_version=tables.configuration_version,
             limits=self._limits.report(),
             store_round_trip_us=round(self._store.round_trip_s * 1e6),
         )
 
     def _apply_report(self, report: NodeReport) -> None:
-        for watch, era, number in zip(
-            self._watches, report.table_eras, report.table_versions, strict=True
-        ):
-            watch.handle_peer_version(
-                StoreVersion(era, number),
-                report.host,
-                self._settings.regions.get(report.zone)
-                != self._settings.region,
-            )
-        for watch, has_lost_rows in zip(
-            self._watches, report.has_lost_rows, strict=True
-        ):
-            if has_lost_rows:
-                watch.handle_lost_rows(report.host)
-        if report.configuration_version > self._configuration_version:
-            self._watches[0].handle_newer_contents(
-                StoreVersion(report.table_eras[0], report.table_versions[0]),
-                report.host,
-            )
+        self._tables.apply_report(report)
         self._load_tracker.apply_report(
             report.node,
             report.loads,
@@ -1047,7 +720,3 @@
 
     def _remove_peer_state(self, node: str) -> None:
         self._load_tracker.remove_report(node)
-
-
-def _own_response_age_ms(watch: TableWatch) -> int:
-    return round(min(watch.own_response_age_s * 1000, MAX_TABLE_AGE_MS))
