Let a test's clients leave once their requests have reached an upstream

Traced: with the node stopped for 0.15 s at one of the requests (a scratch copy), the same 7 >= 8 fails; the client, which left after 0.1 s, had gone before the node passed its request on. That is what the node should do; such a request breaks no connection of an upstream, which is what the test is for.

The test now waits until each request has reached an upstream, 5 s at most, and breaks its connection 0.1 s later: all 8 must have reached one, as before.

--- a/tests/test_gateway_crashing_prompts.py
+++ b/tests/test_gateway_crashing_prompts.py
@@ -18,6 +18,8 @@
 _MAX_CRASHES = 5
 _MAX_LATER_REQUESTS = 3
 _RESTART_S = 0.8
+# Time within which a request reaches an upstream, in seconds.
+_REACHED_S = 5.0
 
 
 class _CrashingUpstreams:
@@ -254,10 +256,17 @@
                 call = asyncio.create_task(
                     _call(cluster, number, f"shared:10,own{number}:60")
                 )
+                # A client that left before would break no connection.
+                async with asyncio.timeout(_REACHED_S):
+                    while f"a{number}" not in {
+                        attempt
+                        for upstream in upstreams
+                        for attempt in upstream.started_attempts
+                    }:
+                        await asyncio.sleep(0.01)
                 await asyncio.sleep(0.1)
                 call.cancel()
                 await asyncio.gather(call, return_exceptions=True)
-            assert sum(len(u.started_attempts) for u in upstreams) >= 8
             for upstream in upstreams:
                 upstream.handler = standin.stream(6, interval_s=0.02)
             response = await _call(cluster, 9, "shared:10,own:60")
