Don't let nodes that are behind as well hide a stalled call

Cause: a node whose call to the store is slower than other nodes' reports ends it after 0.3 to 0.6 s and fetches the rows from one of them. Each report of any node without newer rows reset that time, so in a region of 34 nodes that were all behind, which hear of each other every 10 ms, none ever did it.

Change: the time runs for as long as any known node has newer rows, and ends with rows of any source.

Evidence: the new test fails before (watched [7], not [7, 7, 9]).

--- a/src/tanagerport/gateway/store_watch.py
+++ b/src/tanagerport/gateway/store_watch.py
@@ -236,8 +236,9 @@
         # Compare with the version of the copy, not of its newest row: the other
         # node's newest row may be a deletion, which a full read does not show.
         if version <= self._copy.version:
-            self._behind_since = None
             self._newer_hosts.pop(host, None)
+            if not self._newer_hosts:
+                self._behind_since = None
             return
         self._newer_hosts[host] = is_remote
         if self._is_follower():
@@ -515,6 +516,7 @@
         self._timeout_exponent = max(self._timeout_exponent - 1, 0)
         self._fetch_failures = 0
         self._newer_hosts.clear()
+        self._behind_since = None
         self._remote_fetch_at = None
         self._version = rows.store_version
         usable = dataclasses.replace(
--- a/tests/test_gateway_watch.py
+++ b/tests/test_gateway_watch.py
@@ -177,6 +177,31 @@
         assert store.watched == [7, 7, 9]
         assert [rows.version for rows in changed] == [9]
 
+    def test_nodes_that_are_behind_as_well_do_not_hide_it(self) -> None:
+        """Guards against a region in which all nodes keep to stalled calls.
+
+        Each report of a node with the same old version made the others forget
+        that they were behind.
+        """
+        store = _HangingStore()
+
+        async def run_watch() -> None:
+            clock = FakeClock(100.0)
+            watch = _create_watch(store, clock)
+            task = asyncio.create_task(watch.run())
+            await gateway_doubles.run_pending_tasks()
+            for _ in range(9):
+                watch.handle_peer_version(StoreVersion(0, 9), "10.0.0.2")
+                clock.advance(0.05)
+                watch.handle_peer_version(StoreVersion(0, 7), "10.0.0.3")
+                clock.advance(0.05)
+                await gateway_doubles.run_pending_tasks()
+            await gateway_doubles.run_pending_tasks()
+            task.cancel()
+
+        asyncio.run(run_watch())
+        assert store.watched == [7, 7, 9]
+
     def test_slow_call_is_eventually_completed(self) -> None:
         """Guards against a call that is restarted before it can complete.
 
