--- a/tests/measure_table_spread.py
+++ b/tests/measure_table_spread.py
@@ -65,15 +65,27 @@
     if has_relays:
         for node in regions[1]:
             node.relays = regions[0][:_READERS]
+    for region in (0, 1):
+        for node in regions[region]:
+            node.remote_nodes = regions[1 - region]
             assert node.link is not None
             node.relay_link = _CountingLink(node.link, between)
     everyone = regions[0] + regions[1]
     tasks = [
         asyncio.create_task(run)
         for node in everyone
-        for run in (node.watch.run(), node.report())
+        for run in (
+            node.watch.run(),
+            node.report(),
+            node.report_to_remote(),
+        )
     ]
+    started_at = time.monotonic()
     await asyncio.sleep(_START_S)
+    start_kb = between.sent_bytes / 1000
+    first = max(
+        node.applied_at.get(store.version, float("inf")) for node in everyone
+    )
     thin = [node.link for node in everyone if node.link is not None]
     before = (store.calls, at_store.sent_bytes, between.sent_bytes)
     thin_before = [link.sent_bytes for link in thin]
@@ -103,6 +115,8 @@
         "near_store_kb": round((at_store.sent_bytes - before[1]) / 1000),
         "between_regions_kb": round((between.sent_bytes - before[2]) / 1000),
         "busiest_link_kb": round(busiest / 1000),
+        "start_between_regions_kb": round(start_kb),
+        "start_last_node_s": round(first - started_at, 2),
         "last_node_s": round(last - changed_at, 2),
     }
 
--- a/tests/simulated_tables.py
+++ b/tests/simulated_tables.py
@@ -32,6 +32,10 @@
 # Time of a fetch between nodes without simulated links, in seconds.
 _FETCH_S = 0.1
 _REPORT_INTERVAL_S = 0.3
+# Interval of reports to another region with that of the relay, in seconds.
+_REMOTE_REPORT_S = 1.6
+# Prefix of the hosts of another region.
+_REMOTE = "remote-"
 _MAX_BYTES = 32 * 1024 * 1024
 
 
@@ -168,6 +172,7 @@
         applied_at: Monotonic time at which it applied each version.
         relay_link: Link to its relays in another region.
         relays: Nodes of another region through which it watches the store.
+        remote_nodes: Nodes of another region that hear of its version.
         link: Its own link; None if fetches take a fixed time.
         report_interval_s: Mean interval of its reports, in seconds.
     """
@@ -183,6 +188,7 @@
         self.link: Link | None = None
         self.report_interval_s = _REPORT_INTERVAL_S
         self.relays: list[SimulatedNode] = []
+        self.remote_nodes: list[SimulatedNode] = []
         self.reported_age_s = float("inf")
         self.reported_at = time.monotonic()
         self._nodes = nodes
@@ -228,6 +234,8 @@
     ) -> TableChanges:
         """Implements `TableFetcher` within the region."""
         del table
+        if host.startswith(_REMOTE):
+            return await self._fetch_remote(host.removeprefix(_REMOTE), after)
         other = self._nodes[int(host)]
         if other.copy.version <= after:
             raise StoreUnavailableError("no newer rows")
@@ -240,6 +248,26 @@
             await self.link.transfer(size, lambda: None)
         return other.copy._collect_changes(after)
 
+    async def _fetch_remote(
+        self, host: str, after: StoreVersion
+    ) -> TableChanges:
+        other = self.remote_nodes[int(host)].copy
+        if other.version <= after or self.relay_link is None:
+            raise StoreUnavailableError("no newer rows")
+        await self.relay_link.transfer(
+            len(other.encode_changes(after)), lambda: None
+        )
+        return other._collect_changes(after)
+
+    async def report_to_remote(self) -> None:
+        """Tells the nodes of another region its version, through a relay."""
+        while True:
+            await asyncio.sleep(_REMOTE_REPORT_S * (0.8 + 0.4 * self._offset))
+            for node in self.remote_nodes:
+                node.watch.handle_peer_version(
+                    self.copy.version, _REMOTE + self.host, is_remote=True
+                )
+
     async def report(self) -> None:
         """Tells the other nodes its version, as the reports do."""
         while True:
