Let a relay that is a little behind answer a watch

In the log of a distant reader 4 of 95 watches at relays ended with 409, each followed by 1 to 3 s in which it called the store itself, over the thin link: the table of upstreams changes several times a second, and the next relay that the reader drew had not read the last change yet.

Change: such a relay waits as for a requester with its own version, and then says what the store told it last, with its age. It still refuses a requester of a later era, and says nothing for a store that has been silent for 2.5 s.

Evidence: one new test, and one case of another that stated the 409, fail before; both pass.

--- a/src/tanagerport/gateway/table_exchange.py
+++ b/src/tanagerport/gateway/table_exchange.py
@@ -127,13 +127,16 @@
         request = self._parse(target)
         if request is None or request.wait_s is None:
             return TableResponse(*self.handle_request(target))
-        if request.copy.version == request.after:
-            await request.copy.wait_for_update(request.wait_s)
-        age_s = self._now() - request.copy.confirmed_at
+        copy, after = request.copy, request.after
+        if copy.version <= after and copy.version.era == after.era:
+            await copy.wait_for_update(request.wait_s)
+        age_s = self._now() - copy.confirmed_at
         status, body = self.handle_request(target)
+        # The requester may know more already, from another node. What the store
+        # said to this one is true all the same, as of its age.
         if (
             status == 409
-            and request.copy.version == request.after
+            and copy.version.era == after.era
             and age_s <= MAX_RELAYED_AGE_S
         ):
             status = 204
