List a request without an answer that the soak met once

The driver now says when such a connection was opened, which the log can't tell of one that was never accepted.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -442,7 +442,12 @@
             elif is_first and node.was_stopping(opened_at, _CLOSE_IDLE_S):
                 self.statuses["not accepted"] += 1
             else:
-                self.fail(node, f"{attempt}: no answer: {error!r}")
+                self.fail(
+                    node,
+                    f"{attempt}: no answer: {error!r}; connection opened at"
+                    f" {opened_at:.3f}, {'first' if is_first else 'later'}"
+                    " request",
+                )
             return None
         took_s = time.monotonic() - sent_at - node.stood_still_s(sent_at)
         if took_s > max(entry[2] for entry in self._limits) + _SLACK_S:
