Measure the turns of the loader in processor time

Traced: of 24 runs at once some had turns of 0.2 to 0.3 s, which is the time that the process did not have the processor.

A turn's processor time is what the loader takes from other tasks; the bound of 50 ms is the same. 24 of 24 runs at once pass; without the pauses between slices it fails as before (134 ms).

--- a/tests/test_gateway_configuration_loader.py
+++ b/tests/test_gateway_configuration_loader.py
@@ -36,7 +36,9 @@
     """Guards against configurations that hold up requests, or get lost."""
 
     def _load(self, *rows: Row) -> tuple[list[Configuration], float]:
-        """Returns the applied configurations and the longest delay.
+        """Returns the applied configurations and the longest turn.
+
+        Turns count in processor time, as other programs use the machine, too.
 
         Args:
             rows: Rows that are submitted, the first one alone.
@@ -51,9 +53,9 @@
             delays_s = [0.0]
 
             async def give_turn() -> None:
-                before = time.monotonic()
+                before = time.process_time()
                 await asyncio.sleep(0)
-                delays_s.append(time.monotonic() - before)
+                delays_s.append(time.process_time() - before)
 
             for number, row in enumerate(rows):
                 loader.submit(row)
