--- a/tests/measure_table_spread.py
+++ b/tests/measure_table_spread.py
@@ -86,9 +86,9 @@
     first = max(
         node.applied_at.get(store.version, float("inf")) for node in everyone
     )
-    thin = [node.link for node in everyone if node.link is not None]
+    links = [node.link for node in everyone if node.link is not None]
     before = (store.calls, at_store.sent_bytes, between.sent_bytes)
-    thin_before = [link.sent_bytes for link in thin]
+    sent_before = [link.sent_bytes for link in links]
     changed_at = time.monotonic()
     await store.change()
     while time.monotonic() - changed_at < _CHANGE_S and not all(
@@ -102,10 +102,10 @@
     )
     for task in tasks:
         task.cancel()
-    busiest = max(
-        link.sent_bytes - sent
-        for link, sent in zip(thin, thin_before, strict=True)
-    )
+    sent = [
+        (link.sent_bytes - before, link.bytes_per_s)
+        for link, before in zip(links, sent_before, strict=True)
+    ]
     return {
         "nodes": nodes,
         "routes": routes,
@@ -114,13 +114,21 @@
         "calls": store.calls - before[0],
         "near_store_kb": round((at_store.sent_bytes - before[1]) / 1000),
         "between_regions_kb": round((between.sent_bytes - before[2]) / 1000),
-        "busiest_link_kb": round(busiest / 1000),
+        "widest_links_kb": _most_kb(sent, _WIDE_BYTES_PER_S),
+        "smallest_links_kb": _most_kb(sent, _THIN_BYTES_PER_S),
         "start_between_regions_kb": round(start_kb),
         "start_last_node_s": round(first - started_at, 2),
         "last_node_s": round(last - changed_at, 2),
     }
 
 
+def _most_kb(sent: list[tuple[float, float]], bytes_per_s: float) -> int:
+    """Returns the most that any link of a bandwidth carried, in KB."""
+    return round(
+        max(size for size, bandwidth in sent if bandwidth == bytes_per_s) / 1000
+    )
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--nodes", type=int, default=69)
--- a/tests/simulated_tables.py
+++ b/tests/simulated_tables.py
@@ -69,12 +69,13 @@
         bytes_per_s: Bandwidth.
 
     Attributes:
+        bytes_per_s: Bandwidth.
         sent_bytes: Bytes that went over the link.
     """
 
     def __init__(self, bytes_per_s: float) -> None:
         self.sent_bytes = 0.0
-        self._bytes_per_s = bytes_per_s
+        self.bytes_per_s = bytes_per_s
         self._transfers = 0
 
     async def transfer(
@@ -85,7 +86,7 @@
         try:
             while size > 0:
                 started_at = time.monotonic()
-                share = self._bytes_per_s / self._transfers
+                share = self.bytes_per_s / self._transfers
                 await asyncio.sleep(0.02)
                 part = min(share * (time.monotonic() - started_at), size)
                 size -= part
