Reproduce a node that is killed because it noticed its stop late

Callers: requests in progress around a SIGTERM end without an answer.

A node that stands still for 0.5, 1 or 2 s in the instant of the signal counts its grace from the turn of the event loop that notices it, and its supervisor kills it at the end of the real one.

--- /dev/null
+++ b/tests/test_gateway_late_stop.py
@@ -0,0 +1,174 @@
+"""Tests of a planned stop that a node notices late, beside its supervisor."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+import platform_standin as standin
+from platform_standin import GatewayProcess, LocalCluster, configuration, route
+
+_GRACE_S = 6.0
+_ROUTES = [
+    route(
+        name, kind, timeout_ms=20_000, target_itl_ms=250, max_attempts=attempts
+    )
+    for name, kind, attempts in (
+        ("read", "idempotent", 1),
+        ("pay", "non_idempotent", 2),
+        ("call", "streaming", 1),
+    )
+]
+
+
+def run_scenario(
+    directory: pathlib.Path, scenario: Callable[[LocalCluster], Awaitable[None]]
+) -> None:
+    """Runs a scenario on a cluster with one gateway."""
+
+    async def run_cluster() -> None:
+        async with standin.local_cluster(
+            directory, configuration(1, _ROUTES)
+        ) as cluster:
+            await cluster.add_gateway(drain_grace_s=_GRACE_S)
+            await cluster.gateway.wait_ready()
+            await scenario(cluster)
+
+    asyncio.run(run_cluster())
+
+
+async def stand_still(gateway: GatewayProcess, duration_s: float) -> None:
+    """Stops the process for some time, in seconds."""
+    gateway.signal(signal.SIGSTOP)
+    await asyncio.sleep(duration_s)
+    gateway.signal(signal.SIGCONT)
+
+
+async def supervise(gateway: GatewayProcess, signaled_at: float) -> int:
+    """Kills the process at the end of its grace; returns its status."""
+    kill = asyncio.get_running_loop().call_later(
+        signaled_at + _GRACE_S - time.monotonic(),
+        gateway.signal,
+        signal.SIGKILL,
+    )
+    try:
+        return await gateway.wait()
+    finally:
+        kill.cancel()
+
+
+async def send(
+    cluster: LocalCluster, attempt: str, target: str, ends_at: float
+) -> standin.ClientResponse | None:
+    """Sends a request whose last byte leaves at a monotonic time.
+
+    Returns:
+        The response; None if there was none, or no connection.
+    """
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        reader, writer = await asyncio.open_connection(
+            standin.HOST, cluster.gateway.port
+        )
+        fields = {"Attempt-Id": attempt, "Deadline-Ms": "20000"}
+        data = standin.request_bytes("POST", target, b"body", fields)
+        try:
+            writer.write(data[:-1])
+            await asyncio.sleep(max(ends_at - time.monotonic(), 0))
+            writer.write(data[-1:])
+            return await standin.read_response(reader)
+        finally:
+            writer.close()
+    return None
+
+
+class TestStandstillAtTheSignal:
+    """Guards against a node that is killed in its drain.
+
+    It counted its grace from the turn of the event loop that noticed SIGTERM,
+    so what was in progress had neither an answer nor a line in the log.
+    """
+
+    @pytest.mark.parametrize("standstill_s", [0.5, 1.0, 2.0])
+    def test_requests_are_ended_before_the_kill(
+        self, tmp_path: pathlib.Path, standstill_s: float
+    ) -> None:
+        async def scenario(cluster: LocalCluster) -> None:
+            upstream = await cluster.add_upstream(
+                "u-1", standin.hang, slot_count=40
+            )
+            gateway = cluster.gateway
+            now = time.monotonic()
+            early = [
+                asyncio.ensure_future(
+                    send(cluster, f"early-{kind}", f"/{kind}/x", now)
+                )
+                for kind in ("read", "pay", "call")
+            ]
+            async with asyncio.timeout(5.0):
+                while len(upstream.started_attempts) < len(early):
+                    await asyncio.sleep(0.01)
+            signaled_at = time.monotonic()
+            late = [
+                asyncio.ensure_future(
+                    send(
+                        cluster,
+                        f"late-{tenth}",
+                        "/pay/x",
+                        signaled_at + tenth / 10,
+                    )
+                )
+                for tenth in range(10, 35, 2)
+            ]
+            await asyncio.sleep(0.2)
+            gateway.signal(signal.SIGTERM)
+            signaled_at = time.monotonic()
+            status = asyncio.ensure_future(supervise(gateway, signaled_at))
+            await stand_still(gateway, standstill_s)
+            assert await status == 0
+            for response in await asyncio.gather(*early, *late):
+                assert response is not None
+                assert response.status in {503, 504}
+                assert json.loads(response.body)["error"]["ran"] in {
+                    "no",
+                    "unknown",
+                }
+            assert gateway.log_lines()[-1]["event"] == "stopped"
+
+        run_scenario(tmp_path, scenario)
+
+
+class TestStandstillAtTheEnd:
+    """Guards against a standstill that takes the last steps of a drain away."""
+
+    def test_requests_are_ended_before_the_kill(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def scenario(cluster: LocalCluster) -> None:
+            await cluster.add_upstream("u-1", standin.hang, slot_count=40)
+            gateway = cluster.gateway
+            now = time.monotonic()
+            calls = [
+                asyncio.ensure_future(
+                    send(cluster, f"{kind}-{number}", f"/{kind}/x", now)
+                )
+                for kind in ("read", "pay", "call")
+                for number in range(10)
+            ]
+            await asyncio.sleep(0.5)
+            gateway.signal(signal.SIGTERM)
+            signaled_at = time.monotonic()
+            status = asyncio.ensure_future(supervise(gateway, signaled_at))
+            await asyncio.sleep(_GRACE_S - 1.1)
+            await stand_still(gateway, 0.6)
+            assert await status == 0
+            for response in await asyncio.gather(*calls):
+                assert response is not None
+                assert response.status == 504
+            assert gateway.log_lines()[-1]["event"] == "stopped"
+
+        run_scenario(tmp_path, scenario)
