Log each request that a stop meets, and how it ended

An on-call engineer could not say what became of the requests in progress at a SIGTERM: the lines that name a request are the first to be dropped, warnings wait behind all routine lines, and a close by the node was logged as client_gone, as if the client had left.

A line for each request in progress at the signal and at the end of the grace, and one for how each ended; later requests have one unless they ended whole. They bypass the rate limits, are written first, and into an enlarged pipe if its reader is behind (the pipe outlives the process). A cancellation by the node no longer counts as a client that left.

Failed before: the new tests of test_gateway_drain_record.py (no such lines; client_gone for the stream that the node cut).

--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -17,6 +17,7 @@
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import ClientLimits
+from tanagerport.gateway.drain_record import DrainRecord, describe_response
 from tanagerport.gateway.io_timeout import IoTimeout
 from tanagerport.gateway.request_errors import end_failed_request
 from tanagerport.gateway.time_slices import TimeSlice
@@ -69,6 +70,7 @@
         counters: Metrics of the process.
         log: Structured decision log.
         is_draining: Returns whether the connection closes after a response.
+        drain_record: Records how requests end during a stop.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         counters: Counters,
         log: DecisionLog,
         is_draining: Callable[[], bool],
+        drain_record: DrainRecord,
     ) -> None:
         self._channel = channel
         self._handler = handler
@@ -90,6 +93,7 @@
         self._counters = counters
         self._log = log
         self._is_draining = is_draining
+        self._drain_record = drain_record
         self._is_idle = True
         self._idle_since = time.monotonic()
         # Response in progress, or the last one.
@@ -109,6 +113,13 @@
             and not self._channel.unread_bytes
         )
 
+    @property
+    def response_in_progress(self) -> ClientResponse | None:
+        """Response that is being made or sent; None without a request."""
+        if self._is_idle and not self._channel.has_unsent:
+            return None
+        return self._response
+
     def close_idle(self, cause: CloseCause) -> None:
         """Tells the client at once that the connection closes.
 
@@ -139,6 +150,8 @@
 
     def record_close(self, cause: CloseCause) -> None:
         """Records a close by the server, and what its client had sent."""
+        if self._response is not None:
+            self._response.is_closed_by_node = True
         self._counters.connections_closed[cause.value] += 1
         unread_bytes = self._channel.unread_bytes
         if (
@@ -179,16 +192,9 @@
 
     def _describe_response(self) -> dict[str, object]:
         """Returns what the log tells of the response in progress, or last."""
-        response = self._response
-        if response is None:
+        if self._response is None:
             return {}
-        return {
-            "request": response.request_id,
-            "upstream": response.upstream_id,
-            "age_s": round(time.monotonic() - response.received_at, 3),
-            "has_begun": response.is_started,
-            "is_whole": response.is_finished,
-        }
+        return describe_response(self._response)
 
     async def _handle_request(self) -> bool:
         """Handles one request; returns whether the connection stays open."""
@@ -201,6 +207,24 @@
             self._announce_idle_timeout_s,
         )
         self._response = response
+        try:
+            return await self._respond(response)
+        finally:
+            closed_by = "" if self._channel.is_open else "client"
+            if response.is_closed_by_node:
+                closed_by = "node"
+            self._drain_record.record_end(
+                response,
+                is_sent=not self._channel.has_unsent,
+                closed_by=closed_by,
+            )
+
+    async def _respond(self, response: ClientResponse) -> bool:
+        """Reads a request and has it handled.
+
+        Returns:
+            Whether the connection stays open.
+        """
         try:
             request = await self._read_request()
             if request is None:
--- a/src/tanagerport/gateway/client_messages.py
+++ b/src/tanagerport/gateway/client_messages.py
@@ -56,6 +56,8 @@
         upstream_id: Upstream to which the request was last sent; empty if it
             was not sent.
         received_at: Monotonic seconds at which the request came.
+        status: HTTP status that was sent; 0 before.
+        is_closed_by_node: Whether the node closes the connection.
         deliver_until: Monotonic seconds until which its client may read it.
     """
 
@@ -77,6 +79,8 @@
         self.request_id = ""
         self.upstream_id = ""
         self.received_at = time.monotonic()
+        self.status = 0
+        self.is_closed_by_node = False
         self.deliver_until = self.received_at + _DEFAULT_DELIVERY_S
 
     @property
@@ -101,6 +105,7 @@
         elif timeout_s := self._announce_idle_timeout_s():
             headers = [*headers, (b"Keep-Alive", b"timeout=%d" % timeout_s)]
         self._started = True
+        self.status = status
         self._send(
             h11.Response(status_code=status, reason=reason, headers=headers)
         )
--- a/src/tanagerport/gateway/client_server.py
+++ b/src/tanagerport/gateway/client_server.py
@@ -5,10 +5,14 @@
 
 from tanagerport.gateway.channel import Channel
 from tanagerport.gateway.client_connection import ClientConnection, CloseCause
-from tanagerport.gateway.client_messages import RequestHandler
+from tanagerport.gateway.client_messages import (
+    ClientResponse,
+    RequestHandler,
+)
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import ClientLimits
+from tanagerport.gateway.drain_record import DrainPhase, DrainRecord
 
 # Time for cancelled connections to finish when the server closes, in seconds.
 _CLOSE_TIMEOUT_S = 1.0
@@ -38,6 +42,7 @@
         self._server: asyncio.Server | None = None
         self._connections: dict[asyncio.Task[None], ClientConnection] = {}
         self._draining = False
+        self._drain_record = DrainRecord(log)
 
     @property
     def open_connections(self) -> int:
@@ -63,6 +68,13 @@
     def start_draining(self) -> None:
         """Closes each connection after its next response."""
         self._draining = True
+        self._drain_record.start(self._responses_in_progress())
+
+    def record_progress(self) -> None:
+        """Logs the requests that are in progress late in a stop."""
+        self._drain_record.record_progress(
+            DrainPhase.LAST_SECOND, self._responses_in_progress()
+        )
 
     def close_idle(self) -> None:
         """Closes the listening socket and the idle connections."""
@@ -84,6 +96,13 @@
         if tasks:
             await asyncio.wait(tasks, timeout=_CLOSE_TIMEOUT_S)
 
+    def _responses_in_progress(self) -> list[ClientResponse]:
+        return [
+            response
+            for connection in self._connections.values()
+            if (response := connection.response_in_progress) is not None
+        ]
+
     def _accept(self, channel: Channel) -> None:
         connection = ClientConnection(
             channel,
@@ -92,6 +111,7 @@
             self._counters,
             self._log,
             lambda: self._draining,
+            self._drain_record,
         )
         task = asyncio.get_running_loop().create_task(connection.run())
         self._connections[task] = connection
--- a/src/tanagerport/gateway/decision_log.py
+++ b/src/tanagerport/gateway/decision_log.py
@@ -1,6 +1,8 @@
 """Structured log of a gateway process, rate limited and non-blocking."""
 
 import collections
+import contextlib
+import fcntl
 import os
 import select
 import time
@@ -16,6 +18,11 @@
 # decisions leave room for the warnings that explain a failed request.
 _MAX_QUEUED_LINES = 2000
 _MAX_QUEUED_DECISIONS = 1500
+# Urgent lines that may wait; some three for each client connection of a node.
+_MAX_QUEUED_URGENT = 8000
+# Size of the pipe while urgent lines wait for its reader, in bytes: the most
+# that Linux grants to an unprivileged process by default.
+_LARGE_PIPE_BYTES = 1 << 20
 # Limits for each event name, so that frequent events don't displace others.
 # Warnings and errors explain failures and have a higher limit.
 _INFO_LINES_PER_S = 20
@@ -80,6 +87,8 @@
         self._descriptor = descriptor
         self._now = now
         self._queue = _LineQueue()
+        self._urgent: collections.deque[bytes] = collections.deque()
+        self._has_large_pipe = False
         self._unwritten = b""
         self._rate_limits: dict[str, _RateLimit] = {}
         self._dropped: collections.Counter[str] = collections.Counter()
@@ -115,6 +124,17 @@
         """Logs an error of this process."""
         self._logger.error(event, **fields)
 
+    def urgent(self, event: str, **fields: Any) -> None:
+        """Logs an event before all others that wait, whatever their number."""
+        if len(self._urgent) >= _MAX_QUEUED_URGENT:
+            self._dropped[event] += 1
+            return
+        self._urgent.append(
+            self._render(
+                None, "", {**fields, "event": event, "level": "warning"}
+            )
+        )
+
     def refused(self, request_id: str, refusal: Refusal, **fields: Any) -> None:
         """Logs the refusal of a request."""
         self.warning(
@@ -136,7 +156,7 @@
         self._reported_at = float("-inf")
         ends_at = time.monotonic() + timeout_s
         self.flush()
-        while self._queue.lines or self._unwritten:
+        while self._has_lines:
             left_s = ends_at - time.monotonic()
             if left_s <= 0:
                 return
@@ -146,26 +166,52 @@
     def flush(self) -> None:
         """Writes queued lines until none is left or a write would block."""
         self._report_dropped()
-        while self._queue.lines or self._unwritten:
+        while self._has_lines:
             if not self._unwritten:
                 self._unwritten = self._take_block()
             try:
                 written = os.write(self._descriptor, self._unwritten)
             except BlockingIOError:
-                return
+                if not self._urgent or not self._enlarge_pipe():
+                    return
+                continue
             except OSError:
                 # The reader has closed the log, so there is nowhere to log the
                 # error.
                 self._queue.lines.clear()
+                self._urgent.clear()
                 self._unwritten = b""
                 return
             self._unwritten = self._unwritten[written:]
 
+    @property
+    def _has_lines(self) -> bool:
+        return bool(self._urgent or self._queue.lines or self._unwritten)
+
+    def _enlarge_pipe(self) -> bool:
+        """Makes room in the pipe of a reader that is behind.
+
+        What is in the pipe outlives the process.
+
+        Returns:
+            Whether there is more room.
+        """
+        if self._has_large_pipe:
+            return False
+        self._has_large_pipe = True
+        with contextlib.suppress(OSError):
+            # It may be a file or a socket, or the system grants less.
+            fcntl.fcntl(self._descriptor, fcntl.F_SETPIPE_SZ, _LARGE_PIPE_BYTES)
+            return True
+        return False
+
     def _take_block(self) -> bytes:
-        lines = self._queue.lines
         block = []
         size = 0
-        while lines and size < _BLOCK_BYTES:
+        while size < _BLOCK_BYTES:
+            lines = self._urgent or self._queue.lines
+            if not lines:
+                break
             line = lines.popleft()
             size += len(line)
             block.append(line)
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -160,14 +160,15 @@
         except RefusedError as error:
             self._refuse(request_id, request, response, error.refusal)
         except asyncio.CancelledError:
-            self._counters.clients_gone += 1
-            self._log.info(
-                "client_gone",
-                request=response.request_id,
-                after_s=round(self._now() - request.received_at, 3),
-                upstream=response.upstream_id,
-                has_begun=response.is_started,
-            )
+            if not response.is_closed_by_node:
+                self._counters.clients_gone += 1
+                self._log.info(
+                    "client_gone",
+                    request=response.request_id,
+                    after_s=round(self._now() - request.received_at, 3),
+                    upstream=response.upstream_id,
+                    has_begun=response.is_started,
+                )
             raise
         except Exception as error:  # Any fault gets a final answer.
             end_failed_request(
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -465,6 +465,7 @@
             "stopping", requests=self._client_server.requests_in_progress
         )
         self._client_server.start_draining()
+        self._log.flush()
         self._forwarder.start_draining(stops_at)
         self._coordinator.stop()
         self._peer_exchange.send_report()
@@ -478,7 +479,9 @@
             ):
                 self._forwarder.refuse_undispatched()
             await asyncio.sleep(0.05)
+        self._client_server.record_progress()
         self._forwarder.end_unanswered()
+        self._log.flush()
         # Counted in steps, since a standstill gives no time to answer.
         for _ in range(round(_LAST_ANSWERS_S / _LAST_ANSWERS_STEP_S)):
             await asyncio.sleep(_LAST_ANSWERS_STEP_S)
--- a/src/tanagerport/log_explanation.py
+++ b/src/tanagerport/log_explanation.py
@@ -8,6 +8,10 @@
 # If the request of a late answer waited for more than this fraction of its
 # target, the wait is named as the cause.
 _MIN_CAUSAL_WAIT_FRACTION = 0.5
+# Lines about each request that a planned stop meets.
+_STOP_EVENTS = ("request_in_progress", "request_ended")
+# Lines after which a request is over.
+_FINAL_EVENTS = ("answered", "refused", "answer_cut", "client_gone")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,6 +89,11 @@
 
 
 def _cause(events: list[LogLine]) -> str:
+    stop_lines = [line for line in events if line.event in _STOP_EVENTS]
+    events = [line for line in events if line.event not in _STOP_EVENTS]
+    is_over = bool(events) and events[-1].event in _FINAL_EVENTS
+    if stop_lines and not is_over:
+        return _cause_at_stop(stop_lines[-1])
     last = events[-1]
     failures = [line for line in events if line.event == "dispatch_failed"]
     if last.event == "answered":
@@ -105,6 +114,20 @@
     return "it was still in progress at the last log line."
 
 
+def _cause_at_stop(line: LogLine) -> str:
+    fields = line.fields
+    if line.event == "request_in_progress":
+        return (
+            f"it was in progress after {fields.get('age_s')} s, at upstream"
+            f" {fields.get('upstream')}, and the node stopped; it was killed if"
+            " there is no line `stopped`."
+        )
+    return (
+        f"it ended {fields.get('outcome')} after {fields.get('age_s')} s, while"
+        f" the node stopped (closed by: {fields.get('closed_by') or 'nobody'})."
+    )
+
+
 def _cause_of_answer(events: list[LogLine], last: LogLine) -> str:
     fields = last.fields
     dispatches = [line for line in events if line.event == "dispatched"]
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -532,6 +532,8 @@
             "drain_grace_s": 6,
             **settings,
         }
+        # Where the log goes instead of the file.
+        self.log_descriptor: int | None = None
         self._process: asyncio.subprocess.Process | None = None
         self._pidfd = -1
 
@@ -554,7 +556,9 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(ROOT / "platform" / "serve.py"),
-                stdout=log,
+                stdout=log
+                if self.log_descriptor is None
+                else self.log_descriptor,
                 stderr=log,
                 env=environment,
             )
