Count the grace of a stop from the signal, not from its notice

Callers: requests in progress around a SIGTERM ended without an answer, and nothing in the log named them.

Cause: the drain took the time when the event loop came to it. Class of fault: a time limit that counts from the notice of an event and not from the event.

The signal is now noticed by a handler that runs before the turn of the loop, and may have come when the loop was last seen running (the tick of the attended clock, at most 0.1 s ago in a loop that runs). All steps have times of their own that count from there, so a standstill shifts none of them.

After: all requests are answered, the process exits by itself and `stopped` is its last line. A standstill of 0.85 s from 1.1 s before the kill is borne, too.

--- a/src/tanagerport/gateway/attended_clock.py
+++ b/src/tanagerport/gateway/attended_clock.py
@@ -27,6 +27,12 @@
         # The next tick is late after this monotonic time.
         self._tick_due_at = float("inf")
         self._missed_s = 0.0
+        self._ticked_at = float("-inf")
+
+    @property
+    def ticked_at(self) -> float:
+        """Monotonic seconds at which the event loop was last seen running."""
+        return self._ticked_at
 
     def monotonic(self) -> float:
         """Returns seconds on a clock that never goes back."""
@@ -34,7 +40,7 @@
 
     def tick(self) -> None:
         """Shows that the event loop runs; called every tenth of a second."""
-        now = self._now()
+        self._ticked_at = now = self._now()
         self._missed_s += max(now - self._tick_due_at, 0.0)
         self._tick_due_at = now + _TICK_INTERVAL_S + _MAX_TICK_DELAY_S
 
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -114,7 +114,7 @@
         self._log = log
         self._now = now
         self._random = random.Random()
-        # Monotonic time at which the process closes its connections.
+        # Monotonic time at which requests without an answer are ended.
         self._stops_at = float("inf")
         self._is_stopping = False
         # Time limits of the requests in progress.
@@ -124,7 +124,7 @@
         """Refuses requests whose answers would take too long from now on.
 
         Args:
-            stops_at: Monotonic time at which the process stops.
+            stops_at: Monotonic time by which answers must have begun.
         """
         self._stops_at = stops_at
         self._switch.start_draining(stops_at)
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -37,6 +37,7 @@
     PeerExchange,
 )
 from tanagerport.gateway.placement import UpstreamSelector
+from tanagerport.gateway.planned_stop import Drain, StopSignal
 from tanagerport.gateway.platform_codec import PlatformCodec
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
@@ -69,22 +70,8 @@
 from tanagerport.gateway.upstream_registry import UpstreamRegistry
 from tanagerport.gateway.upstream_switch import UpstreamSwitch
 
-# The load balancer removes a node after two failed health checks, one second
-# apart; until then it still sends new connections.
-_DEREGISTRATION_S = 2.5
-# Requests not yet sent to an upstream are refused this long before the process
-# is killed, because they would probably not complete in time.
-_REFUSE_UNSENT_MARGIN_S = 4.5
-# The process closes its connections this long before it would be killed, and
-# then exits.
-_STOP_MARGIN_S = 0.4
-# Time for the last answers to be written and sent, in seconds.
-_LAST_ANSWERS_S = 0.1
-_LAST_ANSWERS_STEP_S = 0.01
 # Time for the last lines of the log to be written, in seconds.
 _LAST_LINES_S = 0.1
-# Turns of the event loop until it has accepted the connections that wait.
-_TURNS_TO_ACCEPT = 4
 _HOUSEKEEPING_INTERVAL_S = 0.1
 # Interval between log lines about the load of the node and its link.
 _LOAD_LOG_INTERVAL_S = 2.0
@@ -129,10 +116,10 @@
         self._log = log
         self._load_settings = load_settings
         self._start_id = secrets.randbits(48)
-        self._stop_requested = asyncio.Event()
         self._is_draining = False
         self._counters = counters
         self._attended_clock = AttendedClock()
+        self._stop_signal = StopSignal(lambda: self._attended_clock.ticked_at)
         self._health = UpstreamHealth()
         self._backoff = UpstreamBackoff()
         self._limits = UpstreamLimits(settings.node)
@@ -400,8 +387,7 @@
         """Serves requests until SIGTERM or SIGINT, then drains and stops."""
         settings = self._settings
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop_requested.set)
+        self._stop_signal.install()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         # It may have been blocked, and pending, during the start.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
@@ -430,8 +416,7 @@
                 ("housekeeping", self._run_housekeeping),
             )
         ]
-        await self._stop_requested.wait()
-        await self._drain()
+        await self._drain(await self._stop_signal.wait())
         for task in tasks:
             task.cancel()
         await self._client_server.close()
@@ -455,47 +440,18 @@
             await asyncio.sleep(_STARTUP_POLL_INTERVAL_S)
         return self._tables.routes
 
-    async def _drain(self) -> None:
-        """Waits for requests in progress, at most for `drain_grace_s`."""
+    async def _drain(self, signaled_at: float) -> None:
+        """Waits for requests in progress, at most for `drain_grace_s`.
+
+        Args:
+            signaled_at: Earliest monotonic time of the signal, in seconds.
+        """
         self._is_draining = True
-        started_at = time.monotonic()
-        grace_s = self._settings.drain_grace_s
-        stops_at = started_at + grace_s - _STOP_MARGIN_S
-        self._log.info(
-            "stopping", requests=self._client_server.requests_in_progress
-        )
-        self._client_server.start_draining()
-        self._log.flush()
-        self._forwarder.start_draining(stops_at)
+        drain = Drain(self._client_server, self._forwarder, self._log)
+        schedule = drain.start(signaled_at, self._settings.drain_grace_s)
         self._coordinator.stop()
         self._peer_exchange.send_report()
-        await asyncio.sleep(min(_DEREGISTRATION_S, grace_s / 2))
-        while time.monotonic() < stops_at:
-            if await self._close_idle_connections():
-                return
-            if (
-                time.monotonic() - started_at
-                > grace_s - _REFUSE_UNSENT_MARGIN_S
-            ):
-                self._forwarder.refuse_undispatched()
-            await asyncio.sleep(0.05)
-        self._client_server.record_progress()
-        self._forwarder.end_unanswered()
-        self._log.flush()
-        # Counted in steps, since a standstill gives no time to answer.
-        for _ in range(round(_LAST_ANSWERS_S / _LAST_ANSWERS_STEP_S)):
-            await asyncio.sleep(_LAST_ANSWERS_STEP_S)
-            if await self._close_idle_connections():
-                return
-
-    async def _close_idle_connections(self) -> bool:
-        """Returns whether no request is in progress, or expected."""
-        # After a standstill, connections and requests that came meanwhile are
-        # noticed first.
-        for _ in range(_TURNS_TO_ACCEPT):
-            await asyncio.sleep(0)
-        self._client_server.close_idle()
-        return not self._client_server.requests_in_progress
+        await drain.run(schedule)
 
     def _reload(self) -> None:
         """Applies on SIGHUP the settings that don't need a restart."""
--- a/src/tanagerport/gateway/upstream_switch.py
+++ b/src/tanagerport/gateway/upstream_switch.py
@@ -56,7 +56,7 @@
         self._quarantine = quarantine
         self._budget = budget
         self._now = now
-        # Monotonic time at which the process closes its connections.
+        # Monotonic time at which requests without an answer are ended.
         self._stops_at = math.inf
 
     def start_draining(self, stops_at: float) -> None:
--- a/tests/test_gateway_expiring_waits.py
+++ b/tests/test_gateway_expiring_waits.py
@@ -219,6 +219,7 @@
     """Records the refusal."""
 
     is_started = False
+    is_closed_by_node = False
     upstream_id = ""
     refusal: Refusal | None = None
 
--- a/tests/test_gateway_late_stop.py
+++ b/tests/test_gateway_late_stop.py
@@ -6,12 +6,15 @@
 import pathlib
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import pytest
 
 import platform_standin as standin
 from platform_standin import GatewayProcess, LocalCluster, configuration, route
+from tanagerport.clock import FakeClock
+from tanagerport.gateway.attended_clock import AttendedClock
+from tanagerport.gateway.planned_stop import StopSignal, make_schedule
 
 _GRACE_S = 6.0
 _ROUTES = [
@@ -145,8 +148,9 @@
 class TestStandstillAtTheEnd:
     """Guards against a standstill that takes the last steps of a drain away."""
 
+    @pytest.mark.parametrize("standstill_s", [0.6, 0.85])
     def test_requests_are_ended_before_the_kill(
-        self, tmp_path: pathlib.Path
+        self, tmp_path: pathlib.Path, standstill_s: float
     ) -> None:
         async def scenario(cluster: LocalCluster) -> None:
             await cluster.add_upstream("u-1", standin.hang, slot_count=40)
@@ -164,7 +168,7 @@
             signaled_at = time.monotonic()
             status = asyncio.ensure_future(supervise(gateway, signaled_at))
             await asyncio.sleep(_GRACE_S - 1.1)
-            await stand_still(gateway, 0.6)
+            await stand_still(gateway, standstill_s)
             assert await status == 0
             for response in await asyncio.gather(*calls):
                 assert response is not None
@@ -172,3 +176,74 @@
             assert gateway.log_lines()[-1]["event"] == "stopped"
 
         run_scenario(tmp_path, scenario)
+
+
+class TestTimeOfTheSignal:
+    """Guards against a grace that is counted from a late notice."""
+
+    @pytest.fixture(autouse=True)
+    def _restore_handlers(self) -> Iterator[None]:
+        numbers = (signal.SIGTERM, signal.SIGINT)
+        handlers = [signal.getsignal(number) for number in numbers]
+        yield
+        for number, handler in zip(numbers, handlers, strict=True):
+            signal.signal(number, handler)
+
+    def make_signal(self, clock: FakeClock) -> tuple[AttendedClock, StopSignal]:
+        attended = AttendedClock(clock.monotonic)
+        return attended, StopSignal(
+            lambda: attended.ticked_at, now=clock.monotonic
+        )
+
+    def test_signal_may_have_come_when_the_standstill_began(self) -> None:
+        async def run() -> float:
+            clock = FakeClock(100.0)
+            attended, stop_signal = self.make_signal(clock)
+            stop_signal.install()
+            clock.advance(5.0)
+            attended.tick()
+            clock.advance(2.0)
+            signal.raise_signal(signal.SIGTERM)
+            # The loop goes on before the stop is processed.
+            attended.tick()
+            return await stop_signal.wait()
+
+        assert asyncio.run(run()) == 105.0
+
+    def test_second_signal_changes_nothing(self) -> None:
+        async def run() -> float:
+            clock = FakeClock(100.0)
+            attended, stop_signal = self.make_signal(clock)
+            stop_signal.install()
+            attended.tick()
+            signal.raise_signal(signal.SIGTERM)
+            clock.advance(3.0)
+            attended.tick()
+            signal.raise_signal(signal.SIGINT)
+            signal.raise_signal(signal.SIGTERM)
+            return await stop_signal.wait()
+
+        assert asyncio.run(run()) == 100.0
+
+    def test_signal_before_the_first_tick(self) -> None:
+        async def run() -> float:
+            clock = FakeClock(100.0)
+            _, stop_signal = self.make_signal(clock)
+            stop_signal.install()
+            clock.advance(0.5)
+            signal.raise_signal(signal.SIGTERM)
+            return await stop_signal.wait()
+
+        assert asyncio.run(run()) == 100.0
+
+    def test_steps_count_from_the_signal(self) -> None:
+        """Guards against steps that a late notice shifts."""
+        prompt = make_schedule(100.0, 100.0, 8.0)
+        late = make_schedule(100.0, 101.0, 8.0)
+        assert prompt.closes_idle_at == 102.5
+        # The balancer learns of the stop when the health checks fail.
+        assert late.closes_idle_at == 103.5
+        assert late.refuses_unsent_at == prompt.refuses_unsent_at
+        assert late.ends_unanswered_at == prompt.ends_unanswered_at
+        assert late.closes_at == prompt.closes_at < 108.0
+        assert make_schedule(100.0, 103.0, 8.0).closes_idle_at == 104.0
