Accept the connections that wait when the listening socket closes

Cause: a listening socket that is closed resets the connections in its accept queue, which the kernel has accepted and whose requests may be there. The drain gave the event loop four turns to accept them, but between the last poll and the close a process may lose its processor. Class of fault: an end that is decided on what the event loop has noticed, not on what the kernel holds (as unread bytes of idle connections were).

The queue is now emptied in the turn that closes the socket, and what comes out counts as a request that is expected. What is left is a connection that the kernel accepts between two consecutive system calls.

--- a/src/tanagerport/gateway/client_server.py
+++ b/src/tanagerport/gateway/client_server.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 server for clients, with one task per connection."""
 
 import asyncio
-from collections.abc import Callable
+import socket
+from collections.abc import Callable, Iterator
 
 from tanagerport.gateway.channel import Channel
 from tanagerport.gateway.client_connection import ClientConnection, CloseCause
@@ -14,6 +15,7 @@
 from tanagerport.gateway.domain import ClientLimits
 from tanagerport.gateway.drain_record import DrainPhase, DrainRecord
 
+_BACKLOG = 1024
 # Time for cancelled connections to finish when the server closes, in seconds.
 _CLOSE_TIMEOUT_S = 1.0
 
@@ -40,6 +42,9 @@
         self._counters = counters
         self._log = log
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        # Connections that were accepted as the listener closed.
+        self._accepting: set[asyncio.Task[object]] = set()
         self._connections: dict[asyncio.Task[None], ClientConnection] = {}
         self._draining = False
         self._drain_record = DrainRecord(log)
@@ -52,7 +57,7 @@
     @property
     def requests_in_progress(self) -> int:
         """Number of requests whose response is not complete, or expected."""
-        return sum(
+        return len(self._accepting) + sum(
             1
             for connection in self._connections.values()
             if not connection.is_idle
@@ -61,8 +66,12 @@
     async def start(self, host: str, port: int) -> None:
         """Listens for connections."""
         loop = asyncio.get_running_loop()
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._listener = socket.create_server(
+            (host, port), family=family, backlog=_BACKLOG
+        )
         self._server = await loop.create_server(
-            lambda: Channel(self._accept), host, port, backlog=1024
+            self._make_channel, sock=self._listener, backlog=_BACKLOG
         )
 
     def start_draining(self) -> None:
@@ -78,8 +87,7 @@
 
     def close_idle(self) -> None:
         """Closes the listening socket and the idle connections."""
-        if self._server is not None:
-            self._server.close()
+        self._close_listener()
         for task, connection in list(self._connections.items()):
             if connection.is_idle:
                 connection.close_idle(CloseCause.DRAINING)
@@ -87,8 +95,9 @@
 
     async def close(self) -> None:
         """Closes the listening socket and all connections."""
-        if self._server is not None:
-            self._server.close()
+        self._close_listener()
+        for accepting in self._accepting:
+            accepting.cancel()
         tasks = list(self._connections)
         for task, connection in self._connections.items():
             connection.record_close(CloseCause.STOPPING)
@@ -103,6 +112,32 @@
             if (response := connection.response_in_progress) is not None
         ]
 
+    def _close_listener(self) -> None:
+        """Closes the listening socket; connections that wait are accepted.
+
+        The kernel would reset them, though it has accepted them itself and
+        their requests may have been sent.
+        """
+        if self._server is None or self._listener is None:
+            return
+        loop = asyncio.get_running_loop()
+        for waiting in _accept_waiting(self._listener):
+            task: asyncio.Task[object] = loop.create_task(
+                loop.connect_accepted_socket(self._make_channel, waiting)
+            )
+            self._accepting.add(task)
+            task.add_done_callback(self._remove_accepting)
+        self._server.close()
+        self._server = self._listener = None
+
+    def _make_channel(self) -> Channel:
+        return Channel(self._accept)
+
+    def _remove_accepting(self, task: "asyncio.Task[object]") -> None:
+        self._accepting.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self._log.debug("client_connection_error", error=repr(error))
+
     def _accept(self, channel: Channel) -> None:
         connection = ClientConnection(
             channel,
@@ -121,3 +156,17 @@
         del self._connections[task]
         if not task.cancelled() and task.exception() is not None:
             self._log.error("connection_failed", error=repr(task.exception()))
+
+
+def _accept_waiting(listener: socket.socket) -> Iterator[socket.socket]:
+    """Accepts the connections that wait at a non-blocking socket."""
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except ConnectionAbortedError:
+            # Its client has reset it.
+            continue
+        except OSError:
+            return
+        connection.setblocking(False)
+        yield connection
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -523,6 +523,58 @@
         asyncio.run(scenario())
 
 
+class TestAcceptQueue:
+    """Guards against connections that are reset by the close of the listener.
+
+    The kernel has accepted them, and their requests may be there already, when
+    the event loop has not noticed them.
+    """
+
+    def test_requests_of_waiting_connections_are_answered(self) -> None:
+        count = 40
+
+        async def scenario() -> list[bytes]:
+            server = make_server()
+            port = standin.free_port()
+            await server.start(standin.HOST, port)
+            server.start_draining()
+            clients = []
+            for _ in range(count):
+                client = socket.create_connection((standin.HOST, port))
+                client.sendall(standin.request_bytes("GET", "/x"))
+                clients.append(client)
+            server.close_idle()
+            assert server.requests_in_progress == count
+            answers = []
+            for client in clients:
+                reader, writer = await asyncio.open_connection(sock=client)
+                answers.append(await reader.read())
+                writer.close()
+            async with asyncio.timeout(1.0):
+                while server.requests_in_progress:
+                    await asyncio.sleep(0.01)
+            await server.close()
+            return answers
+
+        answers = asyncio.run(scenario())
+        assert [entry[:12] for entry in answers] == [b"HTTP/1.1 200"] * count
+
+    def test_connection_after_the_close_is_refused(self) -> None:
+        """Guards against clients that wait at a listener nobody reads."""
+
+        async def scenario() -> None:
+            server = make_server()
+            port = standin.free_port()
+            await server.start(standin.HOST, port)
+            server.close_idle()
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection(standin.HOST, port)
+            server.close_idle()
+            await server.close()
+
+        asyncio.run(scenario())
+
+
 class TestPredictedCompletion:
     """Guards against streams that are passed on and can't end in the grace."""
 
