Don't refuse begun streams that wait for an upstream in a stop

Callers: a resumable stream whose upstream is lost in the drain of its node is cut, though another upstream has a place some tenths of a second later.

Cause: late in the drain, what waits for an upstream is refused, so that another node serves it. That is right for requests whose clients have nothing yet; for a stream that has begun the refusal is a cut. Class of fault: a decision made for requests that have not begun, applied to answers that have.

Only requests whose clients have no data are refused; begun streams go on waiting (queue, coordinator, back-off) until their client gives up or the node closes. For the same reason they may leave a silent upstream then, for a place that they have got.

--- a/src/tanagerport/gateway/admission.py
+++ b/src/tanagerport/gateway/admission.py
@@ -197,10 +197,14 @@
             self._retry_at = self._now() + _RETRY_INTERVAL_S
         return False
 
-    def refuse_all(self, refusal: Refusal) -> None:
-        """Refuses all waiting requests."""
+    def refuse_unserved(self, refusal: Refusal) -> None:
+        """Refuses the waiting requests whose clients have no data yet."""
         for entry in self._waiting.clear():
-            if not entry.future.done():
+            if entry.future.done():
+                continue
+            if entry.item.is_client_served:
+                entry.number = self._waiting.add(entry.item, entry, self._now())
+            else:
                 entry.future.set_exception(RefusedError(refusal))
 
     def expected_wait_s(self, item: WorkItem) -> float:
--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -211,7 +211,7 @@
             return await self._respond(response)
         finally:
             closed_by = "" if self._channel.is_open else "client"
-            if response.is_closed_by_node:
+            if response.is_closed_by_node or response.is_aborted:
                 closed_by = "node"
             self._drain_record.record_end(
                 response,
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -132,7 +132,7 @@
     def refuse_undispatched(self) -> None:
         """Refuses queued and new requests because the process is stopping."""
         self._is_stopping = True
-        self._scheduler.refuse_waiting(self._shutdown_refusal())
+        self._scheduler.refuse_unserved(self._shutdown_refusal())
 
     def end_unanswered(self) -> None:
         """Ends the requests whose answers have not begun.
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -99,7 +99,7 @@
         self._queues: dict[str, AdmissionQueue] = {}
         # Requests that wait for a coordinator or a backoff, and their refusal
         # once the process stops.
-        self._interruptible_waits: set[asyncio.Timeout] = set()
+        self._interruptible_waits: dict[asyncio.Timeout, WorkItem] = {}
         self._stop_refusal: Refusal | None = None
         # Requests that wait for a coordinator, and the versions that they wait
         # for; none if any will do.
@@ -136,8 +136,7 @@
             placement = await self._acquire_own(item)
             if placement is not None:
                 break
-            if self._stop_refusal is not None:
-                raise RefusedError(self._stop_refusal)
+            self._check_stop(item)
         if self._slots is not None:
             self._slots.adopt(placement)
         return placement
@@ -268,7 +267,7 @@
         try:
             async with asyncio.timeout(None) as wait:
                 self._version_waits[wait] = item, versions
-                async with self._interrupt_on_stop():
+                async with self._interrupt_on_stop(item):
                     acquire = slots.acquire if may_wait else slots.try_acquire
                     return await acquire(item, versions, excluded)
         except TimeoutError:
@@ -278,7 +277,7 @@
             self._version_waits.pop(wait, None)
 
     @contextlib.asynccontextmanager
-    async def _interrupt_on_stop(self) -> AsyncIterator[None]:
+    async def _interrupt_on_stop(self, item: WorkItem) -> AsyncIterator[None]:
         """Ends what is awaited inside when the process stops.
 
         Raises:
@@ -286,14 +285,14 @@
         """
         try:
             async with asyncio.timeout(None) as wait:
-                self._interruptible_waits.add(wait)
+                self._interruptible_waits[wait] = item
                 yield
         except TimeoutError:
             if self._stop_refusal is None:
                 raise
             raise RefusedError(self._stop_refusal) from None
         finally:
-            self._interruptible_waits.discard(wait)
+            self._interruptible_waits.pop(wait, None)
 
     async def _await_backoff(self, item: WorkItem) -> None:
         """Waits while every upstream of a request wants no requests.
@@ -305,8 +304,7 @@
             wait_s = self._backoff.remaining_s(self._find_allowed(item))
             if wait_s == 0:
                 return
-            if self._stop_refusal is not None:
-                raise RefusedError(self._stop_refusal)
+            self._check_stop(item)
             if self._now() + wait_s >= (
                 item.client_timeout_at - item.delivery_margin_s
             ):
@@ -318,7 +316,7 @@
                         retry_after_s=wait_s,
                     )
                 )
-            async with self._interrupt_on_stop():
+            async with self._interrupt_on_stop(item):
                 await asyncio.sleep(min(wait_s, _BACKOFF_POLL_INTERVAL_S))
 
     def _find_allowed(self, item: WorkItem) -> Sequence[UpstreamRecord]:
@@ -576,13 +574,22 @@
             ):
                 expire(wait)
 
-    def refuse_waiting(self, refusal: Refusal) -> None:
-        """Refuses all waiting requests."""
+    def refuse_unserved(self, refusal: Refusal) -> None:
+        """Refuses the waiting requests whose clients have no data yet.
+
+        The process stops, and another node may serve them. A stream that has
+        begun would be cut, so it still waits for an upstream.
+        """
         self._stop_refusal = refusal
-        for wait in self._interruptible_waits:
-            expire(wait)
+        for wait, item in self._interruptible_waits.items():
+            if not item.is_client_served:
+                expire(wait)
         for queue in self._queues.values():
-            queue.refuse_all(refusal)
+            queue.refuse_unserved(refusal)
+
+    def _check_stop(self, item: WorkItem) -> None:
+        if self._stop_refusal is not None and not item.is_client_served:
+            raise RefusedError(self._stop_refusal)
 
     def _find_placement(self, item: WorkItem) -> Placement | None:
         return self._selector.select(
--- a/src/tanagerport/gateway/upstream_switch.py
+++ b/src/tanagerport/gateway/upstream_switch.py
@@ -126,10 +126,10 @@
         If there is none that hasn't failed it, one must be answering other
         requests, maybe the same.
         """
-        if self._scheduler.is_stopping:
+        item = placement.item
+        if self._scheduler.is_stopping and not item.is_client_served:
             # It would be refused rather than sent once more.
             return False
-        item = placement.item
         usable_ids = [
             upstream.upstream_id
             for upstream in self._backoff.usable(
--- a/src/tanagerport/gateway/work_item.py
+++ b/src/tanagerport/gateway/work_item.py
@@ -60,6 +60,11 @@
     is_trial: bool = False
     origin_zone: str = ""
 
+    @property
+    def is_client_served(self) -> bool:
+        """Whether its client has a part of the answer, so a refusal cuts it."""
+        return self.last_data_at is not None
+
     @property
     def waiting_since(self) -> float:
         """Monotonic time since which the client has got no data."""
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -453,7 +453,7 @@
                 scheduler.acquire(make_item(time.monotonic()))
             )
             await asyncio.sleep(0.02)
-            scheduler.refuse_waiting(
+            scheduler.refuse_unserved(
                 Refusal(RefusalReason.DRAINING, "stopping", retry_after_s=0.3)
             )
             with pytest.raises(RefusedError) as caught:
--- a/tests/test_gateway_expiring_waits.py
+++ b/tests/test_gateway_expiring_waits.py
@@ -148,7 +148,7 @@
             fixture = _SchedulerFixture()
             await gateway_doubles.run_pending_tasks()
             await call_again_while_expiring(
-                lambda: fixture.scheduler.refuse_waiting(_STOPPING)
+                lambda: fixture.scheduler.refuse_unserved(_STOPPING)
             )
             result = await asyncio.gather(fixture.task, return_exceptions=True)
             assert isinstance(result[0], RefusedError)
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -72,7 +72,7 @@
         upstream = gateway_doubles.make_upstream("u")
         return Placement(upstream, item, 1, 1, 0.1, 100.0)
 
-    def refuse_waiting(self, refusal: Refusal) -> None:
+    def refuse_unserved(self, refusal: Refusal) -> None:
         for future in self._waiting:
             future.set_exception(RefusedError(refusal))
 
--- a/tests/test_gateway_late_stop.py
+++ b/tests/test_gateway_late_stop.py
@@ -24,19 +24,37 @@
     for name, kind, attempts in (
         ("read", "idempotent", 1),
         ("pay", "non_idempotent", 2),
-        ("call", "streaming", 1),
     )
 ]
 
 
 def run_scenario(
-    directory: pathlib.Path, scenario: Callable[[LocalCluster], Awaitable[None]]
+    directory: pathlib.Path,
+    scenario: Callable[[LocalCluster], Awaitable[None]],
+    attempts: int = 1,
 ) -> None:
-    """Runs a scenario on a cluster with one gateway."""
+    """Runs a scenario on a cluster with one gateway.
+
+    Args:
+        directory: Directory for settings and logs.
+        scenario: What happens once the gateway is ready.
+        attempts: Maximum number of upstreams of a stream.
+    """
+    routes = [
+        *_ROUTES,
+        route(
+            "call",
+            "streaming",
+            timeout_ms=20_000,
+            target_itl_ms=250,
+            max_attempts=attempts,
+            stream_resume=attempts > 1,
+        ),
+    ]
 
     async def run_cluster() -> None:
         async with standin.local_cluster(
-            directory, configuration(1, _ROUTES)
+            directory, configuration(1, routes)
         ) as cluster:
             await cluster.add_gateway(drain_grace_s=_GRACE_S)
             await cluster.gateway.wait_ready()
@@ -178,6 +196,59 @@
         run_scenario(tmp_path, scenario)
 
 
+class TestStreamsWithoutAnUpstream:
+    """Guards against begun streams that a stop refuses, and so cuts.
+
+    A stream whose upstream is lost in the drain waits for another one. It was
+    refused with the requests that have not been sent yet.
+    """
+
+    def test_stream_that_waits_for_an_upstream_is_resumed(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def work(
+            upstream: standin.UpstreamStandin,
+            request: standin.HttpRequest,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            # The other stream ends 0.6 s after the first upstream is lost.
+            is_other = request.headers["attempt-id"] == "other"
+            await standin.stream(24 if is_other else 30, 0.16 * is_other)(
+                upstream, request, writer
+            )
+
+        async def scenario(cluster: LocalCluster) -> None:
+            # Ends the connection 3.2 s after the start of the stream.
+            await cluster.add_upstream(
+                "u-1", standin.stream(30, 0.16, reset_after=20), slot_count=1
+            )
+            await asyncio.sleep(0.3)
+            now = time.monotonic()
+            stream = asyncio.ensure_future(
+                send(cluster, "stream", "/call/x", now)
+            )
+            await asyncio.sleep(0.2)
+            second = await cluster.add_upstream("u-2", work, slot_count=1)
+            await asyncio.sleep(0.2)
+            other = asyncio.ensure_future(
+                send(cluster, "other", "/call/x", now)
+            )
+            await asyncio.sleep(0.1)
+            cluster.gateway.signal(signal.SIGTERM)
+            response = await stream
+            other_response = await other
+            assert await cluster.gateway.wait() == 0
+            assert second.started_attempts == ["other", "stream"]
+            assert response is not None
+            assert response.status == 200
+            assert response.is_complete
+            assert response.body.count(b"data:") == 30
+            assert other_response is not None
+            assert other_response.is_complete
+
+        run_scenario(tmp_path, scenario, attempts=2)
+
+
 class TestTimeOfTheSignal:
     """Guards against a grace that is counted from a late notice."""
 
--- a/tests/test_gateway_upstream_backoff.py
+++ b/tests/test_gateway_upstream_backoff.py
@@ -453,7 +453,7 @@
             )
             await asyncio.sleep(0.1)
             refusal = Refusal(RefusalReason.DRAINING, "the node is stopping")
-            scheduler.refuse_waiting(refusal)
+            scheduler.refuse_unserved(refusal)
             with pytest.raises(RefusedError) as caught:
                 await asyncio.wait_for(waiting, 0.5)
             assert caught.value.refusal is refusal
