End unanswered requests in the turn that decides it

Callers: a stream that begins in the turn of the event loop in which the stop ends what has no answer gets its first events and is cut.

Cause: the end is a timeout that is set to now; its callback runs one turn later, after the task that begins the answer. Class of fault: a decision that is carried out later than it is made.

The task is now cancelled in the same turn, so an answer either has begun and goes on, or its client gets 504 with ran "unknown".

Before: the new test's response is aborted. After: it is refused.

--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -15,7 +15,6 @@
     MIN_FIRST_BYTE_TIMEOUT_S,
 )
 from tanagerport.gateway.http_names import HttpNames
-from tanagerport.gateway.io_timeout import expire
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.request_context import (
     MAX_CRASHES,
@@ -117,8 +116,7 @@
         # Monotonic time at which requests without an answer are ended.
         self._stops_at = float("inf")
         self._is_stopping = False
-        # Time limits of the requests in progress.
-        self._time_limits: dict[asyncio.Timeout, RequestContext] = {}
+        self._in_progress: dict[asyncio.Task[object], RequestContext] = {}
 
     def start_draining(self, stops_at: float) -> None:
         """Refuses requests whose answers would take too long from now on.
@@ -141,9 +139,12 @@
         connection would not tell.
         """
         self._is_stopping = True
-        for limit, context in self._time_limits.items():
+        for task, context in self._in_progress.items():
             if not context.response.is_started:
-                expire(limit)
+                # Cancelled in this turn of the event loop, so that the answer
+                # can't begin in between and be cut.
+                context.is_ended_by_stop = True
+                task.cancel()
 
     async def handle(
         self, request: ClientRequest, response: ClientResponse
@@ -235,16 +236,20 @@
         Raises:
             RefusedError: The request failed and may not be retried.
         """
+        task = asyncio.current_task()
+        assert task is not None
+        self._in_progress[task] = context
         try:
             remaining_s = max(context.item.deadline_at - self._now(), 0)
-            async with asyncio.timeout(remaining_s) as limit:
-                self._time_limits[limit] = context
-                try:
-                    await self._dispatch_with_retries(context)
-                finally:
-                    del self._time_limits[limit]
+            async with asyncio.timeout(remaining_s):
+                await self._dispatch_with_retries(context)
         except TimeoutError:
             raise self._deadline_refusal(context) from None
+        except asyncio.CancelledError:
+            if not context.is_ended_by_stop:
+                raise
+            task.uncancel()
+            raise self._deadline_refusal(context) from None
         except RefusedError as error:
             if error.refusal.ran is Ran.UNKNOWN or not context.may_have_run:
                 raise
@@ -255,6 +260,7 @@
                 Ran.UNKNOWN,
             ) from error
         finally:
+            del self._in_progress[task]
             self._validator.refund_unused_quota(context)
 
     async def _dispatch_with_retries(self, context: RequestContext) -> None:
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -42,6 +42,10 @@
     is_closed_by_node = False
     upstream_id = ""
     refusal: Refusal | None = None
+    is_aborted = False
+
+    def abort(self) -> None:
+        self.is_aborted = True
 
     def refuse(self, refusal: Refusal) -> None:
         self.refusal = refusal
@@ -116,6 +120,22 @@
         raise error
 
 
+class _StreamDispatcher:
+    """Begins an answer when its upstream sends data, and never ends it."""
+
+    def __init__(self) -> None:
+        self.has_data = asyncio.Event()
+
+    async def dispatch(
+        self, context: RequestContext, placement: Placement
+    ) -> None:
+        del placement
+        context.has_open_dispatch = True
+        await self.has_data.wait()
+        cast(Any, context.response).is_started = True
+        await asyncio.sleep(3600)
+
+
 class _FakeValidator:
     """Accepts every request."""
 
@@ -166,6 +186,7 @@
         are_upstreams_lost: bool = False,
         confirms_losses: bool = True,
         route: Route = _ROUTE,
+        dispatcher: object | None = None,
     ) -> None:
         clock = FakeClock(100.0)
         self.clock = clock
@@ -179,7 +200,9 @@
             self._get_routes,
             cast(Any, _FakeValidator(route)),
             cast(
-                Dispatcher, _FailingDispatcher(may_have_run, are_upstreams_lost)
+                Dispatcher,
+                dispatcher
+                or _FailingDispatcher(may_have_run, are_upstreams_lost),
             ),
             cast(Scheduler, scheduler),
             cast(Any, _FakeRegistry()),
@@ -204,13 +227,18 @@
 
     async def send_request(self) -> Refusal:
         """Sends a request and returns its refusal."""
+        response = await self.send()
+        assert response.refusal is not None
+        return response.refusal
+
+    async def send(self) -> _FakeResponse:
+        """Sends a request and returns its response."""
         response = _FakeResponse()
         request = ClientRequest(
             b"POST", b"/", [], {}, b"", self.clock.monotonic()
         )
         await self.forwarder.handle(request, cast(ClientResponse, response))
-        assert response.refusal is not None
-        return response.refusal
+        return response
 
     async def _get_routes(self) -> Any:
         return object()
@@ -243,6 +271,23 @@
     raised an error there, and the requests after it got no answer.
     """
 
+    def test_answer_does_not_begin_in_the_turn_that_ends_it(self) -> None:
+        """Guards against an answer that begins as it is ended, and is cut."""
+        dispatcher = _StreamDispatcher()
+        fixture = _ForwarderFixture(_FakeScheduler(1), dispatcher=dispatcher)
+
+        async def scenario() -> _FakeResponse:
+            task = asyncio.create_task(fixture.send())
+            await gateway_doubles.run_pending_tasks()
+            dispatcher.has_data.set()
+            fixture.forwarder.end_unanswered()
+            return await asyncio.wait_for(task, 1.0)
+
+        response = asyncio.run(scenario())
+        assert not response.is_aborted
+        assert response.refusal is not None
+        assert response.refusal.ran is Ran.UNKNOWN
+
     def test_all_requests_are_refused_if_one_reaches_its_deadline(self) -> None:
         route = gateway_doubles.make_route(timeout_s=0.05)
         fixture = _ForwarderFixture(
