Withdraw quarantined requests in the turn that decides it, too

The same cause as that of the answers that a stop ended as they began: the withdrawal of requests with a quarantined part was a timeout set to now, one turn of the event loop before its callback ran, and an answer that began in between was cut. Both now use an interruption that cancels the task at once.

--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -15,6 +15,10 @@
     MIN_FIRST_BYTE_TIMEOUT_S,
 )
 from tanagerport.gateway.http_names import HttpNames
+from tanagerport.gateway.interruption import (
+    InterruptedTaskError,
+    Interruption,
+)
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.request_context import (
     MAX_CRASHES,
@@ -116,7 +120,7 @@
         # Monotonic time at which requests without an answer are ended.
         self._stops_at = float("inf")
         self._is_stopping = False
-        self._in_progress: dict[asyncio.Task[object], RequestContext] = {}
+        self._in_progress: dict[Interruption, RequestContext] = {}
 
     def start_draining(self, stops_at: float) -> None:
         """Refuses requests whose answers would take too long from now on.
@@ -139,12 +143,9 @@
         connection would not tell.
         """
         self._is_stopping = True
-        for task, context in self._in_progress.items():
+        for interruption, context in self._in_progress.items():
             if not context.response.is_started:
-                # Cancelled in this turn of the event loop, so that the answer
-                # can't begin in between and be cut.
-                context.is_ended_by_stop = True
-                task.cancel()
+                interruption.interrupt()
 
     async def handle(
         self, request: ClientRequest, response: ClientResponse
@@ -236,19 +237,13 @@
         Raises:
             RefusedError: The request failed and may not be retried.
         """
-        task = asyncio.current_task()
-        assert task is not None
-        self._in_progress[task] = context
+        interruption = Interruption()
+        self._in_progress[interruption] = context
         try:
             remaining_s = max(context.item.deadline_at - self._now(), 0)
-            async with asyncio.timeout(remaining_s):
+            async with interruption, asyncio.timeout(remaining_s):
                 await self._dispatch_with_retries(context)
-        except TimeoutError:
-            raise self._deadline_refusal(context) from None
-        except asyncio.CancelledError:
-            if not context.is_ended_by_stop:
-                raise
-            task.uncancel()
+        except (TimeoutError, InterruptedTaskError):
             raise self._deadline_refusal(context) from None
         except RefusedError as error:
             if error.refusal.ran is Ran.UNKNOWN or not context.may_have_run:
@@ -260,7 +255,7 @@
                 Ran.UNKNOWN,
             ) from error
         finally:
-            del self._in_progress[task]
+            del self._in_progress[interruption]
             self._validator.refund_unused_quota(context)
 
     async def _dispatch_with_retries(self, context: RequestContext) -> None:
--- a/src/tanagerport/gateway/prompt_quarantine.py
+++ b/src/tanagerport/gateway/prompt_quarantine.py
@@ -15,7 +15,10 @@
 )
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import UpstreamRecord
-from tanagerport.gateway.io_timeout import expire
+from tanagerport.gateway.interruption import (
+    InterruptedTaskError,
+    Interruption,
+)
 from tanagerport.gateway.request_context import refusal_error
 from tanagerport.gateway.upstream_losses import HeldRequest
 from tanagerport.gateway.work_item import WorkItem
@@ -64,7 +67,7 @@
         self._trials: dict[int, float] = {}
         self._trial_ended = asyncio.Event()
         # Admitted requests with a prompt, and what withdraws them.
-        self._admitted: dict[asyncio.Timeout, WorkItem] = {}
+        self._admitted: dict[Interruption, WorkItem] = {}
         self._has_planned_report = False
         ledger.set_quarantine_callback(self._withdraw)
 
@@ -135,12 +138,10 @@
         for part in tried:
             self._trials[part] = self._now()
         try:
-            async with asyncio.timeout(None) as withdrawal:
+            async with Interruption() as withdrawal:
                 self._admitted[withdrawal] = item
                 yield
-        except TimeoutError:
-            if not withdrawal.expired():
-                raise
+        except InterruptedTaskError:
             raise self._refusal(
                 item, self._ledger.judge(item.part_keys)
             ) from None
@@ -159,7 +160,7 @@
                 and item.work.parts
                 and not (item.has_begun or item.is_trial)
             ):
-                expire(withdrawal)
+                withdrawal.interrupt()
 
     def _plan_report(self) -> None:
         """Sends one report soon for all evidence that is found until then."""
--- a/src/tanagerport/gateway/request_context.py
+++ b/src/tanagerport/gateway/request_context.py
@@ -34,8 +34,6 @@
         last_event_id: Id of the last event that was relayed.
         next_placement: Place at another upstream for which the request leaves
             a silent one.
-        is_ended_by_stop: Whether the stop of the process ended the request
-            before its answer began.
     """
 
     request: ClientRequest
@@ -51,7 +49,6 @@
     may_have_run_before: bool = False
     last_event_id: int | None = None
     next_placement: Placement | None = None
-    is_ended_by_stop: bool = False
 
     @property
     def may_have_run(self) -> bool:
