Give the last steps of a stop after a standstill, too

Callers: a request that comes while a stopping node stands still until after the time to close is closed unread, 2 to 3 ms after its connection was accepted.

Cause: the change that counted the steps of a stop from the signal replaced the ten last steps by ten turns of the loop, and closed in the same turn that accepted what had waited. The steps are given again, until 0.15 s before the kill.

The new test passes without the change, too: the order of turns is luck there.

--- a/src/tanagerport/gateway/planned_stop.py
+++ b/src/tanagerport/gateway/planned_stop.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import signal
 import time
 from collections.abc import Callable
@@ -29,13 +30,14 @@
 # then exits.
 _CLOSE_MARGIN_S = 0.4
 _STEP_INTERVAL_S = 0.05
-# Interval at which requests that were ended are waited for, in seconds.
+# After a standstill, what came meanwhile is given the last steps even if the
+# time to close is over, until this long before the process would be killed.
+_EXIT_MARGIN_S = 0.15
+# Steps in which requests that were ended, or came late, are answered.
+_LAST_STEPS = 10
 _LAST_STEP_INTERVAL_S = 0.01
 # Turns of the event loop until it has accepted the connections that wait.
 _TURNS_TO_ACCEPT = 4
-# Turns of the event loop until requests that are ended have been answered. They
-# are given after a standstill, too, when the time is over.
-_TURNS_TO_ANSWER = 10
 
 
 class StopSignal:
@@ -100,12 +102,14 @@
         refuses_unsent_at: What has not been sent to an upstream is refused.
         ends_unanswered_at: Requests whose answers have not begun are ended.
         closes_at: All connections are closed.
+        exits_at: They are closed at the latest, after a standstill.
     """
 
     closes_idle_at: float
     refuses_unsent_at: float
     ends_unanswered_at: float
     closes_at: float
+    exits_at: float
 
 
 def make_schedule(
@@ -126,6 +130,7 @@
         refuses_unsent_at=killed_at - _REFUSE_UNSENT_MARGIN_S,
         ends_unanswered_at=killed_at - _END_UNANSWERED_MARGIN_S,
         closes_at=killed_at - _CLOSE_MARGIN_S,
+        exits_at=killed_at - _EXIT_MARGIN_S,
     )
 
 
@@ -184,12 +189,14 @@
         self._forwarder.end_unanswered()
         self._client_server.record_progress()
         self._log.flush()
-        for _ in range(_TURNS_TO_ANSWER):
-            await asyncio.sleep(0)
-        while not await self._close_idle_connections():
-            if self._now() >= schedule.closes_at:
-                return
+        for step in itertools.count():
             await asyncio.sleep(_LAST_STEP_INTERVAL_S)
+            if await self._close_idle_connections():
+                return
+            has_stepped = step >= _LAST_STEPS
+            ends_at = schedule.closes_at if has_stepped else schedule.exits_at
+            if self._now() >= ends_at:
+                return
 
     async def _close_idle_connections(self) -> bool:
         """Returns whether no request is in progress, or expected."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -34,6 +34,9 @@
 _CLOSE_IDLE_S = 2.0
 _LEAVING_S = 5.0
 _EVENTS = 6
+# Time for which some upstreams work on a request, in seconds: longer than what
+# is left of a grace.
+_LONG_WORK_S = 6.0
 _NOT_RUN = (408, 429, 503)
 _EXPECTED = (200, 502, 504, *_NOT_RUN)
 _LOG_LINES = 15
@@ -304,6 +307,8 @@
                 upstream.upstream_id, (limit, time.monotonic())
             )
         pause_s = 1.0 if rng.random() < 0.2 else 0.02
+        if rng.random() < 0.03:
+            pause_s = _LONG_WORK_S
         if request.path.startswith("/call/"):
             stream = standin.stream(_EVENTS, pause_s / _EVENTS, fields=named)
             await stream(upstream, request, writer)
--- a/tests/test_gateway_late_stop.py
+++ b/tests/test_gateway_late_stop.py
@@ -198,6 +198,34 @@
 
         run_scenario(tmp_path, scenario)
 
+    def test_requests_that_came_in_a_long_standstill_are_refused(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a close in the turn that accepts a connection."""
+
+        async def scenario(cluster: LocalCluster) -> None:
+            await cluster.add_upstream("u-1", standin.echo, slot_count=40)
+            gateway = cluster.gateway
+            gateway.signal(signal.SIGTERM)
+            signaled_at = time.monotonic()
+            status = asyncio.ensure_future(supervise(gateway, signaled_at))
+            await asyncio.sleep(1.0)
+            gateway.signal(signal.SIGSTOP)
+            calls = [
+                asyncio.ensure_future(
+                    send(cluster, f"pay-{number}", "/pay/x", signaled_at)
+                )
+                for number in range(60)
+            ]
+            await asyncio.sleep(signaled_at + _GRACE_S - 0.4 - time.monotonic())
+            gateway.signal(signal.SIGCONT)
+            assert await status == 0
+            for response in await asyncio.gather(*calls):
+                assert response is not None
+                assert response.status == 503
+
+        run_scenario(tmp_path, scenario)
+
 
 class TestStreamsWithoutAnUpstream:
     """Guards against begun streams that a stop refuses, and so cuts.
