Answer clients that end their sending and still read

Callers: a client that shuts down its sending side after a request (legal in HTTP/1.1) got nothing, always; the request was cancelled or not run.

Cause: a close and a half-close look the same (FIN), and both were taken for a client that is gone. Only something that is sent tells them apart: the host of a client that is gone answers it with a reset. An interim response (102) may be sent before the final one; after it the node looks for a reset every 20 ms and asks again every 0.5 s. An answer that has begun asks with its next bytes. A client of HTTP/1.0 must not get interim responses and counts as gone.

--- a/src/tanagerport/gateway/channel.py
+++ b/src/tanagerport/gateway/channel.py
@@ -57,6 +57,7 @@
     ) -> None:
         self._on_connect = on_connect
         self._on_close: Callable[[], object] | None = None
+        self._on_end: Callable[[], object] | None = None
         self._transport: asyncio.Transport | None = None
         self._unread: collections.deque[bytes] = collections.deque()
         self._unread_bytes = 0
@@ -109,9 +110,40 @@
             return self._unacknowledged_at_loss
         return self._count_unacknowledged()
 
-    def set_close_callback(self, callback: Callable[[], object] | None) -> None:
-        """Sets the callback to run once when the peer closes the connection."""
-        self._on_close = callback
+    @property
+    def is_half_closed(self) -> bool:
+        """Whether the peer has ended its sending and may still read."""
+        return (
+            self._eof
+            and not self._lost
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
+
+    def is_reset(self) -> bool:
+        """Returns whether the peer has reset the connection."""
+        sock = (
+            None
+            if self._transport is None
+            else self._transport.get_extra_info("socket")
+        )
+        if self._lost or sock is None or sock.fileno() < 0:
+            return True
+        return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+    def set_close_callbacks(
+        self,
+        on_end: Callable[[], object] | None,
+        on_close: Callable[[], object] | None,
+    ) -> None:
+        """Sets callbacks that run once.
+
+        Args:
+            on_end: Called when the peer ends its sending.
+            on_close: Called when the connection is lost.
+        """
+        self._on_end = on_end
+        self._on_close = on_close
 
     async def read(self) -> bytes:
         """Waits for received bytes; returns some, or none at end of stream.
@@ -170,7 +202,7 @@
 
     def close(self) -> None:
         """Closes the connection after flushing the write buffer."""
-        self._on_close = None
+        self.set_close_callbacks(None, None)
         if self._transport is not None:
             self._transport.close()
             if self.has_unsent:
@@ -180,7 +212,7 @@
 
     def abort(self) -> None:
         """Closes the connection immediately and discards unsent bytes."""
-        self._on_close = None
+        self.set_close_callbacks(None, None)
         if self._transport is not None:
             self._transport.abort()
 
@@ -208,7 +240,9 @@
         """Implements `asyncio.BufferedProtocol`; the channel stays writable."""
         self._eof = True
         _wake(self._read_waiter)
-        self._run_close_callback()
+        callback, self._on_end = self._on_end, None
+        if callback is not None:
+            callback()
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -18,6 +18,7 @@
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import ClientLimits
 from tanagerport.gateway.drain_record import DrainRecord, describe_response
+from tanagerport.gateway.half_close import HalfCloseWatch
 from tanagerport.gateway.io_timeout import IoTimeout
 from tanagerport.gateway.request_errors import end_failed_request
 from tanagerport.gateway.time_slices import TimeSlice
@@ -241,16 +242,25 @@
             await response.drain()
             return False
         task = asyncio.current_task()
-        if task is not None:
-            self._channel.set_close_callback(task.cancel)
-        if not self._channel.is_open:
+        assert task is not None
+
+        def leave() -> None:
+            self._channel.set_close_callbacks(None, None)
+            task.cancel()
+
+        watch = HalfCloseWatch(self._channel, self._codec, response, leave)
+        self._channel.set_close_callbacks(watch.start, leave)
+        if self._channel.is_half_closed:
+            watch.start()
+        elif not self._channel.is_open:
             return False
         try:
             await self._handler.handle(request, response)
         except Exception as error:  # Any fault gets a final answer.
             self._end_failed(error, response, may_have_run=True)
         finally:
-            self._channel.set_close_callback(None)
+            self._channel.set_close_callbacks(None, None)
+            watch.stop()
         await self._deliver(response)
         self._is_idle = True
         self._idle_since = time.monotonic()
