Count deadlines from the arrival of a request, also after a standstill

Callers: a request that waits in the kernel while its node stands still is answered after its deadline, when its client has left, and its upstream is given more time than is left.

The kernel knows when the last data of a connection came (TCP_INFO); the request came then, but no earlier than the process was last seen running, so an odd figure of a kernel can take away no more than a standstill. Kernels that don't tell leave it as it was.

--- a/src/tanagerport/gateway/attended_clock.py
+++ b/src/tanagerport/gateway/attended_clock.py
@@ -11,6 +11,8 @@
 _TICK_INTERVAL_S = 0.1
 # A tick that is later than this, in seconds, shows a standstill.
 _MAX_TICK_DELAY_S = 0.1
+# Time after a standstill in which what came meanwhile is noticed, in seconds.
+_NOTICE_S = 0.1
 
 
 class AttendedClock:
@@ -28,6 +30,8 @@
         self._tick_due_at = float("inf")
         self._missed_s = 0.0
         self._ticked_at = float("-inf")
+        # Beginning and end of the last standstill, in monotonic seconds.
+        self._standstill = (float("-inf"), float("-inf"))
 
     @property
     def ticked_at(self) -> float:
@@ -38,9 +42,25 @@
         """Returns seconds on a clock that never goes back."""
         return min(self._now(), self._tick_due_at) - self._missed_s
 
+    def earliest_arrival(self) -> float:
+        """Returns the time since which what is noticed now can have waited.
+
+        Returns:
+            Monotonic seconds.
+        """
+        began_at, ended_at = self._standstill
+        return (
+            began_at
+            if self._now() < ended_at + _NOTICE_S
+            else (self._ticked_at)
+        )
+
     def tick(self) -> None:
         """Shows that the event loop runs; called every tenth of a second."""
-        self._ticked_at = now = self._now()
+        now = self._now()
+        if now > self._tick_due_at:
+            self._standstill = (self._ticked_at, now)
+        self._ticked_at = now
         self._missed_s += max(now - self._tick_due_at, 0.0)
         self._tick_due_at = now + _TICK_INTERVAL_S + _MAX_TICK_DELAY_S
 
--- a/src/tanagerport/gateway/channel.py
+++ b/src/tanagerport/gateway/channel.py
@@ -110,6 +110,12 @@
             return self._unacknowledged_at_loss
         return self._count_unacknowledged()
 
+    @property
+    def data_age_s(self) -> float:
+        """Seconds since the peer's last data came; 0 if that is not known."""
+        state = self._read_state()
+        return 0.0 if state is None else state.data_age_s
+
     @property
     def is_half_closed(self) -> bool:
         """Whether the peer has ended its sending and may still read."""
--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -72,6 +72,8 @@
         log: Structured decision log.
         is_draining: Returns whether the connection closes after a response.
         drain_record: Records how requests end during a stop.
+        earliest_arrival: Returns the monotonic time since which a request that
+            is read now can have waited, in seconds.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         log: DecisionLog,
         is_draining: Callable[[], bool],
         drain_record: DrainRecord,
+        earliest_arrival: Callable[[], float],
     ) -> None:
         self._channel = channel
         self._handler = handler
@@ -95,6 +98,7 @@
         self._log = log
         self._is_draining = is_draining
         self._drain_record = drain_record
+        self._earliest_arrival = earliest_arrival
         self._is_idle = True
         self._idle_since = time.monotonic()
         # Response in progress, or the last one.
@@ -318,7 +322,7 @@
         head = await self._read_head()
         if head is None:
             return None
-        received_at = time.monotonic()
+        received_at = self._find_arrival()
         header_values = {name: bytes(value) for name, value in head.headers}
         size = len(head.target) + sum(
             len(name) + len(value) + _FIELD_OVERHEAD_BYTES
@@ -351,6 +355,16 @@
             received_at,
         )
 
+    def _find_arrival(self) -> float:
+        """Returns the time at which the request that is read now came.
+
+        It may have waited in the kernel while the process stood still, and the
+        time that its client gives it runs from its arrival.
+        """
+        now = time.monotonic()
+        arrived_at = now - self._channel.data_age_s
+        return min(max(arrived_at, self._earliest_arrival()), now)
+
     async def _read_head(self) -> h11.Request | None:
         """Reads a request header; returns None if the client closes."""
         event = self._next_event()
--- a/src/tanagerport/gateway/client_server.py
+++ b/src/tanagerport/gateway/client_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable, Iterator
 
 from tanagerport.gateway.channel import Channel
@@ -29,6 +30,8 @@
         get_limits: Returns the current limits.
         counters: Metrics of the process.
         log: Structured decision log.
+        earliest_arrival: Returns the monotonic time since which a request that
+            is read now can have waited, in seconds.
     """
 
     def __init__(
@@ -37,11 +40,13 @@
         get_limits: Callable[[], ClientLimits],
         counters: Counters,
         log: DecisionLog,
+        earliest_arrival: Callable[[], float] = time.monotonic,
     ) -> None:
         self._handler = handler
         self._get_limits = get_limits
         self._counters = counters
         self._log = log
+        self._earliest_arrival = earliest_arrival
         self._server: asyncio.Server | None = None
         self._listener: socket.socket | None = None
         # Connections that were accepted as the listener closed.
@@ -148,6 +153,7 @@
             self._log,
             lambda: self._draining,
             self._drain_record,
+            self._earliest_arrival,
         )
         task = asyncio.get_running_loop().create_task(connection.run())
         self._connections[task] = connection
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -310,7 +310,11 @@
             log,
         )
         self._client_server = ClientServer(
-            self._forwarder, lambda: self._tables.client_limits, counters, log
+            self._forwarder,
+            lambda: self._tables.client_limits,
+            counters,
+            log,
+            self._attended_clock.earliest_arrival,
         )
         self._internal_server = InternalServer(
             http_names.ready_path,
--- a/src/tanagerport/gateway/tcp_state.py
+++ b/src/tanagerport/gateway/tcp_state.py
@@ -9,6 +9,7 @@
 _TCP_INFO = struct.Struct("=8B24I3Q")
 _RETRANSMITS = 2
 _PROBES = 3
+_LAST_DATA_RECEIVED_MS = 19
 _LAST_ACK_RECEIVED_MS = 20
 _BYTES_ACKED = 34
 
@@ -22,11 +23,14 @@
             window, that the peer's host has not answered.
         silent_s: Seconds since the last acknowledgement of the peer's host.
         acknowledged_bytes: Number of acknowledged bytes.
+        data_age_s: Seconds since the last data of the peer came; 0 if the
+            kernel does not tell.
     """
 
     unanswered_probes: int
     silent_s: float
     acknowledged_bytes: int
+    data_age_s: float = 0.0
 
 
 def read_tcp_state(transport: asyncio.Transport | None) -> TcpState | None:
@@ -50,4 +54,5 @@
         unanswered_probes=max(fields[_RETRANSMITS], fields[_PROBES]),
         silent_s=fields[_LAST_ACK_RECEIVED_MS] / 1000,
         acknowledged_bytes=fields[_BYTES_ACKED],
+        data_age_s=fields[_LAST_DATA_RECEIVED_MS] / 1000,
     )
