--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -16,6 +16,7 @@
 import signal
 import socket
 import sys
+import tempfile
 import time
 import urllib.parse
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -488,11 +489,36 @@
 # port could be assigned the same port.
 _PORT_RANGE = range(20000, 32000)
 _port_indexes = itertools.count(os.getpid() * 50)
+# Names of the files say which process uses a port, also while its gateway is
+# down.
+_RESERVATIONS = pathlib.Path(tempfile.gettempdir()) / "tanagerport-test-ports"
+
+
+def _reserve(port: int) -> bool:
+    """Reserves a port for this process; returns whether it was free."""
+    _RESERVATIONS.mkdir(exist_ok=True)
+    path = _RESERVATIONS / str(port)
+    while True:
+        try:
+            with path.open("x") as file:
+                file.write(str(os.getpid()))
+            return True
+        except FileExistsError:
+            # It is empty for a moment while its owner writes it.
+            with contextlib.suppress(FileNotFoundError):
+                owner = path.read_text()
+                if owner == str(os.getpid()):
+                    return True
+                if not owner or pathlib.Path("/proc", owner).exists():
+                    return False
+                path.unlink()
 
 
 def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
     for index in _port_indexes:
         port = _PORT_RANGE[index % len(_PORT_RANGE)]
+        if not _reserve(port):
+            continue
         with socket.socket(socket.AF_INET, kind) as probe:
             try:
                 probe.bind((HOST, port))
