--- a/tests/test_gateway_crashing_prompts.py
+++ b/tests/test_gateway_crashing_prompts.py
@@ -17,6 +17,9 @@
 # part that crashes them, up to the fifth crash and after it.
 _MAX_CRASHES = 5
 _MAX_LATER_REQUESTS = 3
+# The same for one request that comes again and again: three crashes, and three
+# retries after them.
+_MAX_REPEATED_CRASHES = 3 + 3
 _RESTART_S = 0.8
 # Time within which a request reaches an upstream, in seconds.
 _REACHED_S = 5.0
@@ -214,6 +217,53 @@
 
         asyncio.run(run_cluster())
 
+    def test_nodes_stop_sending_a_request_that_crashes_late(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a request that crashes upstreams amid its answer.
+
+        By then its answer counts as sound, which clears its prompt.
+        """
+        config = configuration(1, ROUTES)
+
+        async def run_cluster() -> None:
+            async with standin.local_cluster(tmp_path, config) as cluster:
+                upstreams = _CrashingUpstreams(events_before_crash=12)
+                for number in range(8):
+                    await cluster.add_upstream(f"u-{number}", upstreams.handle)
+                first = await cluster.add_gateway(seeds=["127.0.0.2:1"])
+                second = await cluster.add_gateway(
+                    "node-2",
+                    peer_host="127.0.0.2",
+                    peer_port=first.settings["peer_port"],
+                    coordination_port=first.settings["coordination_port"],
+                )
+                await first.wait_ready()
+                await second.wait_ready()
+                await asyncio.sleep(0.5)
+                calls = []
+                for number in range(60):
+                    own = f"own{number}" if number % 3 else _CRASHING_PART
+                    calls.append(
+                        asyncio.create_task(
+                            _call(cluster, number, f"shared:10,{own}:60")
+                        )
+                    )
+                    await asyncio.sleep(0.1)
+                responses = await asyncio.gather(*calls)
+                assert upstreams.crashes <= _MAX_REPEATED_CRASHES
+                later_sound = [
+                    response
+                    for number, response in enumerate(responses)
+                    if number % 3 and number >= len(responses) // 2
+                ]
+                assert all(
+                    response.status == 200 and response.is_complete
+                    for response in later_sound
+                )
+
+        asyncio.run(run_cluster())
+
     def test_node_stops_sending_a_plain_request_that_crashes_upstreams(
         self, tmp_path: pathlib.Path
     ) -> None:
