Quarantine requests that crash upstreams amid their answers

Cause: from eight events on an answer clears the parts of its prompt, and its request is accused by no crash. Class of fault: an early sign of health taken for the outcome.

All streams at a lost upstream are now accused by themselves (target, body and prompt), apart from the parts of prompts; three crashes without a whole answer in between quarantine a request at all nodes. Streams that were lost beside it are at fewer of the crashes or end whole elsewhere; prompts that had not begun there are not accused once it is known.

--- a/src/tanagerport/gateway/crash_evidence.py
+++ b/src/tanagerport/gateway/crash_evidence.py
@@ -6,6 +6,10 @@
 have it in common, and no answer on it goes on for long. The other parts of
 these prompts are soon cleared by an answer to another request.
 
+A request may also crash its upstream amid its answer, which has cleared its
+prompt by then. Only the request itself is accused then, by crashes of their own
+kind: it is known again by its target and body.
+
 All nodes merge what they observed, so that a part is quarantined everywhere
 after crashes that different nodes saw.
 """
@@ -26,6 +30,11 @@
 # which answers were sound shortly before the first of them.
 _REQUIRED_CRASHES = 2
 _REQUIRED_CRASHES_AFTER_ANSWERS = 3
+# The same for a request that was accused amid its answer: all streams at an
+# upstream are accused by its loss, whatever caused that.
+_REQUIRED_LATE_CRASHES = 3
+# Marks the run of an upstream whose loss accuses answers that had gone on.
+_LATE_SUFFIX = "+"
 # Upstreams lost within this time of each other may have a common cause, such as
 # the loss of a rack, and count as one crash.
 _COMMON_CAUSE_S = 0.05
@@ -111,6 +120,7 @@
     at: float
     parts: set[int]
     is_own: bool
+    is_late: bool
 
 
 def request_keys(
@@ -133,6 +143,17 @@
     )
 
 
+def request_key(
+    service: str, parts: Sequence[PromptPart], target: bytes, body: bytes
+) -> int:
+    """Returns the key of a whole request, which no part of it has."""
+    part_ids = ",".join(part.part_id for part in parts)
+    return xxhash.xxh3_64_intdigest(
+        b"whole\0%s\0%s\0%s\0%s"
+        % (service.encode(), part_ids.encode(), target, body)
+    )
+
+
 def format_key(part: int) -> str:
     """Returns the key of a part as operators see it."""
     return f"{part:016x}"
@@ -232,6 +253,21 @@
         self._add_crash(run, parts, self._now(), is_own=True)
         self._analyze()
 
+    def record_late_crash(self, run: str, key: int) -> None:
+        """Records a request that crashed with its upstream amid its answer.
+
+        Args:
+            run: Identifies the run of the upstream.
+            key: Key of the whole request.
+        """
+        self._add_crash(run + _LATE_SUFFIX, (key,), self._now(), is_own=True)
+        self._analyze()
+
+    def record_whole_answer(self, key: int) -> None:
+        """Records the whole answer to a request."""
+        if not self.is_empty:
+            self.record_answer((key,))
+
     def record_answer(self, parts: Iterable[int]) -> None:
         """Records a sound answer on these parts."""
         now = self._now()
@@ -330,7 +366,9 @@
         if crash is None:
             if self._now() - at > _CRASH_LIFETIME_S:
                 return
-            crash = self._crashes[run] = _Crash(at, set(), is_own)
+            crash = self._crashes[run] = _Crash(
+                at, set(), is_own, run.endswith(_LATE_SUFFIX)
+            )
             while len(self._crashes) > _MAX_STORED_CRASHES:
                 self._crashes.popitem(last=False)
         # A report is delayed, so the earliest time is the most exact.
@@ -428,13 +466,21 @@
         self._suspected = set()
         self._alternatives = []
         unexplained = []
-        for crash in self._crashes.values():
+        # Runs of upstreams that a request is known to have crashed late; what
+        # had not begun there is not to blame.
+        crashed_late = {
+            run.removesuffix(_LATE_SUFFIX)
+            for run, crash in self._crashes.items()
+            if crash.is_late
+            and any(key in self._quarantined for key in crash.parts)
+        }
+        for run, crash in self._crashes.items():
             explained = [
                 part for part in crash.parts if part in self._quarantined
             ]
             for part in explained:
                 self._count_crash(part, crash.at)
-            if not explained and crash.parts:
+            if not explained and crash.parts and run not in crashed_late:
                 unexplained.append(crash)
         while unexplained:
             best = self._find_best_parts(unexplained)
@@ -457,7 +503,7 @@
             part
             for crash in unexplained
             for part in crash.parts
-            if not self._has_answered_before(part, crash.at)
+            if not (crash.is_late or self._has_answered_before(part, crash.at))
         }
 
     def _count_crash(self, part: int, at: float) -> None:
@@ -477,11 +523,12 @@
                 continue
             times = _independent_times(accusing_crashes)
             has_answered = self._has_answered_before(part, times[0])
-            required = (
-                _REQUIRED_CRASHES_AFTER_ANSWERS
-                if has_answered
-                else _REQUIRED_CRASHES
-            )
+            if any(crash.is_late for crash in accusing_crashes):
+                required = _REQUIRED_LATE_CRASHES
+            elif has_answered:
+                required = _REQUIRED_CRASHES_AFTER_ANSWERS
+            else:
+                required = _REQUIRED_CRASHES
             if len(times) >= required:
                 ranks[part] = (len(times), not has_answered)
         if not ranks:
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -258,6 +258,7 @@
             self._peer_exchange.send_early_report,
             self._slots,
             record_answer=self._crashes.record_answer,
+            record_whole_answer=self._crashes.record_whole_answer,
             gate=self._share_gate,
         )
         switch = UpstreamSwitch(
--- a/src/tanagerport/gateway/prompt_quarantine.py
+++ b/src/tanagerport/gateway/prompt_quarantine.py
@@ -77,11 +77,13 @@
         All nodes have to know the parts of its prompt before they send them to
         further upstreams, so the next report is not awaited.
         """
-        if not held.is_established and held.item.part_keys:
-            self._ledger.record_crash(
-                f"{upstream.upstream_id}/{upstream.started_ms}",
-                held.item.part_keys,
-            )
+        run = f"{upstream.upstream_id}/{upstream.started_ms}"
+        item = held.item
+        if held.is_established and item.request_key:
+            self._ledger.record_late_crash(run, item.request_key)
+            self._plan_report()
+        elif not held.is_established and item.part_keys:
+            self._ledger.record_crash(run, item.part_keys)
             self._plan_report()
 
     def list_quarantined(self) -> list[dict[str, object]]:
@@ -115,7 +117,7 @@
 
     def is_quarantined(self, item: WorkItem) -> bool:
         """Returns whether a part of a request's prompt is quarantined."""
-        return bool(self._ledger.judge(item.part_keys).quarantined)
+        return bool(self._ledger.judge(item.crash_keys).quarantined)
 
     @contextlib.asynccontextmanager
     async def admit(self, item: WorkItem) -> AsyncIterator[None]:
@@ -143,7 +145,7 @@
                 yield
         except InterruptedTaskError:
             raise self._refusal(
-                item, self._ledger.judge(item.part_keys)
+                item, self._ledger.judge(item.crash_keys)
             ) from None
         finally:
             self._admitted.pop(withdrawal, None)
@@ -156,7 +158,7 @@
         """Withdraws the requests with a part whose answers have not begun."""
         for withdrawal, item in list(self._admitted.items()):
             if (
-                part in item.part_keys
+                part in item.crash_keys
                 and item.work.parts
                 and not (item.has_begun or item.is_trial)
             ):
@@ -177,7 +179,7 @@
     async def _wait_for_trials(self, item: WorkItem) -> tuple[int, ...]:
         """Returns the parts that the request tries, when it is its turn."""
         while True:
-            judgement = self._ledger.judge(item.part_keys)
+            judgement = self._ledger.judge(item.crash_keys)
             if judgement.quarantined:
                 self._begin_trial(item, judgement)
                 return judgement.quarantined
--- a/src/tanagerport/gateway/request_validation.py
+++ b/src/tanagerport/gateway/request_validation.py
@@ -5,7 +5,7 @@
 from tanagerport.gateway import request_headers
 from tanagerport.gateway.attempt_age import AttemptAgeEstimator
 from tanagerport.gateway.client_messages import ClientRequest, ClientResponse
-from tanagerport.gateway.crash_evidence import request_keys
+from tanagerport.gateway.crash_evidence import request_key, request_keys
 from tanagerport.gateway.domain import Customer, Route
 from tanagerport.gateway.http_names import HttpNames
 from tanagerport.gateway.quotas import QuotaLimiter
@@ -88,6 +88,9 @@
             part_keys=request_keys(
                 service, work.parts, request.target, request.body
             ),
+            request_key=request_key(
+                service, work.parts, request.target, request.body
+            ),
         )
         units = 0.0
         if customer is not None:
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -63,6 +63,8 @@
             if none is limited.
         record_answer: Called with the keys of the prompt parts on which an
             answer was whole or went on well beyond its first event.
+        record_whole_answer: Called with the key of a request whose stream was
+            whole.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         slots: SlotClient | None = None,
         now: Callable[[], float] = time.monotonic,
         record_answer: Callable[[tuple[int, ...]], None] | None = None,
+        record_whole_answer: Callable[[int], None] | None = None,
         gate: ShareGate | None = None,
     ) -> None:
         self._registry = registry
@@ -95,6 +98,7 @@
         self._slots = slots
         self._now = now
         self._record_answer = record_answer
+        self._record_whole_answer = record_whole_answer
         self._gate = gate
         self._queues: dict[str, AdmissionQueue] = {}
         # Requests that wait for a coordinator or a backoff, and their refusal
@@ -397,6 +401,12 @@
         if self._record_answer is not None and placement.item.part_keys:
             self._record_answer(placement.item.part_keys)
 
+    def record_whole_stream(self, placement: Placement) -> None:
+        """Records a stream that is whole."""
+        self.record_established(placement)
+        if self._record_whole_answer is not None:
+            self._record_whole_answer(placement.item.request_key)
+
     def record_first_event(
         self, placement: Placement, first_byte_s: float
     ) -> None:
--- a/src/tanagerport/gateway/stream_relay.py
+++ b/src/tanagerport/gateway/stream_relay.py
@@ -157,7 +157,7 @@
     def _record_end(self, placement: Placement, head: ResponseHead) -> None:
         if head.is_framed:
             # Otherwise the end may be that of the upstream.
-            self._scheduler.record_established(placement)
+            self._scheduler.record_whole_stream(placement)
         self._scheduler.record_outcome(placement, has_failed=False)
 
     async def _read_stream_data(
--- a/src/tanagerport/gateway/upstream_losses.py
+++ b/src/tanagerport/gateway/upstream_losses.py
@@ -146,6 +146,14 @@
             service=upstream.service,
             held=len(all_held),
             begun=len(all_held) - len(waiting),
+            accused_late=[
+                {
+                    "request": held.item.request_id,
+                    "key": format_key(held.item.request_key),
+                }
+                for held in all_held
+                if held.is_established
+            ][:_MAX_LOGGED_REQUESTS],
             accused=[
                 {
                     "request": held.item.request_id,
--- a/src/tanagerport/gateway/work_item.py
+++ b/src/tanagerport/gateway/work_item.py
@@ -35,6 +35,8 @@
             when no other upstream is usable.
         part_keys: Keys of the prompt parts that other requests may share, or
             of the whole request if it has no prompt.
+        request_key: Key of the whole request, which it has again if it is
+            repeated; 0 if it is not known.
         has_begun: Whether the upstream of its last dispatch has begun to
             answer.
         last_data_at: Monotonic time at which data was sent to the client; None
@@ -55,11 +57,17 @@
     best_first_byte_s: float = 0.0
     excluded: set[str] = dataclasses.field(default_factory=set)
     part_keys: tuple[int, ...] = ()
+    request_key: int = 0
     has_begun: bool = False
     last_data_at: float | None = None
     is_trial: bool = False
     origin_zone: str = ""
 
+    @property
+    def crash_keys(self) -> tuple[int, ...]:
+        """Keys of all that may crash upstreams: its parts and itself."""
+        return (*self.part_keys, self.request_key)
+
     @property
     def is_client_served(self) -> bool:
         """Whether its client has a part of the answer, so a refusal cuts it."""
--- a/tests/test_gateway_crash_evidence.py
+++ b/tests/test_gateway_crash_evidence.py
@@ -5,7 +5,12 @@
 import pytest
 
 from tanagerport.clock import FakeClock
-from tanagerport.gateway.crash_evidence import SOUND, CrashLedger, request_keys
+from tanagerport.gateway.crash_evidence import (
+    SOUND,
+    CrashLedger,
+    request_key,
+    request_keys,
+)
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import PromptPart
 
@@ -175,6 +180,79 @@
         assert nodes.quarantined() == {_CRASHING}
 
 
+class TestLateCrashes:
+    """Guards against requests that crash upstreams amid their answers.
+
+    The answer has cleared their prompt by then, and every stream at the
+    upstream looks the same at that moment.
+    """
+
+    def test_request_is_told_from_streams_that_were_lost_with_it(self) -> None:
+        nodes = _Nodes()
+        for run in range(3):
+            nodes.first.record_late_crash(f"run-{run}", 7)
+            # A stream that was resumed beside it twice, and others.
+            nodes.first.record_late_crash(f"run-{run}", 8 if run else 9)
+            nodes.first.record_late_crash(f"run-{run}", 20 + run)
+            nodes.clock.advance(1.0)
+        assert nodes.quarantined() == {7}
+        assert nodes.first.judge([8]) == SOUND
+
+    def test_loss_of_two_upstreams_accuses_no_stream(self) -> None:
+        nodes = _Nodes()
+        for run in range(2):
+            nodes.first.record_late_crash(f"run-{run}", 7)
+            nodes.clock.advance(1.0)
+        assert nodes.first.judge([7]) == SOUND
+
+    def test_whole_answer_clears_the_request(self) -> None:
+        nodes = _Nodes()
+        for run in range(5):
+            nodes.first.record_late_crash(f"run-{run}", 7)
+            nodes.clock.advance(1.0)
+            nodes.first.record_whole_answer(7)
+            nodes.clock.advance(1.0)
+        assert nodes.first.judge([7]) == SOUND
+
+    def test_long_answers_on_its_prompt_do_not_clear_the_request(self) -> None:
+        nodes = _Nodes()
+        for run in range(3):
+            nodes.first.record_answer((_COMMON, _CRASHING))
+            nodes.first.record_late_crash(f"run-{run}", 7)
+            nodes.clock.advance(1.0)
+        assert nodes.quarantined() == {7}
+
+    def test_prompts_that_were_lost_with_it_are_not_refused(self) -> None:
+        nodes = _Nodes()
+        for run in range(3):
+            nodes.first.record_late_crash(f"run-{run}", 7)
+            nodes.clock.advance(1.0)
+        for run in range(3, 6):
+            nodes.first.record_late_crash(f"run-{run}", 7)
+            nodes.first.record_crash(f"run-{run}", (_CRASHING,))
+            nodes.clock.advance(1.0)
+        assert nodes.first.judge([_CRASHING]) == SOUND
+
+    def test_crashes_of_different_nodes_are_added_up(self) -> None:
+        nodes = _Nodes(3)
+        for node in range(3):
+            nodes.ledgers[node].record_late_crash(f"run-{node}", 7)
+            nodes.clock.advance(0.3)
+        nodes.exchange()
+        assert [nodes.quarantined(node) for node in range(3)] == [{7}] * 3
+
+    def test_requests_differ_by_target_body_and_prompt(self) -> None:
+        part = PromptPart("p1", 10)
+        keys = {
+            request_key("svc", [part], b"/x", b"b"),
+            request_key("svc", [], b"/x", b"b"),
+            request_key("svc", [part], b"/y", b"b"),
+            request_key("svc", [part], b"/x", b"c"),
+            *request_keys("svc", [], b"/x", b"b"),
+        }
+        assert len(keys) == 5
+
+
 class TestRelease:
     """A quarantine ends when the part proves sound."""
 
