Close the listening socket before the drain asks what is in progress

Cause: a connection that the event loop accepts is known to the server three turns later. The drain gave four turns and then closed the socket, so one that was accepted in the last of them was counted by nobody; the drain ended, and the process with it. The socket is now closed first, and its queue emptied, and what was accepted is known when the drain asks.

Before: the new test fails with a connection that comes in the third turn (one of eight cases). After: all are answered or refused a connection.

--- a/src/tanagerport/gateway/client_server.py
+++ b/src/tanagerport/gateway/client_server.py
@@ -91,9 +91,27 @@
             DrainPhase.LAST_SECOND, self._responses_in_progress()
         )
 
+    def close_listener(self) -> None:
+        """Closes the listening socket; connections that wait are accepted.
+
+        The kernel would reset them, though it has accepted them itself and
+        their requests may have been sent.
+        """
+        if self._server is None or self._listener is None:
+            return
+        loop = asyncio.get_running_loop()
+        for waiting in _accept_waiting(self._listener):
+            task: asyncio.Task[object] = loop.create_task(
+                loop.connect_accepted_socket(self._make_channel, waiting)
+            )
+            self._accepting.add(task)
+            task.add_done_callback(self._remove_accepting)
+        self._server.close()
+        self._server = self._listener = None
+
     def close_idle(self) -> None:
         """Closes the listening socket and the idle connections."""
-        self._close_listener()
+        self.close_listener()
         for task, connection in list(self._connections.items()):
             if connection.is_idle:
                 connection.close_idle(CloseCause.DRAINING)
@@ -101,7 +119,7 @@
 
     async def close(self) -> None:
         """Closes the listening socket and all connections."""
-        self._close_listener()
+        self.close_listener()
         for accepting in self._accepting:
             accepting.cancel()
         tasks = list(self._connections)
@@ -118,24 +136,6 @@
             if (response := connection.response_in_progress) is not None
         ]
 
-    def _close_listener(self) -> None:
-        """Closes the listening socket; connections that wait are accepted.
-
-        The kernel would reset them, though it has accepted them itself and
-        their requests may have been sent.
-        """
-        if self._server is None or self._listener is None:
-            return
-        loop = asyncio.get_running_loop()
-        for waiting in _accept_waiting(self._listener):
-            task: asyncio.Task[object] = loop.create_task(
-                loop.connect_accepted_socket(self._make_channel, waiting)
-            )
-            self._accepting.add(task)
-            task.add_done_callback(self._remove_accepting)
-        self._server.close()
-        self._server = self._listener = None
-
     def _make_channel(self) -> Channel:
         return Channel(self._accept)
 
--- a/src/tanagerport/gateway/planned_stop.py
+++ b/src/tanagerport/gateway/planned_stop.py
@@ -36,7 +36,7 @@
 # Steps in which requests that were ended, or came late, are answered.
 _LAST_STEPS = 10
 _LAST_STEP_INTERVAL_S = 0.01
-# Turns of the event loop until it has accepted the connections that wait.
+# Turns of the event loop until a connection that it has accepted is known.
 _TURNS_TO_ACCEPT = 4
 
 
@@ -123,12 +123,13 @@
         grace_s: Seconds between the signal and the kill.
     """
     killed_at = signaled_at + grace_s
+    ends_unanswered_at = killed_at - _END_UNANSWERED_MARGIN_S
     return StopSchedule(
         closes_idle_at=min(
-            noticed_at + _DEREGISTRATION_S, signaled_at + grace_s / 2
+            noticed_at + min(_DEREGISTRATION_S, grace_s / 2), ends_unanswered_at
         ),
         refuses_unsent_at=killed_at - _REFUSE_UNSENT_MARGIN_S,
-        ends_unanswered_at=killed_at - _END_UNANSWERED_MARGIN_S,
+        ends_unanswered_at=ends_unanswered_at,
         closes_at=killed_at - _CLOSE_MARGIN_S,
         exits_at=killed_at - _EXIT_MARGIN_S,
     )
@@ -200,8 +201,10 @@
 
     async def _close_idle_connections(self) -> bool:
         """Returns whether no request is in progress, or expected."""
-        # After a standstill, connections and requests that came meanwhile are
-        # noticed first.
+        # Connections that the event loop accepts in these turns become known in
+        # later ones, so none may come any more.
+        self._client_server.close_listener()
+        # After a standstill, requests that came meanwhile are noticed first.
         for _ in range(_TURNS_TO_ACCEPT):
             await asyncio.sleep(0)
         self._client_server.close_idle()
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -12,6 +12,7 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
+from typing import Any, cast
 
 import pytest
 
@@ -25,6 +26,7 @@
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import ClientLimits
+from tanagerport.gateway.planned_stop import Drain, StopSchedule
 
 Scenario = Callable[[LocalCluster], Awaitable[None]]
 
@@ -595,6 +597,48 @@
         answers = asyncio.run(scenario())
         assert [entry[:12] for entry in answers] == [b"HTTP/1.1 200"] * count
 
+    @pytest.mark.parametrize("turns", range(8))
+    def test_connection_that_is_being_accepted_is_answered(
+        self, turns: int
+    ) -> None:
+        """Guards against a drain that ends before a connection is known."""
+
+        class Forwarder:
+            def refuse_undispatched(self) -> None:
+                pass
+
+        async def scenario() -> bytes:
+            server = make_server()
+            port = standin.free_port()
+            await server.start(standin.HOST, port)
+            server.start_draining()
+
+            async def connect() -> socket.socket:
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                client = socket.create_connection((standin.HOST, port))
+                client.sendall(standin.request_bytes("GET", "/x"))
+                return client
+
+            connecting = asyncio.create_task(connect())
+            now = time.monotonic()
+            drain = Drain(server, cast(Any, Forwarder()), DecisionLog("n"))
+            await drain.run(StopSchedule(now, now, now + 5, now + 5, now + 5))
+            await server.close()
+            # The process would exit here.
+            try:
+                client = await connecting
+            except ConnectionRefusedError:
+                return b"refused"
+            reader, writer = await asyncio.open_connection(sock=client)
+            async with asyncio.timeout(2.0):
+                data = await reader.read()
+            writer.close()
+            return data
+
+        data = asyncio.run(scenario())
+        assert data == b"refused" or data.startswith(b"HTTP/1.1 200")
+
     def test_connection_after_the_close_is_refused(self) -> None:
         """Guards against clients that wait at a listener nobody reads."""
 
