Give the last steps of a stop however late it is

Cause: the process closed at the latest 0.15 s before the kill that it expected. An exit in haste takes the answers away that the kill might take. The last steps, 0.1 s, are now always given, and the log is flushed in each.

--- a/src/tanagerport/gateway/attended_clock.py
+++ b/src/tanagerport/gateway/attended_clock.py
@@ -49,11 +49,9 @@
             Monotonic seconds.
         """
         began_at, ended_at = self._standstill
-        return (
-            began_at
-            if self._now() < ended_at + _NOTICE_S
-            else (self._ticked_at)
-        )
+        if self._now() < ended_at + _NOTICE_S:
+            return began_at
+        return self._ticked_at
 
     def tick(self) -> None:
         """Shows that the event loop runs; called every tenth of a second."""
--- a/src/tanagerport/gateway/planned_stop.py
+++ b/src/tanagerport/gateway/planned_stop.py
@@ -30,10 +30,9 @@
 # then exits.
 _CLOSE_MARGIN_S = 0.4
 _STEP_INTERVAL_S = 0.05
-# After a standstill, what came meanwhile is given the last steps even if the
-# time to close is over, until this long before the process would be killed.
-_EXIT_MARGIN_S = 0.15
-# Steps in which requests that were ended, or came late, are answered.
+# Steps in which requests that were ended, or came late, are answered. They are
+# given after a standstill, too, however late it is: an exit in haste would take
+# the answers away that a kill might take.
 _LAST_STEPS = 10
 _LAST_STEP_INTERVAL_S = 0.01
 # Turns of the event loop until a connection that it has accepted is known.
@@ -102,14 +101,12 @@
         refuses_unsent_at: What has not been sent to an upstream is refused.
         ends_unanswered_at: Requests whose answers have not begun are ended.
         closes_at: All connections are closed.
-        exits_at: They are closed at the latest, after a standstill.
     """
 
     closes_idle_at: float
     refuses_unsent_at: float
     ends_unanswered_at: float
     closes_at: float
-    exits_at: float
 
 
 def make_schedule(
@@ -131,7 +128,6 @@
         refuses_unsent_at=killed_at - _REFUSE_UNSENT_MARGIN_S,
         ends_unanswered_at=ends_unanswered_at,
         closes_at=killed_at - _CLOSE_MARGIN_S,
-        exits_at=killed_at - _EXIT_MARGIN_S,
     )
 
 
@@ -194,9 +190,8 @@
             await asyncio.sleep(_LAST_STEP_INTERVAL_S)
             if await self._close_idle_connections():
                 return
-            has_stepped = step >= _LAST_STEPS
-            ends_at = schedule.closes_at if has_stepped else schedule.exits_at
-            if self._now() >= ends_at:
+            self._log.flush()
+            if step >= _LAST_STEPS and self._now() >= schedule.closes_at:
                 return
 
     async def _close_idle_connections(self) -> bool:
