Allow for the tick of the kernel's clock in the arrival of requests

Cause: the age of the last data is told in ticks of 4 ms (up to 10 ms), and was subtracted as it was. It now counts only beyond a tick.

After: at least 0.5 s in 60 of 60.

--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -36,6 +36,10 @@
 # given at the deadline.
 _MIN_DELIVERY_S = 1.0
 
+# Longest tick of the kernel's clock, in seconds: times that it tells may be too
+# long by so much, and no deadline may pass early.
+_KERNEL_TICK_S = 0.01
+
 # Time in which a new connection counts as about to send its first request, in
 # seconds: a few round trips between regions.
 _FIRST_REQUEST_S = 0.3
@@ -362,8 +366,8 @@
         time that its client gives it runs from its arrival.
         """
         now = time.monotonic()
-        arrived_at = now - self._channel.data_age_s
-        return min(max(arrived_at, self._earliest_arrival()), now)
+        waited_s = max(self._channel.data_age_s - _KERNEL_TICK_S, 0)
+        return min(max(now - waited_s, self._earliest_arrival()), now)
 
     async def _read_head(self) -> h11.Request | None:
         """Reads a request header; returns None if the client closes."""
--- a/tests/test_gateway_waiting_deadlines.py
+++ b/tests/test_gateway_waiting_deadlines.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import signal
+import time
 
 import pytest
 
@@ -92,3 +93,31 @@
         clock.advance(0.1)
         attended.tick()
         assert attended.earliest_arrival() == pytest.approx(102.15)
+
+
+class TestKernelClock:
+    """Guards against deadlines that pass early by a tick of the kernel."""
+
+    def test_no_deadline_passes_before_its_time(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        async def run() -> list[float]:
+            async with standin.local_cluster(
+                tmp_path, configuration(1, [route("read", timeout_ms=20_000)])
+            ) as cluster:
+                await cluster.add_upstream("u-1", standin.hang, slot_count=100)
+                await cluster.add_gateway()
+                await cluster.gateway.wait_ready()
+
+                async def call(number: int) -> float:
+                    # Spread over the ticks.
+                    await asyncio.sleep(number * 0.0073)
+                    sent_at = time.monotonic()
+                    await cluster.call(
+                        f"a{number}", "/read/x", Deadline_Ms="500"
+                    )
+                    return time.monotonic() - sent_at
+
+                return await asyncio.gather(*map(call, range(60)))
+
+        assert min(asyncio.run(run())) >= 0.5
