--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/world2/world.py
+++ b/review/world2/world.py
@@ -358,6 +358,7 @@
             try:
                 async with self._free:
                     gone = asyncio.ensure_future(reader.read(1))
+                    gone.add_done_callback(_forget_error)
                     run = asyncio.ensure_future(
                         self.answer(self, first, fields, body, writer)
                     )
@@ -376,6 +377,11 @@
             await writer.drain()
 
 
+def _forget_error(task: "asyncio.Future[bytes]") -> None:
+    if not task.cancelled():
+        task.exception()
+
+
 Run = Callable[
     [Worker, str, Headers, bytes, asyncio.StreamWriter], Awaitable[None]
 ]
