--- a/review/10/case.py
+++ b/review/10/case.py
@@ -186,7 +186,7 @@
         node.start()
         while not await node.is_ready():
             await asyncio.sleep(0.1)
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(1.0)
     return signals
 
 
@@ -228,7 +228,7 @@
         deployment.run_task(clients.balance())
         for _ in range(CLIENTS):
             deployment.run_task(clients.run())
-        await asyncio.sleep(8)
+        await asyncio.sleep(5)
         signals: list[tuple[str, float]] = []
         if has_trouble:
             signals = await stop_in_turn(deployment)
