Log what a stopping node passes on, and how much time it has

The log could not tell why a stream was passed on that ended after the grace: by its estimate, after a wait, on a new or a kept connection, or as a second dispatch. Each request that has a place in a drain gets a line with the time of its arrival after the signal, its wait, the earlier requests of its connection, its dispatches, the time left and the predicted time.

--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -107,6 +107,7 @@
         self._idle_since = time.monotonic()
         # Response in progress, or the last one.
         self._response: ClientResponse | None = None
+        self._request_count = 0
         self._time_slice = TimeSlice()
         self._request_expected_until = time.monotonic() + _FIRST_REQUEST_S
         self._codec = self._create_codec()
@@ -215,6 +216,8 @@
             self._must_close,
             self._announce_idle_timeout_s,
         )
+        response.earlier_requests = self._request_count
+        self._request_count += 1
         self._response = response
         try:
             return await self._respond(response)
--- a/src/tanagerport/gateway/client_messages.py
+++ b/src/tanagerport/gateway/client_messages.py
@@ -56,6 +56,7 @@
         upstream_id: Upstream to which the request was last sent; empty if it
             was not sent.
         received_at: Monotonic seconds at which the request came.
+        earlier_requests: Number of requests that its connection carried before.
         status: HTTP status that was sent; 0 before.
         is_closed_by_node: Whether the node closes the connection.
         deliver_until: Monotonic seconds until which its client may read it.
@@ -79,6 +80,7 @@
         self.request_id = ""
         self.upstream_id = ""
         self.received_at = time.monotonic()
+        self.earlier_requests = 0
         self.status = 0
         self.is_closed_by_node = False
         self.deliver_until = self.received_at + _DEFAULT_DELIVERY_S
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -10,6 +10,7 @@
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.dispatch import Dispatcher
+from tanagerport.gateway.drain_admission import DrainAdmission
 from tanagerport.gateway.exchange import (
     FIRST_BYTE_TIMEOUT_FACTOR,
     MIN_FIRST_BYTE_TIMEOUT_S,
@@ -32,6 +33,7 @@
 from tanagerport.gateway.route_table import RouteTable
 from tanagerport.gateway.scheduler import Scheduler
 from tanagerport.gateway.slot_messages import SlotOutcome
+from tanagerport.gateway.stop_schedule import StopSchedule
 from tanagerport.gateway.upstream_backoff import UpstreamBackoff
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_losses import (
@@ -76,6 +78,7 @@
         quarantine: Refuses requests that may crash upstreams.
         budget: Limits retries.
         switch: Moves requests from silent upstreams to others.
+        drain: Decides which requests a stopping process passes on.
         counters: Metrics of the process.
         log: Structured decision log.
         now: Monotonic clock, in seconds.
@@ -96,6 +99,7 @@
         quarantine: PromptQuarantine,
         budget: RetryBudget,
         switch: UpstreamSwitch,
+        drain: DrainAdmission,
         counters: Counters,
         log: DecisionLog,
         now: Callable[[], float] = time.monotonic,
@@ -113,6 +117,7 @@
         self._quarantine = quarantine
         self._budget = budget
         self._switch = switch
+        self._drain = drain
         self._counters = counters
         self._log = log
         self._now = now
@@ -122,14 +127,10 @@
         self._is_stopping = False
         self._in_progress: dict[Interruption, RequestContext] = {}
 
-    def start_draining(self, stops_at: float) -> None:
-        """Refuses requests whose answers would take too long from now on.
-
-        Args:
-            stops_at: Monotonic time by which answers must have begun.
-        """
-        self._stops_at = stops_at
-        self._switch.start_draining(stops_at)
+    def start_draining(self, schedule: StopSchedule) -> None:
+        """Refuses requests whose answers would take too long from now on."""
+        self._stops_at = schedule.ends_unanswered_at
+        self._drain.start(schedule)
 
     def refuse_undispatched(self) -> None:
         """Refuses queued and new requests because the process is stopping."""
@@ -286,7 +287,8 @@
                 self._now() - context.request.received_at
             )
             if not (
-                context.response.is_started or self._switch.has_time(placement)
+                context.response.is_started
+                or self._drain.admits(context, placement)
             ):
                 raise RefusedError(self._shutdown_refusal())
             await self._dispatcher.dispatch(context, placement)
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -27,6 +27,7 @@
 from tanagerport.gateway.domain import (
     UpstreamRecord,
 )
+from tanagerport.gateway.drain_admission import DrainAdmission
 from tanagerport.gateway.forwarding import RequestForwarder
 from tanagerport.gateway.http_names import HttpNames
 from tanagerport.gateway.internal_server import InternalServer
@@ -261,6 +262,7 @@
             record_whole_answer=self._crashes.record_whole_answer,
             gate=self._share_gate,
         )
+        drain_admission = DrainAdmission(self._scheduler, log)
         switch = UpstreamSwitch(
             self._scheduler,
             self._backoff,
@@ -268,6 +270,7 @@
             self._load_tracker,
             self._quarantine,
             self._retry_budget,
+            drain_admission,
         )
         dispatcher = Dispatcher(
             http_names,
@@ -307,6 +310,7 @@
             self._quarantine,
             self._retry_budget,
             switch,
+            drain_admission,
             self._counters,
             log,
         )
--- a/src/tanagerport/gateway/upstream_switch.py
+++ b/src/tanagerport/gateway/upstream_switch.py
@@ -5,11 +5,9 @@
 """
 
 import dataclasses
-import math
-import time
-from collections.abc import Callable
 
 from tanagerport.exceptions import RefusedError
+from tanagerport.gateway.drain_admission import DrainAdmission
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
 from tanagerport.gateway.request_context import MAX_CRASHES, RequestContext
 from tanagerport.gateway.retry_budget import RetryBudget
@@ -19,12 +17,6 @@
 from tanagerport.gateway.upstream_load import LoadTracker
 from tanagerport.gateway.work_item import Placement
 
-# While the process stops, a request is passed on only if this much time is
-# left, in seconds: a sound upstream may be silent for a second or two.
-_MIN_ANSWER_TIME_S = 2.0
-# Time for a silence of the upstream beside that for the answer, in seconds.
-_SILENCE_MARGIN_S = 1.0
-
 
 class UpstreamSwitch:
     """Finds other places for requests at silent upstreams.
@@ -36,7 +28,7 @@
         load_tracker: Requests in progress at each upstream.
         quarantine: Refuses requests that may crash upstreams.
         budget: Limits retries.
-        now: Monotonic clock, in seconds.
+        drain: Knows which answers end before the process stops.
     """
 
     def __init__(
@@ -47,7 +39,7 @@
         load_tracker: LoadTracker,
         quarantine: PromptQuarantine,
         budget: RetryBudget,
-        now: Callable[[], float] = time.monotonic,
+        drain: DrainAdmission,
     ) -> None:
         self._scheduler = scheduler
         self._backoff = backoff
@@ -55,33 +47,7 @@
         self._load_tracker = load_tracker
         self._quarantine = quarantine
         self._budget = budget
-        self._now = now
-        # Monotonic time at which requests without an answer are ended.
-        self._stops_at = math.inf
-
-    def start_draining(self, stops_at: float) -> None:
-        """Sets the monotonic time at which the process stops, in seconds."""
-        self._stops_at = stops_at
-
-    def has_time(self, placement: Placement) -> bool:
-        """Returns whether a new answer will end before the process stops.
-
-        Another node serves a request that is refused, but not an answer that
-        is cut.
-        """
-        left_s = self._stops_at - self._now()
-        if math.isinf(left_s):
-            return True
-        needed_s = self._scheduler.long_completion_s(placement)
-        return left_s >= max(needed_s + _SILENCE_MARGIN_S, _MIN_ANSWER_TIME_S)
-
-    def _may_end(self, placement: Placement) -> bool:
-        """Returns whether an answer may end there before the process stops."""
-        left_s = self._stops_at - self._now()
-        if math.isinf(left_s):
-            return True
-        needed_s = self._scheduler.completion_s(placement)
-        return left_s >= max(needed_s, _MIN_ANSWER_TIME_S)
+        self._drain = drain
 
     async def find_place(
         self, context: RequestContext, placement: Placement
@@ -108,7 +74,9 @@
         alternative = await self._acquire_alternative(placement)
         if alternative is None:
             return False
-        if not (self._may_end(alternative) and self._budget.try_spend(service)):
+        if not (
+            self._drain.may_end(alternative) and self._budget.try_spend(service)
+        ):
             self._scheduler.release_unused(alternative)
             return False
         context.next_placement = alternative
--- a/tests/gateway_doubles.py
+++ b/tests/gateway_doubles.py
@@ -14,6 +14,7 @@
     UpstreamRecord,
     WorkEstimate,
 )
+from tanagerport.gateway.drain_admission import DrainAdmission
 from tanagerport.gateway.placement import UpstreamSelector
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
 from tanagerport.gateway.prompt_quarantine import PromptQuarantine
@@ -144,6 +145,7 @@
     quarantine: PromptQuarantine | None = None,
     budget: RetryBudget | None = None,
     now: Callable[[], float] = time.monotonic,
+    drain: DrainAdmission | None = None,
 ) -> UpstreamSwitch:
     """Makes a switch; without the others, nothing but the slots limits it."""
     return UpstreamSwitch(
@@ -153,10 +155,16 @@
         LoadTracker(lambda: 1, lambda: 0.1, now),
         quarantine or make_quarantine(now),
         budget or RetryBudget(0.0, 10.0, 10.0, lambda: 1, now),
-        now,
+        drain or make_drain(scheduler, now),
     )
 
 
+def make_drain(
+    scheduler: Scheduler, now: Callable[[], float] = time.monotonic
+) -> DrainAdmission:
+    return DrainAdmission(scheduler, DecisionLog("n"), now)
+
+
 def make_quarantine(
     now: Callable[[], float] = time.monotonic,
 ) -> PromptQuarantine:
--- a/tests/test_gateway_expiring_waits.py
+++ b/tests/test_gateway_expiring_waits.py
@@ -273,6 +273,7 @@
         gateway_doubles.make_quarantine(),
         cast(Any, None),
         gateway_doubles.make_switch(scheduler),
+        gateway_doubles.make_drain(scheduler),
         Counters(),
         DecisionLog("n"),
     )
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -17,6 +17,7 @@
 from tanagerport.gateway.request_context import DispatchError, RequestContext
 from tanagerport.gateway.retry_budget import RetryBudget
 from tanagerport.gateway.scheduler import Scheduler
+from tanagerport.gateway.stop_schedule import StopSchedule
 from tanagerport.gateway.upstream_backoff import UpstreamBackoff
 from tanagerport.gateway.upstream_health import UpstreamHealth
 from tanagerport.gateway.upstream_losses import HeldRequest, LossDetector
@@ -41,6 +42,7 @@
     is_started = False
     is_closed_by_node = False
     upstream_id = ""
+    earlier_requests = 0
     refusal: Refusal | None = None
     is_aborted = False
 
@@ -195,6 +197,9 @@
         backoff = UpstreamBackoff(clock.monotonic)
         quarantine = gateway_doubles.make_quarantine(clock.monotonic)
         budget = RetryBudget(0.0, 10.0, retry_slack, lambda: 1, clock.monotonic)
+        drain = gateway_doubles.make_drain(
+            cast(Scheduler, scheduler), clock.monotonic
+        )
         self.forwarder = RequestForwarder(
             cast(Any, _FakeHttpNames()),
             self._get_routes,
@@ -219,7 +224,9 @@
                 quarantine,
                 budget,
                 clock.monotonic,
+                drain,
             ),
+            drain,
             self.counters,
             DecisionLog("n"),
             clock.monotonic,
@@ -240,6 +247,14 @@
         await self.forwarder.handle(request, cast(ClientResponse, response))
         return response
 
+    def start_draining(self, left_s: float) -> None:
+        """Begins a stop that ends requests after some seconds."""
+        now = self.clock.monotonic()
+        ends_at = now + left_s
+        self.forwarder.start_draining(
+            StopSchedule(now, now, ends_at, ends_at, ends_at)
+        )
+
     async def _get_routes(self) -> Any:
         return object()
 
@@ -416,7 +431,7 @@
 
     def test_long_request_is_refused_at_once_as_not_run(self) -> None:
         fixture = _ForwarderFixture(_FakeScheduler(3, completion_s=6.0))
-        fixture.forwarder.start_draining(fixture.clock.monotonic() + 5.0)
+        fixture.start_draining(5.0)
         refusal = asyncio.run(fixture.send_request())
         assert refusal.reason is RefusalReason.DRAINING
         assert refusal.ran is Ran.NO
@@ -426,13 +441,13 @@
         fixture = _ForwarderFixture(
             _FakeScheduler(3, completion_s=4.0), may_have_run=True
         )
-        fixture.forwarder.start_draining(fixture.clock.monotonic() + 5.0)
+        fixture.start_draining(5.0)
         refusal = asyncio.run(fixture.send_request())
         # The dispatcher of the fixture fails what it gets.
         assert refusal.reason is RefusalReason.UPSTREAM_ERROR
 
     def test_request_is_not_passed_on_in_the_last_seconds(self) -> None:
         fixture = _ForwarderFixture(_FakeScheduler(3, completion_s=0.1))
-        fixture.forwarder.start_draining(fixture.clock.monotonic() + 1.5)
+        fixture.start_draining(1.5)
         refusal = asyncio.run(fixture.send_request())
         assert refusal.reason is RefusalReason.DRAINING
--- a/tests/test_gateway_late_stop.py
+++ b/tests/test_gateway_late_stop.py
@@ -15,7 +15,8 @@
 from platform_standin import GatewayProcess, LocalCluster, configuration, route
 from tanagerport.clock import FakeClock
 from tanagerport.gateway.attended_clock import AttendedClock
-from tanagerport.gateway.planned_stop import StopSignal, make_schedule
+from tanagerport.gateway.planned_stop import StopSignal
+from tanagerport.gateway.stop_schedule import make_schedule
 
 _GRACE_S = 6.0
 _ROUTES = [
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -26,7 +26,8 @@
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
 from tanagerport.gateway.domain import ClientLimits
-from tanagerport.gateway.planned_stop import Drain, StopSchedule
+from tanagerport.gateway.planned_stop import Drain
+from tanagerport.gateway.stop_schedule import StopSchedule
 
 Scenario = Callable[[LocalCluster], Awaitable[None]]
 
@@ -623,7 +624,7 @@
             connecting = asyncio.create_task(connect())
             now = time.monotonic()
             drain = Drain(server, cast(Any, Forwarder()), DecisionLog("n"))
-            await drain.run(StopSchedule(now, now, now + 5, now + 5))
+            await drain.run(StopSchedule(now, now, now, now + 5, now + 5))
             await server.close()
             # The process would exit here.
             try:
--- a/tests/test_gateway_unexpected_errors.py
+++ b/tests/test_gateway_unexpected_errors.py
@@ -141,6 +141,7 @@
         gateway_doubles.make_quarantine(),
         cast(Any, None),
         gateway_doubles.make_switch(scheduler),
+        gateway_doubles.make_drain(scheduler),
         counters,
         log,
     )
