Close a kept connection with the end of its last answer in a stop

What callers saw: a client whose answer had begun before SIGTERM was told nothing of a close and sent its next request on the same connection.

Cause: from 2.5 s after the signal on idle connections were closed every 50 ms, and one that became idle in between stayed open for up to that long. A response that began before the signal bears no Connection: close.

Change: once the node closes idle connections, one that becomes idle closes in the turn that ends its answer, after the kernel and the parser were found to hold no further request. The end of the stream comes with that of the answer, so that its client knows before it sends again.

Why it works: a request that crosses the close is not read, which its client may repeat; the wait of 50 ms only made more of them.

--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -75,6 +75,7 @@
         counters: Metrics of the process.
         log: Structured decision log.
         is_draining: Returns whether the connection closes after a response.
+        closes_idle: Returns whether the connection closes once it is idle.
         drain_record: Records how requests end during a stop.
         earliest_arrival: Returns the monotonic time since which a request that
             is read now can have waited, in seconds.
@@ -88,6 +89,7 @@
         counters: Counters,
         log: DecisionLog,
         is_draining: Callable[[], bool],
+        closes_idle: Callable[[], bool],
         drain_record: DrainRecord,
         earliest_arrival: Callable[[], float],
     ) -> None:
@@ -101,6 +103,7 @@
         self._counters = counters
         self._log = log
         self._is_draining = is_draining
+        self._closes_idle = closes_idle
         self._drain_record = drain_record
         self._earliest_arrival = earliest_arrival
         self._is_idle = True
@@ -144,6 +147,11 @@
         try:
             while await self._handle_request():
                 self._codec.start_next_cycle()
+                if self._closes_idle() and self.is_idle:
+                    # Its client, which was told nothing of the close, would
+                    # send its next request to a node that stops.
+                    self.close_idle(CloseCause.DRAINING)
+                    return
                 if self._channel.has_unread or self._codec.trailing_data[0]:
                     # The client sends requests without waiting for answers.
                     await self._time_slice.pause_if_over()
--- a/src/tanagerport/gateway/client_server.py
+++ b/src/tanagerport/gateway/client_server.py
@@ -53,6 +53,8 @@
         self._accepting: set[asyncio.Task[object]] = set()
         self._connections: dict[asyncio.Task[None], ClientConnection] = {}
         self._draining = False
+        # Whether a connection closes as soon as it is idle.
+        self._closes_idle = False
         self._drain_record = DrainRecord(log)
 
     @property
@@ -110,8 +112,9 @@
         self._server = self._listener = None
 
     def close_idle(self) -> None:
-        """Closes the listening socket and the idle connections."""
+        """Closes the listening socket and each connection once it is idle."""
         self.close_listener()
+        self._closes_idle = True
         for task, connection in list(self._connections.items()):
             if connection.is_idle:
                 connection.close_idle(CloseCause.DRAINING)
@@ -152,6 +155,7 @@
             self._counters,
             self._log,
             lambda: self._draining,
+            lambda: self._closes_idle,
             self._drain_record,
             self._earliest_arrival,
         )
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -21,7 +21,11 @@
 from platform_standin import LocalCluster, configuration, route
 from tanagerport.gateway import client_server
 from tanagerport.gateway.channel import Channel
-from tanagerport.gateway.client_messages import ClientRequest, ClientResponse
+from tanagerport.gateway.client_messages import (
+    ClientRequest,
+    ClientResponse,
+    RequestHandler,
+)
 from tanagerport.gateway.client_server import ClientServer
 from tanagerport.gateway.counters import Counters
 from tanagerport.gateway.decision_log import DecisionLog
@@ -335,9 +339,11 @@
         response.finish()
 
 
-def make_server(body_bytes: int = 0) -> ClientServer:
+def make_server(
+    body_bytes: int = 0, handler: RequestHandler | None = None
+) -> ClientServer:
     return ClientServer(
-        _FixedHandler(body_bytes),
+        handler or _FixedHandler(body_bytes),
         lambda: ClientLimits(8192, 8192, 1.0, 5.0),
         Counters(),
         DecisionLog("n"),
@@ -656,6 +662,55 @@
         asyncio.run(scenario())
 
 
+class _StreamHandler:
+    """Answers each request with a stream that ends when it is told to."""
+
+    def __init__(self) -> None:
+        self.may_end = asyncio.Event()
+
+    async def handle(
+        self, request: ClientRequest, response: ClientResponse
+    ) -> None:
+        del request
+        response.start(200, b"", [(b"Transfer-Encoding", b"chunked")])
+        response.send(b"first")
+        await self.may_end.wait()
+        response.send(b"last")
+        response.finish()
+
+
+class TestAnswersThatBeganBefore:
+    """Guards against requests on connections that nobody said would close.
+
+    An answer that began before the signal could not tell its client, which
+    sent its next request on the same connection, to a node about to end.
+    """
+
+    @pytest.mark.parametrize("request_count", [1, 2])
+    def test_connection_closes_with_the_end_of_the_answer(
+        self, request_count: int
+    ) -> None:
+        async def scenario() -> None:
+            handler = _StreamHandler()
+            server = make_server(handler=handler)
+            port = standin.free_port()
+            await server.start(standin.HOST, port)
+            reader, writer = await asyncio.open_connection(standin.HOST, port)
+            # All but the first wait behind it and are answered, too.
+            writer.write(standin.request_bytes("GET", "/x") * request_count)
+            await reader.readuntil(b"first")
+            server.start_draining()
+            server.close_idle()
+            handler.may_end.set()
+            async with asyncio.timeout(1.0):
+                data = await reader.read()
+            assert data.count(b"last") == request_count
+            writer.close()
+            await server.close()
+
+        asyncio.run(scenario())
+
+
 class TestPredictedCompletion:
     """Guards against streams that are passed on and can't end in the grace."""
 
