Pass on late in a stop only what ends in any case

Cause: a request was passed on if twice its client's estimate fitted. The estimate is a median; of a wide distribution, a part is longer than any multiple of it. A request late in a stop could have been served elsewhere after a round trip.

Change: from the time on at which the load balancer selects other nodes, a request is passed on only if its answer ends whatever its length: by its maximum of tokens and twice the interval of the upstream, or by its deadline. It counts as late by its last byte, so a slow upload is none that came early. Earlier requests are passed on as before. A request at a silent upstream leaves it only if the same check lets it go on; it was refused after it had left.

Why it works: what is passed on late is bounded by what its request may use, not by what it will probably use. No factor or margin was changed.

--- a/src/tanagerport/gateway/client_connection.py
+++ b/src/tanagerport/gateway/client_connection.py
@@ -368,6 +368,7 @@
             header_values,
             body,
             received_at,
+            time.monotonic(),
         )
 
     def _find_arrival(self) -> float:
--- a/src/tanagerport/gateway/client_messages.py
+++ b/src/tanagerport/gateway/client_messages.py
@@ -31,6 +31,7 @@
             the last one.
         body: Complete body.
         received_at: Monotonic seconds at which its header was complete.
+        read_at: Monotonic seconds at which it was read to its end.
     """
 
     method: bytes
@@ -39,6 +40,7 @@
     header_values: dict[bytes, bytes]
     body: bytes
     received_at: float
+    read_at: float
 
 
 class ClientResponse:
--- a/src/tanagerport/gateway/drain_admission.py
+++ b/src/tanagerport/gateway/drain_admission.py
@@ -25,12 +25,18 @@
     def long_completion_s(self, placement: Placement) -> float:
         """Returns the time in which nearly all such answers end, in seconds."""
 
+    def longest_completion_s(self, placement: Placement) -> float:
+        """Returns the time in which every such answer ends, in seconds."""
+
 
 class DrainAdmission:
     """Decides whether an answer ends before the process stops.
 
     Another node serves a request that is refused, but not an answer that is
-    cut.
+    cut. A request that came while the load balancer still selected this node is
+    passed on if its answer most likely ends. One that came later reaches
+    another node within one round trip, so its answer has to end whatever its
+    length.
 
     Args:
         predictor: Predicts the duration of answers.
@@ -58,27 +64,44 @@
         if self._schedule is None:
             return True
         left_s = self._schedule.ends_unanswered_at - self._now()
-        likely_s = self._predictor.long_completion_s(placement)
-        needed_s = max(likely_s + _SILENCE_MARGIN_S, _MIN_ANSWER_TIME_S)
+        needed_s = self._needed_s(self._schedule, context, placement)
         is_admitted = left_s >= needed_s
+        read_at = context.request.read_at
         self._log.urgent(
             "passed_on_in_drain" if is_admitted else "refused_in_drain",
             request=context.item.request_id,
-            arrived_after_s=round(
-                context.item.arrived_at - self._schedule.signaled_at, 3
-            ),
-            waited_s=round(self._now() - context.item.arrived_at, 3),
+            arrived_after_s=round(read_at - self._schedule.signaled_at, 3),
+            waited_s=round(self._now() - read_at, 3),
             earlier_requests=context.response.earlier_requests,
             dispatches=context.dispatches,
             left_s=round(left_s, 3),
-            likely_s=round(likely_s, 3),
+            needed_s=round(needed_s, 3),
         )
         return is_admitted
 
-    def may_end(self, placement: Placement) -> bool:
-        """Returns whether an answer that goes on elsewhere may end there."""
+    def may_move(self, context: RequestContext, placement: Placement) -> bool:
+        """Returns whether a request may leave a silent upstream for a place."""
         if self._schedule is None:
             return True
         left_s = self._schedule.ends_unanswered_at - self._now()
-        needed_s = self._predictor.completion_s(placement)
-        return left_s >= max(needed_s, _MIN_ANSWER_TIME_S)
+        if context.response.is_started:
+            # Where it is, it would be cut as well.
+            needed_s = self._predictor.completion_s(placement)
+            return left_s >= max(needed_s, _MIN_ANSWER_TIME_S)
+        return left_s >= self._needed_s(self._schedule, context, placement)
+
+    def _needed_s(
+        self,
+        schedule: StopSchedule,
+        context: RequestContext,
+        placement: Placement,
+    ) -> float:
+        """Returns the time that a request needs to be passed on, in seconds."""
+        if context.item.deadline_at <= schedule.ends_unanswered_at:
+            # Its client leaves before the process stops.
+            return _MIN_ANSWER_TIME_S
+        if context.request.read_at < schedule.rerouted_at:
+            answer_s = self._predictor.long_completion_s(placement)
+        else:
+            answer_s = self._predictor.longest_completion_s(placement)
+        return max(answer_s + _SILENCE_MARGIN_S, _MIN_ANSWER_TIME_S)
--- a/src/tanagerport/gateway/forwarding.py
+++ b/src/tanagerport/gateway/forwarding.py
@@ -281,13 +281,15 @@
         Raises:
             RefusedError: The request failed and may not be retried.
         """
+        is_moved = context.next_placement is not None
         placement = await self._take_placement(context)
         try:
             self._counters.wait.observe(
                 self._now() - context.request.received_at
             )
             if not (
-                context.response.is_started
+                is_moved
+                or context.response.is_started
                 or self._drain.admits(context, placement)
             ):
                 raise RefusedError(self._shutdown_refusal())
--- a/src/tanagerport/gateway/placement.py
+++ b/src/tanagerport/gateway/placement.py
@@ -1,10 +1,11 @@
 """Selection of the upstream for a request."""
 
 import dataclasses
+import math
 from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
-from tanagerport.gateway.domain import Service, UpstreamRecord
+from tanagerport.gateway.domain import RequestKind, Service, UpstreamRecord
 from tanagerport.gateway.prompt_cache import PromptCacheIndex
 from tanagerport.gateway.rate_gates import OpenGate, RateGate
 from tanagerport.gateway.upstream_health import UpstreamHealth
@@ -27,6 +28,10 @@
 _OUTPUT_LENGTH_FACTOR = 1.3
 # The same where an answer that takes longer is cut.
 LONG_OUTPUT_FACTOR = 2.0
+# Growth of the event interval, or of the time to a plain answer, for which an
+# answer surely ends in time: the slowest healthy upstreams take twice the mean
+# of their service.
+_SLOWDOWN_FACTOR = 2.0
 # Prompt tokens that an engine prefills in one step alongside running streams.
 _PREFILL_CHUNK_TOKENS = 1024
 # An upstream with pending requests is silent if it sends nothing for the
@@ -206,6 +211,38 @@
             + tokens / service.tokens_per_event * event_interval_s
         )
 
+    def longest_completion_s(
+        self, placement: Placement, service: Service
+    ) -> float:
+        """Returns the time in which every such answer ends, in seconds.
+
+        The estimate of an answer's length is no bound: half of the answers are
+        longer. Its maximum is one.
+
+        Args:
+            placement: Placement of the request.
+            service: Service of the request.
+
+        Returns:
+            Seconds; infinite for a stream whose length nothing bounds.
+        """
+        max_tokens = placement.item.work.max_output_tokens
+        first_byte_s = _SLOWDOWN_FACTOR * placement.predicted_first_byte_s
+        if service.is_engine and max_tokens:
+            event_interval_s = self._latencies.event_interval_s(
+                placement.upstream.upstream_id, service.name
+            )
+            return (
+                first_byte_s
+                + max_tokens
+                / service.tokens_per_event
+                * _SLOWDOWN_FACTOR
+                * event_interval_s
+            )
+        if placement.item.route.kind is RequestKind.STREAM:
+            return math.inf
+        return first_byte_s
+
     def _has_free_slot(
         self, service: Service, upstream: UpstreamRecord, load: UpstreamLoad
     ) -> bool:
--- a/src/tanagerport/gateway/scheduler.py
+++ b/src/tanagerport/gateway/scheduler.py
@@ -387,6 +387,15 @@
             LONG_OUTPUT_FACTOR,
         )
 
+    def longest_completion_s(self, placement: Placement) -> float:
+        """Returns the time in which every such answer ends, in seconds.
+
+        Infinite if nothing bounds it but its deadline.
+        """
+        return self._selector.longest_completion_s(
+            placement, self._find_service(placement.item.service)
+        )
+
     def record_events(self, placement: Placement, count: int) -> None:
         """Records that a number of events of a stream arrived."""
         placement.event_count += count
--- a/src/tanagerport/gateway/stop_schedule.py
+++ b/src/tanagerport/gateway/stop_schedule.py
@@ -23,6 +23,7 @@
 
     Attributes:
         signaled_at: Earliest time of the signal.
+        rerouted_at: The load balancer sends new connections to other nodes.
         closes_idle_at: Idle connections and the listening socket are closed.
         refuses_unsent_at: What has not been sent to an upstream is refused.
         ends_unanswered_at: Requests whose answers have not begun are ended.
@@ -30,6 +31,7 @@
     """
 
     signaled_at: float
+    rerouted_at: float
     closes_idle_at: float
     refuses_unsent_at: float
     ends_unanswered_at: float
@@ -47,12 +49,13 @@
         grace_s: Seconds between the signal and the kill.
     """
     killed_at = signaled_at + grace_s
+    deregistration_s = min(_DEREGISTRATION_S, grace_s / 2)
     ends_unanswered_at = killed_at - _END_UNANSWERED_MARGIN_S
     return StopSchedule(
         signaled_at=signaled_at,
-        closes_idle_at=min(
-            noticed_at + min(_DEREGISTRATION_S, grace_s / 2), ends_unanswered_at
-        ),
+        # Health checks fail while a process stands still, too.
+        rerouted_at=signaled_at + deregistration_s,
+        closes_idle_at=min(noticed_at + deregistration_s, ends_unanswered_at),
         refuses_unsent_at=killed_at - _REFUSE_UNSENT_MARGIN_S,
         ends_unanswered_at=ends_unanswered_at,
         closes_at=killed_at - _CLOSE_MARGIN_S,
--- a/src/tanagerport/gateway/upstream_switch.py
+++ b/src/tanagerport/gateway/upstream_switch.py
@@ -75,7 +75,8 @@
         if alternative is None:
             return False
         if not (
-            self._drain.may_end(alternative) and self._budget.try_spend(service)
+            self._drain.may_move(context, alternative)
+            and self._budget.try_spend(service)
         ):
             self._scheduler.release_unused(alternative)
             return False
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -86,6 +86,10 @@
         del placement
         return self._completion_s
 
+    def longest_completion_s(self, placement: Placement) -> float:
+        del placement
+        return self._completion_s
+
     def release(self, placement: Placement) -> None:
         del placement
 
@@ -241,9 +245,8 @@
     async def send(self) -> _FakeResponse:
         """Sends a request and returns its response."""
         response = _FakeResponse()
-        request = ClientRequest(
-            b"POST", b"/", [], {}, b"", self.clock.monotonic()
-        )
+        now = self.clock.monotonic()
+        request = ClientRequest(b"POST", b"/", [], {}, b"", now, now)
         await self.forwarder.handle(request, cast(ClientResponse, response))
         return response
 
@@ -252,7 +255,7 @@
         now = self.clock.monotonic()
         ends_at = now + left_s
         self.forwarder.start_draining(
-            StopSchedule(now, now, ends_at, ends_at, ends_at)
+            StopSchedule(now, ends_at, now, ends_at, ends_at, ends_at)
         )
 
     async def _get_routes(self) -> Any:
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -630,7 +630,7 @@
             connecting = asyncio.create_task(connect())
             now = time.monotonic()
             drain = Drain(server, cast(Any, Forwarder()), DecisionLog("n"))
-            await drain.run(StopSchedule(now, now, now, now + 5, now + 5))
+            await drain.run(StopSchedule(now, now, now, now, now + 5, now + 5))
             await server.close()
             # The process would exit here.
             try:
