Log what an order replaces and whether it counts as a return

The log did not tell why a new version got all traffic: by a verdict, because the old one was lost, or as a return to the version before.

--- a/src/tanagerport/gateway/rollout.py
+++ b/src/tanagerport/gateway/rollout.py
@@ -125,6 +125,9 @@
             service=order.service,
             version=order.version,
             duration_s=order.duration_s,
+            is_return=self._rollouts[order.service].is_return,
+            replaces=known.old_version if known is not None else None,
+            untrusted=list(self._untrusted.of(order.service)),
         )
 
     def _is_old(self, rollout: Rollout, upstream: UpstreamRecord) -> bool:
