Tell the version in use from the orders and their ends

Cause: nothing recorded which version was in use. Each version that was neither ordered nor untrusted counted as old, whenever its rows came; rows of v3 that came after the completion of v2 made v3 the version before v2, and an order for v3 a return.

Change: a version is in use once its order is completed, and the next order replaces it. That is kept by nodes, stored in the row of the rollout and told in reports. VersionStanding takes the place of UntrustedVersions and of what RolloutController inferred; Rollout.is_return follows from it.

Why it works: the standing of a version no longer hangs on the moment at which a row or a page arrives.

--- a/src/tanagerport/gateway/answer_history.py
+++ b/src/tanagerport/gateway/answer_history.py
@@ -1,7 +1,7 @@
 """Recent answers of each service, kept to compare a new version with."""
 
 import collections
-from collections.abc import Collection
+from collections.abc import Callable
 
 from tanagerport.gateway.domain import UpstreamRecord
 from tanagerport.gateway.version_evidence import Tally
@@ -71,13 +71,13 @@
             route, False, 1, int(has_failed), int(is_slow)
         )
 
-    def versions_but(
-        self, service: str, excluded: Collection[str]
+    def answers_of(
+        self, service: str, is_included: Callable[[str], bool]
     ) -> list[Tally]:
-        """Returns the answers of the versions of a service but some."""
+        """Returns the answers of some versions of a service."""
         pooled: dict[str, Tally] = {}
         for known, routes in self._services.get(service, {}).items():
-            if known in excluded:
+            if not is_included(known):
                 continue
             for route, tally in routes.items():
                 other = pooled.get(route)
--- a/src/tanagerport/gateway/rollout.py
+++ b/src/tanagerport/gateway/rollout.py
@@ -33,8 +33,8 @@
 from tanagerport.gateway.rollout_progress import Rollout
 from tanagerport.gateway.rollout_report import RolloutReport, make_report
 from tanagerport.gateway.table_store import Row, RowWrite, TableStore
-from tanagerport.gateway.untrusted_versions import UntrustedVersions
 from tanagerport.gateway.version_evidence import Evidence, Verdict
+from tanagerport.gateway.version_standing import VersionStanding
 
 _LEASE_DURATION_S = 4.0
 _UPDATE_INTERVAL_S = 1.0
@@ -90,7 +90,7 @@
         self._now = now
         self._rollouts: dict[str, Rollout] = {}
         self._history = AnswerHistory()
-        self._untrusted = UntrustedVersions()
+        self._standing = VersionStanding()
         self._has_new_order = asyncio.Event()
 
     def apply_order(self, order: RolloutOrder) -> None:
@@ -103,42 +103,35 @@
             if known.is_ordered_by(order, now_s):
                 known.order = order
                 return
-            if known.state is not RolloutState.COMPLETED:
-                self._untrusted.add(order.service, known.order.version)
-        self._rollouts[order.service] = Rollout(
+            self._standing.record_replaced(known)
+        replaced = () if known is None else known.in_use
+        rollout = Rollout(
             order,
             order.row_version,
             # Zero before the first response of the store.
             now_s or None,
             Evidence(
-                self._history.versions_but(
+                self._history.answers_of(
                     order.service,
-                    {order.version, *self._untrusted.of(order.service)},
+                    lambda version: self._standing.is_replaced(
+                        order, replaced, version
+                    ),
                 )
             ),
             CanaryBudget(self._limits, self._count_nodes),
-            is_return=known is not None and order.version == known.old_version,
+            replaced=replaced,
+            followed_s=0.0 if known is None else known.started_s or 0.0,
         )
+        self._rollouts[order.service] = rollout
         self._has_new_order.set()
         self._log.info(
             "rollout_ordered",
             service=order.service,
             version=order.version,
             duration_s=order.duration_s,
-            is_return=self._rollouts[order.service].is_return,
-            replaces=known.old_version if known is not None else None,
-            untrusted=list(self._untrusted.of(order.service)),
-        )
-
-    def _is_old(self, rollout: Rollout, upstream: UpstreamRecord) -> bool:
-        """Returns whether an upstream is of a version that was in use before.
-
-        One that an earlier order did not complete is neither old nor new.
-        """
-        return (
-            upstream.version != rollout.order.version
-            and upstream.version
-            not in self._untrusted.of(rollout.order.service)
+            is_return=rollout.is_return,
+            replaced=list(replaced),
+            untrusted=list(self._standing.untrusted(order.service)),
         )
 
     def select_upstreams(
@@ -159,16 +152,14 @@
         new = [
             upstream for upstream in upstreams if upstream.version == version
         ]
-        old = [
-            upstream
-            for upstream in upstreams
-            if self._is_old(rollout, upstream)
-        ]
+        old = self._standing.find_old(rollout, upstreams)
         self._note_old_version(rollout, old)
         if rollout.state is RolloutState.REVERTED:
-            return old
+            return old or self._standing.find_stand_ins(rollout, upstreams)
         if rollout.state is RolloutState.COMPLETED or rollout.is_return:
-            return new or old
+            return (
+                new or old or self._standing.find_stand_ins(rollout, upstreams)
+            )
         if old and not rollout.is_confirmed:
             # The order may be an old one that was reverted. Until the state
             # is read from the store, requests go to the old version.
@@ -206,11 +197,7 @@
         rollout = self._rollouts.get(service)
         if rollout is None or rollout.state is not RolloutState.IN_PROGRESS:
             return []
-        return [
-            upstream
-            for upstream in upstreams
-            if self._is_old(rollout, upstream)
-        ]
+        return self._standing.find_old(rollout, upstreams)
 
     def lost_version(self, service: str) -> str | None:
         """Returns the old version during a rollout if its upstreams are gone.
@@ -289,7 +276,7 @@
         if rollout is None or rollout.state is RolloutState.REVERTED:
             return
         is_new = upstream.version == rollout.order.version
-        if not is_new and not self._is_old(rollout, upstream):
+        if not is_new and not self._standing.is_old(rollout, upstream):
             return
         rollout.evidence.record(route, is_new, has_failed, is_slow)
         if rollout.evidence.evaluate() is Verdict.BAD:
@@ -329,6 +316,8 @@
             ):
                 continue
             rollout.is_confirmed |= report.is_confirmed
+            if not rollout.replaced:
+                rollout.replaced = report.replaced
             if report.state == RolloutState.IN_PROGRESS:
                 rollout.evidence.apply_report(
                     node, report.tallies, report.history
@@ -402,7 +391,7 @@
             rollout.order_id = lease.order_version
             rollout.started_s = lease.started_s
             rollout.is_confirmed = True
-            self._untrusted.apply_lease(rollout.order, lease)
+            self._standing.apply_lease(rollout, lease)
             rollout.budget.apply_stored(
                 DispatchCounts(lease.dispatches, lease.new_dispatches)
             )
@@ -418,7 +407,7 @@
                 # not have heard of it.
                 return
         elif lease is not None:
-            self._untrusted.apply_lease(rollout.order, lease)
+            self._standing.apply_earlier_lease(rollout, lease)
         if not may_write or rollout.started_s is None:
             return
         state = rollout.next_state(
@@ -427,6 +416,9 @@
             self._has_new_upstreams(rollout),
             self._is_old_version_idle(rollout),
         )
+        self._standing.note_versions_in_use(
+            rollout, self._find_upstreams(rollout.order.service)
+        )
         known = rollout.budget.known
         new = RolloutLease(
             rollout.order_id,
@@ -439,7 +431,8 @@
             known.new,
             rollout.order.row_version,
             rollout.started_s + rollout.order.duration_s,
-            list(self._untrusted.of(rollout.order.service)),
+            list(self._standing.untrusted(rollout.order.service)),
+            list(rollout.replaced),
         )
         await self._store.transact(
             [
@@ -472,12 +465,14 @@
         return all(
             self._is_idle(upstream.upstream_id)
             for upstream in self._find_upstreams(rollout.order.service)
-            if upstream.version != rollout.order.version
+            if self._standing.is_old(rollout, upstream)
         )
 
     def _set_state(self, rollout: Rollout, state: RolloutState) -> None:
         if state is RolloutState.COMPLETED:
-            self._untrusted.remove(rollout.order.service, rollout.order.version)
+            self._standing.record_completed(
+                rollout.order.service, rollout.order.version
+            )
         if rollout.state is not state:
             rollout.state = state
             self._log.info(
--- a/src/tanagerport/gateway/rollout_lease.py
+++ b/src/tanagerport/gateway/rollout_lease.py
@@ -34,6 +34,8 @@
         written_version: Store version of the order as it was last written.
         deadline_s: Deadline of the rollout on the store's clock, in seconds.
         untrusted: Versions of earlier orders that were not completed.
+        replaced: Versions in use when the order was given; empty if that is not
+            known or an earlier release wrote the row.
     """
 
     order_version: Integer
@@ -47,6 +49,14 @@
     written_version: Integer = 0
     deadline_s: Seconds = 0.0
     untrusted: list[str] = []
+    replaced: list[str] = []
+
+    @property
+    def in_use(self) -> list[str]:
+        """Versions in use as the row says; empty if that is not known."""
+        if self.state is RolloutState.COMPLETED and self.version:
+            return [self.version]
+        return self.replaced
 
 
 _encode = msgspec.msgpack.Encoder().encode
--- a/src/tanagerport/gateway/rollout_progress.py
+++ b/src/tanagerport/gateway/rollout_progress.py
@@ -1,6 +1,7 @@
 """Progress of a rollout: which version a request goes to, and how it ends."""
 
 import dataclasses
+from collections.abc import Sequence
 
 import xxhash
 
@@ -51,12 +52,14 @@
             store, here or by a node that reported it.
         good_since: Monotonic time since which the version is good; None while
             it isn't.
-        is_return: Whether the order goes back to the version that an order not
-            completed was to replace.
+        replaced: Versions in use when the order was given, by the ends of the
+            orders before; empty if they are not known.
+        followed_s: Start of the rollout that this one followed at this node, on
+            the store's clock, in seconds; 0 if it followed none.
         is_stand_in: Whether the new version has taken the place of an old one
             that is gone.
         has_lost_old_version: Whether no upstream of the old version is known.
-        old_version: The version that is replaced, once one was seen.
+        old_version: One of the versions that are replaced, once it was seen.
     """
 
     order: RolloutOrder
@@ -67,11 +70,28 @@
     state: RolloutState = RolloutState.IN_PROGRESS
     is_confirmed: bool = False
     good_since: float | None = None
-    is_return: bool = False
+    replaced: Sequence[str] = ()
+    followed_s: float = 0.0
     is_stand_in: bool = False
     has_lost_old_version: bool = False
     old_version: str | None = None
 
+    @property
+    def is_return(self) -> bool:
+        """Whether the order is for a version that is in use already.
+
+        The order before, for another version, was not completed, or this one
+        repeats a completed order.
+        """
+        return self.order.version in self.replaced
+
+    @property
+    def in_use(self) -> Sequence[str]:
+        """Versions in use as far as it has come; empty if not known."""
+        if self.state is RolloutState.COMPLETED:
+            return (self.order.version,)
+        return self.replaced
+
     @property
     def is_good(self) -> bool:
         """Whether the answers show that the new version is good."""
--- a/src/tanagerport/gateway/rollout_report.py
+++ b/src/tanagerport/gateway/rollout_report.py
@@ -23,6 +23,8 @@
         is_confirmed: Whether the node knows the state from the store.
         version: Target version; empty in reports of an earlier release. Orders
             of different eras may have the same identity.
+        replaced: Versions in use when the order was given; empty if the node
+            doesn't know them.
     """
 
     service: str
@@ -34,6 +36,7 @@
     new_dispatches: Integer = 0
     is_confirmed: bool = False
     version: str = ""
+    replaced: list[str] = dataclasses.field(default_factory=list)
 
 
 def make_report(service: str, rollout: Rollout) -> RolloutReport:
@@ -50,4 +53,5 @@
         own.new if is_in_progress else 0,
         rollout.is_confirmed,
         rollout.order.version,
+        list(rollout.replaced),
     )
