Take no answer for whole that ends within its request

What callers saw: a worker answered a long upload at once with a 200 that had no length, sent a part and the end of the connection, and reset it 20 ms later, the upload unread.

Cause: without a length, the end of a connection is that of its answer, and an end in order looks like that of a worker which gave up.

Change: an answer without a length is broken off if the kernel still holds bytes of the request when its connection ends: unsent, or not acknowledged by the worker's host (TIOCOUTQ). One rule for both edges, in send_queue. It holds for answers between nodes and of the store, too, which use HttpCall.

Answers whose worker has read the request stay whole.

Why it works: an end in order follows the whole request, which the host has acknowledged by then. What it can't tell: an upload of which the host took all into its buffers, up to some 100 KB; a wait for a reset would delay each answer without a length.

--- a/src/tanagerport/gateway/channel.py
+++ b/src/tanagerport/gateway/channel.py
@@ -14,6 +14,7 @@
 from tanagerport.gateway.io_timeout import IoTimeout
 from tanagerport.gateway.peer_watch import PeerWatch
 from tanagerport.gateway.tcp_state import TcpState, read_tcp_state
+from tanagerport.send_queue import has_unacknowledged
 
 # Reading from the socket pauses above this many unread bytes, to bound the
 # memory used for a peer that sends faster than its data is consumed.
@@ -99,6 +100,15 @@
         transport = self._transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
+    @property
+    def has_untaken(self) -> bool:
+        """Whether the peer's host has yet to take some of the written bytes."""
+        return self.has_unsent or has_unacknowledged(
+            None
+            if self._transport is None
+            else self._transport.get_extra_info("socket")
+        )
+
     @property
     def unacknowledged_bytes(self) -> int | None:
         """Number of written bytes that the peer's host has not acknowledged.
--- a/src/tanagerport/gateway/http_call.py
+++ b/src/tanagerport/gateway/http_call.py
@@ -77,6 +77,7 @@
         if received:
             self._codec.receive_data(received)
         self._complete = False
+        self._is_framed = True
         self._time_slice = TimeSlice()
         # Event that was parsed after the last part of the body.
         self._parsed_event: _CodecEvent | None = None
@@ -122,12 +123,14 @@
         for _ in range(_MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return ResponseHead(
+                head = ResponseHead(
                     event.status_code,
                     bytes(event.reason),
                     event.headers.raw_items(),
                     {name: bytes(value) for name, value in event.headers},
                 )
+                self._is_framed = head.is_framed
+                return head
             if not isinstance(event, h11.InformationalResponse):
                 raise CallError("the connection ended before the answer")
         raise CallError(f"above {_MAX_INTERIM_RESPONSES} interim answers")
@@ -142,6 +145,13 @@
         if isinstance(event, h11.Data):
             return self._join_chunks(event)
         if isinstance(event, h11.EndOfMessage):
+            if not self._is_framed and self._channel.has_untaken:
+                # Most likely it broke off: an end in order follows the whole
+                # request, which the peer's host has taken by then.
+                raise CallError(
+                    "the connection ended within the request, so that the"
+                    " answer may lack its end"
+                )
             self._complete = True
             return b""
         raise CallError("the connection ended within the answer")
--- a/src/tanagerport/upstream_client.py
+++ b/src/tanagerport/upstream_client.py
@@ -27,6 +27,7 @@
     UpstreamOutcomeUnknownError,
 )
 from tanagerport.model import RetryReason
+from tanagerport.send_queue import has_unacknowledged
 from tanagerport.settings import TimingSettings
 
 _READ_BYTES = 16384
@@ -130,7 +131,7 @@
             data = self._pending or self._receive()
             self._pending = b""
             if not data:
-                decoder.end()
+                self._end()
                 break
             body = decoder.feed(data)
             if body:
@@ -175,7 +176,7 @@
                 raise self._broken(error) from error
             self._pool.progress_at = self._watch.after_read()
         if not data:
-            decoder.end()
+            self._end()
             return b""
         return decoder.feed(data)
 
@@ -226,6 +227,21 @@
         self._response.close()
         self._pool.put(self._connection)
 
+    def _end(self) -> None:
+        """Takes the end of the connection.
+
+        Raises:
+            AnswerTruncatedError: The body was not complete, or may not be.
+        """
+        self._decoder.end()
+        if has_unacknowledged(self._socket):
+            # Without a length, an end in order looks like one within the
+            # request, but it follows the whole request.
+            raise AnswerTruncatedError(
+                "the connection ended within the request, so that the answer"
+                " may lack its end"
+            )
+
     def _receive(self) -> bytes:
         """Reads from the socket.
 
