Take no number for a status that is none

Cause: h11 takes any three digits from 200 to 999, http.client any integer from 100 to 999, signs included.

Change: http_status says what a status is, and both clients ask it. The gateway gives a 502, the other edge an outcome that is unknown.

Evidence: test_status_that_is_none failed before for 600 and 999 on both edges and for +200 on one; 000, 099, -200, 20 and 2000 held before.

--- a/src/tanagerport/connection_pool.py
+++ b/src/tanagerport/connection_pool.py
@@ -2,12 +2,13 @@
 
 import http.client
 import threading
-from typing import Any
+from typing import Any, BinaryIO
 
 import urllib3
 
 from tanagerport.clock import Clock
 from tanagerport.exceptions import UpstreamNotStartedError
+from tanagerport.http_status import is_status, is_status_line
 from tanagerport.model import RetryReason
 from tanagerport.settings import split_address
 
@@ -19,8 +20,34 @@
 _MAX_INTERIM_ANSWERS = 8
 
 
-class _BoundedResponse(http.client.HTTPResponse):
-    """An answer with a bound of interim answers before it."""
+class _StatusLineReader:
+    """Reads lines that have the form of a status line.
+
+    `http.client` takes any integer from 100 to 999 for a status, signs
+    included.
+    """
+
+    def __init__(self, lines: BinaryIO) -> None:
+        self._lines = lines
+
+    def readline(self, limit: int) -> bytes:
+        """Reads a line; none at the end of the connection.
+
+        Raises:
+            http.client.BadStatusLine: It is no status line.
+        """
+        line = self._lines.readline(limit)
+        if line and not is_status_line(line):
+            raise http.client.BadStatusLine(repr(line))
+        return line
+
+    def close(self) -> None:
+        """Closes what the lines are read from."""
+        self._lines.close()
+
+
+class _StrictResponse(http.client.HTTPResponse):
+    """An answer with a status, and a bound of interim answers before it."""
 
     _heads = 0
 
@@ -30,14 +57,22 @@
             raise http.client.HTTPException(
                 f"above {_MAX_INTERIM_ANSWERS} interim answers"
             )
-        # `begin` calls it for each status line.
-        return super()._read_status()  # type: ignore[misc]
+        lines = self.fp
+        self.fp = _StatusLineReader(lines)  # type: ignore[assignment]
+        try:
+            # `begin` calls it for each status line.
+            version, status, reason = super()._read_status()  # type: ignore[misc]
+        finally:
+            self.fp = lines
+        if not is_status(status):
+            raise http.client.BadStatusLine(f"{status} is no status")
+        return version, status, reason
 
 
 class PooledConnection(urllib3.connection.HTTPConnection):
     """A connection whose answers are read by `body_decoders`."""
 
-    response_class = _BoundedResponse
+    response_class = _StrictResponse
     created_at = 0.0
     idle_since = 0.0
     written = 0
--- a/src/tanagerport/gateway/http_call.py
+++ b/src/tanagerport/gateway/http_call.py
@@ -8,6 +8,7 @@
 from tanagerport.exceptions import TanagerportError
 from tanagerport.gateway.channel import Channel
 from tanagerport.gateway.time_slices import TimeSlice
+from tanagerport.http_status import is_status
 
 # Limit of interim (1xx) responses before the final one; a faulty upstream may
 # send an endless sequence of them.
@@ -123,6 +124,10 @@
         for _ in range(_MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if not is_status(event.status_code):
+                    raise CallError(
+                        f"invalid answer: {event.status_code} is no status"
+                    )
                 head = ResponseHead(
                     event.status_code,
                     bytes(event.reason),
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -1,4 +1,4 @@
-"""Answers that break off within the request.
+"""Answers that break off within the request, or bear no valid status.
 
 The upstreams answer before they have read the request, on both edges.
 """
@@ -35,6 +35,16 @@
     "header_timeout_ms": 1000,
     "idle_timeout_ms": 5000,
 }
+_STATUS_LINES = (
+    "HTTP/1.1 000 OK",
+    "HTTP/1.1 099 OK",
+    "HTTP/1.1 600 OK",
+    "HTTP/1.1 999 OK",
+    "HTTP/1.1 +200 OK",
+    "HTTP/1.1 -200 OK",
+    "HTTP/1.1 20 OK",
+    "HTTP/1.1 2000 OK",
+)
 
 
 def _reset(sock: socket.socket) -> None:
@@ -108,6 +118,21 @@
             tmp_path, scenario, configuration(1, ROUTES, limits=_LIMITS)
         )
 
+    @pytest.mark.parametrize("status_line", _STATUS_LINES)
+    def test_status_that_is_none(
+        self, status_line: str, tmp_path: pathlib.Path
+    ) -> None:
+        """A status above 599 was passed on."""
+
+        async def scenario(cluster: LocalCluster) -> None:
+            await self._add(cluster, status_line, True, False)
+            response = await cluster.call("a1", "/pay/x", b"small")
+            assert response.status == 502
+
+        run_scenario(
+            tmp_path, scenario, configuration(1, ROUTES, limits=_LIMITS)
+        )
+
     async def _add(
         self,
         cluster: LocalCluster,
@@ -199,3 +224,13 @@
         answer = b"HTTP/1.1 200 OK\r\n\r\n" + _PART
         with self._upstream(answer, len(_UPLOAD)) as address:
             assert self._call(address, _UPLOAD) == _PART
+
+    @pytest.mark.parametrize("status_line", _STATUS_LINES)
+    def test_status_that_is_none(self, status_line: str) -> None:
+        """A status above 599, or with a sign, was taken for an answer."""
+        answer = status_line.encode() + b"\r\nContent-Length: 0\r\n\r\n"
+        with (
+            self._upstream(answer, 100) as address,
+            pytest.raises(UpstreamOutcomeUnknownError),
+        ):
+            self._call(address, b"small")
