Name the error of a reset right after the head of an answer

What callers saw: on the chat-completions edge, a reset between the head of an answer and its body left UpstreamClient.open as a bare ConnectionResetError, which its callers don't expect: the request ended as an internal error, not as one that may have run.

Cause: what came together with the head is read by UpstreamAnswer, outside the block that names errors.

Evidence: test_reset_after_the_head failed before with ConnectionResetError.

--- a/src/tanagerport/upstream_client.py
+++ b/src/tanagerport/upstream_client.py
@@ -391,6 +391,11 @@
             self._wait_for_head(pool, call, watch, sent_at)
             sock.settimeout(_HEAD_TIMEOUT_S)
             response = connection.read_head()
+            watch.note_progress()
+            pool.progress_at = watch.progress_at
+            return UpstreamAnswer(
+                pool, connection, sock, response, watch, call.progress_timeout_s
+            )
         except (
             OSError,
             http.client.HTTPException,
@@ -400,11 +405,6 @@
             raise UpstreamOutcomeUnknownError(
                 f"{call.address} failed after the request was sent: {error}"
             ) from error
-        watch.note_progress()
-        pool.progress_at = watch.progress_at
-        return UpstreamAnswer(
-            pool, connection, sock, response, watch, call.progress_timeout_s
-        )
 
     def _send(self, connection: PooledConnection, call: UpstreamCall) -> None:
         connection.written = 0
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -19,6 +19,7 @@
 from tanagerport.clock import SystemClock
 from tanagerport.exceptions import (
     AnswerTruncatedError,
+    UpstreamError,
     UpstreamOutcomeUnknownError,
 )
 from tanagerport.settings import TimingSettings
@@ -234,3 +235,13 @@
             pytest.raises(UpstreamOutcomeUnknownError),
         ):
             self._call(address, b"small")
+
+    def test_reset_after_the_head(self) -> None:
+        """A bare error of the socket left `open`, unlike it says."""
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+        for _ in range(10):
+            with (
+                self._upstream(answer, 100, True) as address,
+                pytest.raises(UpstreamError),
+            ):
+                self._call(address, b"small")
