Estimate the length of answers whose clients give only a maximum

What callers saw: a stream with Token-Usage 600,3840 and no Length-Hint, which most clients of language models send, got a 503 from an idle system, with a deadline of 12 s: "no upstream had a place before the deadline". Nothing ran, so nothing was learned, and the refusal was not true.

Cause: the maximum stood in for the estimate. At 6 tokens every 40 ms it takes 25 s, so no upstream met the deadline.

Change: without an estimate of its client, a request gets the median of the latest answers of its customer and route, bounded by its maximum, and a first guess of 256 tokens until there are five. An estimate that refuses everything is forgotten after a minute. The maximum still says what surely ends in a stop.

Evidence: TestGenerousMaximum failed before on an idle node (1,560, 3,840 and 100,000 tokens) and is served now.

Why it works: a request is refused only if answers like it most likely don't end in time.

--- a/src/tanagerport/gateway/dispatch.py
+++ b/src/tanagerport/gateway/dispatch.py
@@ -1,5 +1,6 @@
 """Dispatch of a request to an upstream."""
 
+import asyncio
 import contextlib
 import time
 from collections.abc import AsyncIterator, Callable
@@ -19,6 +20,7 @@
 )
 from tanagerport.gateway.http_call import CallError, HttpCall, ResponseHead
 from tanagerport.gateway.http_names import HttpNames
+from tanagerport.gateway.output_estimates import OutputEstimator
 from tanagerport.gateway.request_context import DispatchError, RequestContext
 from tanagerport.gateway.response_buffers import ResponseBuffers
 from tanagerport.gateway.retry_budget import RetryBudget
@@ -55,6 +57,7 @@
         budget: Limits retries.
         switch: Moves requests from silent upstreams to others.
         buffers: Memory of incomplete responses.
+        outputs: Learns how long answers are.
         counters: Metrics of the process.
         log: Structured decision log.
         now: Monotonic clock, in seconds.
@@ -70,6 +73,7 @@
         budget: RetryBudget,
         switch: UpstreamSwitch,
         buffers: ResponseBuffers,
+        outputs: OutputEstimator,
         counters: Counters,
         log: DecisionLog,
         now: Callable[[], float] = time.monotonic,
@@ -82,6 +86,7 @@
         self._budget = budget
         self._switch = switch
         self._buffers = buffers
+        self._outputs = outputs
         self._recorder = ResponseRecorder(counters, log, now)
         self._streams = StreamRelay(
             scheduler, switch, buffers, self._recorder, counters, now
@@ -110,7 +115,7 @@
             )
             if is_stream:
                 self._check_response_seal(head)
-                await self._streams.relay(context, placement, exchange, head)
+                await self._relay_stream(context, placement, exchange, head)
             elif context.response.is_started:
                 raise DispatchError(
                     RetryReason.STREAM_BROKEN,
@@ -281,6 +286,28 @@
                 may_have_run=True,
             )
 
+    async def _relay_stream(
+        self,
+        context: RequestContext,
+        placement: Placement,
+        exchange: Exchange,
+        head: ResponseHead,
+    ) -> None:
+        """Relays a stream, whose length tells of those to come.
+
+        The rest of one that another upstream began does not.
+        """
+        customer = "" if context.customer is None else context.customer.name
+        is_first = not context.response.is_started
+        try:
+            await self._streams.relay(context, placement, exchange, head)
+        except asyncio.CancelledError:
+            if is_first:
+                self._outputs.record_cut(placement, customer)
+            raise
+        if is_first:
+            self._outputs.record_whole(placement, customer)
+
     async def _relay_buffered(
         self,
         context: RequestContext,
--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -33,6 +33,7 @@
 from tanagerport.gateway.internal_server import InternalServer
 from tanagerport.gateway.node_directory import NodeDirectory
 from tanagerport.gateway.node_tables import NodeTables
+from tanagerport.gateway.output_estimates import OutputEstimator
 from tanagerport.gateway.peer_exchange import (
     NodeReport,
     PeerExchange,
@@ -272,6 +273,7 @@
             self._retry_budget,
             drain_admission,
         )
+        outputs = OutputEstimator(self._tables.find_service)
         dispatcher = Dispatcher(
             http_names,
             self._scheduler,
@@ -291,13 +293,14 @@
             self._retry_budget,
             switch,
             self._buffers,
+            outputs,
             self._counters,
             log,
         )
         self._forwarder = RequestForwarder(
             http_names,
             self._await_routes,
-            RequestValidator(http_names, self._quotas),
+            RequestValidator(http_names, self._quotas, outputs),
             dispatcher,
             self._scheduler,
             self._registry,
--- a/src/tanagerport/gateway/request_headers.py
+++ b/src/tanagerport/gateway/request_headers.py
@@ -48,7 +48,7 @@
     ).partition(b",")
     prompt_tokens = min(parse_number(prompt) or 0, _MAX_TOKENS)
     max_output = min(parse_number(output) or 0, _MAX_TOKENS)
-    expected = parse_number(header_values.get(http_names.output_estimate))
+    expected = parse_output_estimate(http_names, header_values)
     return WorkEstimate(
         prompt_tokens,
         max_output,
@@ -57,6 +57,13 @@
     )
 
 
+def parse_output_estimate(
+    http_names: HttpNames, header_values: dict[bytes, bytes]
+) -> int | None:
+    """Parses the client's estimate of the output tokens; None without one."""
+    return parse_number(header_values.get(http_names.output_estimate))
+
+
 def _parse_prompt_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
     for entry in value.split(b","):
--- a/src/tanagerport/gateway/request_validation.py
+++ b/src/tanagerport/gateway/request_validation.py
@@ -8,6 +8,7 @@
 from tanagerport.gateway.crash_evidence import request_key, request_keys
 from tanagerport.gateway.domain import Customer, Route
 from tanagerport.gateway.http_names import HttpNames
+from tanagerport.gateway.output_estimates import OutputEstimator
 from tanagerport.gateway.quotas import QuotaLimiter
 from tanagerport.gateway.request_context import RequestContext, refusal_error
 from tanagerport.gateway.route_table import RouteTable
@@ -25,11 +26,18 @@
     Args:
         http_names: Names of the header fields.
         quotas: Quotas of customers.
+        outputs: Estimates how long answers are.
     """
 
-    def __init__(self, http_names: HttpNames, quotas: QuotaLimiter) -> None:
+    def __init__(
+        self,
+        http_names: HttpNames,
+        quotas: QuotaLimiter,
+        outputs: OutputEstimator,
+    ) -> None:
         self._http_names = http_names
         self._quotas = quotas
+        self._outputs = outputs
         self._age_estimator = AttemptAgeEstimator()
 
     def create_context(
@@ -76,6 +84,18 @@
         if customer is not None and customer.tier is not None:
             tier = customer.tier
         service = _select_service(route, request_id)
+        if (
+            request_headers.parse_output_estimate(
+                self._http_names, header_values
+            )
+            is None
+        ):
+            work = self._outputs.estimate(
+                service,
+                route.name,
+                "" if customer is None else customer.name,
+                work,
+            )
         item = WorkItem(
             request_id.decode("latin-1"),
             route,
