Take no row for that of an upstream that lacks one of its fields

Cause: born, sequence and cold_remaining_ms had defaults, so a row of another writer without them was that of an upstream that had started at time 0, for which the notices of the one that left don't hold.

The stand-in of the tests gets the two fields that it lacked; no check changes.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -340,6 +340,8 @@
             "version": "v1",
             "slot_count": 4,
             "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
             "born": 1,
             **fields,
         }
--- a/tests/test_gateway_odd_rows.py
+++ b/tests/test_gateway_odd_rows.py
@@ -90,6 +90,24 @@
             "slot_count", "born", "state", "address", "zone",
         }  # fmt: skip
 
+    @pytest.mark.parametrize("field", sorted(odd_documents.SERVER))
+    def test_row_without_a_field_is_that_of_no_upstream(
+        self, field: str
+    ) -> None:
+        """Guards against an upstream that has left and seems to start anew.
+
+        A row of another writer had no start time, so what the upstream had said
+        of itself didn't hold for it.
+        """
+        fields = {
+            name: value
+            for name, value in odd_documents.SERVER.items()
+            if name != field
+        }
+        row = Row("k", json.dumps(fields).encode(), 1)
+        with pytest.raises(DocumentError):
+            _CODEC.decode_upstream(row)
+
 
 class TestDiscardedUpstream:
     """Guards against requests to an upstream whose row names none any more."""
