Keep the limit of an upstream while its row has lapsed

Cause: the removal of a row made all nodes forget the limit, though the same start of the upstream goes on naming it; the coordinator granted all its slots until the first answer.

Change: a limit, and the turns that a node has used of it, outlive the row by 60 s.

Evidence: test_limit_outlives_the_row_of_its_upstream.

Why it works: what an upstream says holds for its start, as its notices and backoffs do; a row that lapses ends no start.

--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -540,7 +540,8 @@
             self._coordinator.update()
             self._slots.update()
             self._crashes.expire()
-            self._limits.remove_expired()
+            for start in self._limits.remove_expired(self._registry.get):
+                self._share_gate.forget(start)
             self._tables.update_spread(self._is_first_node)
             self._log.flush()
 
@@ -627,8 +628,6 @@
         self._cache.remove_upstream(record.upstream_id)
         self._load_tracker.remove_upstream(record.upstream_id)
         self._pool.close_idle(record.upstream_id)
-        self._limits.remove_upstream(record)
-        self._share_gate.remove_upstream(record)
 
     def _make_report(
         self, sequence: int, known_hosts: list[str] | None
--- a/src/tanagerport/gateway/rate_gates.py
+++ b/src/tanagerport/gateway/rate_gates.py
@@ -201,9 +201,13 @@
         if rate is not None:
             self._used_turns[upstream.start], _ = self._find_turn(rate)
 
-    def remove_upstream(self, upstream: UpstreamRecord) -> None:
-        """Forgets an upstream that has ended or restarted."""
-        self._used_turns.pop(upstream.start, None)
+    def forget(self, start: tuple[str, int]) -> None:
+        """Forgets an upstream whose limit was forgotten.
+
+        Args:
+            start: Its id and start time.
+        """
+        self._used_turns.pop(start, None)
 
     def _find_turn(self, rate: float) -> tuple[int, float]:
         """Returns the number of the present turn, and its age in seconds."""
--- a/src/tanagerport/gateway/upstream_limits.py
+++ b/src/tanagerport/gateway/upstream_limits.py
@@ -18,6 +18,9 @@
 # Time for which the end of a limit is reported, in seconds. By then all nodes
 # have had several reports, also across regions.
 _ENDED_LIFETIME_S = 10.0
+# Time for which the limit of an upstream that isn't listed is kept, in seconds:
+# as long as deleted rows are remembered.
+_UNLISTED_LIFETIME_S = 60.0
 # Limits in one report; the newest ones go first.
 _MAX_REPORTED = 48
 # A fleet has a few thousand upstreams.
@@ -95,6 +98,8 @@
         self._limits: dict[tuple[str, int], NamedLimit] = {}
         # What this node read last, which others may have superseded.
         self._own: dict[tuple[str, int], NamedLimit] = {}
+        # Monotonic time at which an upstream was last listed, in seconds.
+        self._listed_at: dict[tuple[str, int], float] = {}
 
     @property
     def size(self) -> int:
@@ -154,18 +159,40 @@
                 node,
             )
 
-    def remove_upstream(self, upstream: UpstreamRecord) -> None:
-        """Removes the limit of an upstream that has ended or restarted."""
-        self._limits.pop(upstream.start, None)
-        self._own.pop(upstream.start, None)
+    def remove_expired(
+        self, find_upstream: Callable[[str], UpstreamRecord | None]
+    ) -> list[tuple[str, int]]:
+        """Forgets limits that ended, or whose upstreams were gone, for a while.
 
-    def remove_expired(self) -> None:
-        """Forgets limits that ended a while ago."""
-        ended_before = self._now() - _ENDED_LIFETIME_S
-        for start, named in list(self._limits.items()):
-            if named.per_s is None and named.read_at < ended_before:
-                del self._limits[start]
-                self._own.pop(start, None)
+        The row of an upstream lapses while it can't reach the store. It still
+        takes no more requests when it is listed again.
+
+        Args:
+            find_upstream: Returns a listed upstream by its id.
+
+        Returns:
+            Ids and start times of the upstreams whose limits were forgotten.
+        """
+        now = self._now()
+        forgotten = []
+        for start, named in self._limits.items():
+            upstream = find_upstream(start[0])
+            if upstream is not None and upstream.start == start:
+                self._listed_at[start] = now
+            known_at = max(
+                self._listed_at.setdefault(start, now), named.read_at
+            )
+            if (
+                known_at < now - _UNLISTED_LIFETIME_S
+                if named.per_s is not None
+                else named.read_at < now - _ENDED_LIFETIME_S
+            ):
+                forgotten.append(start)
+        for start in forgotten:
+            del self._limits[start]
+            del self._listed_at[start]
+            self._own.pop(start, None)
+        return forgotten
 
     def _update(
         self,
@@ -190,4 +217,5 @@
             oldest = next(iter(self._limits))
             del self._limits[oldest]
             self._own.pop(oldest, None)
+            self._listed_at.pop(oldest, None)
         return has_changed
