Let a node write the quota checkpoint from which the store takes it

Cause: the first node by name wrote the checkpoint for all, also while the store turned it away, so the newest one was seconds old when all were killed.

Change: nodes report whether the store took their last checkpoint, and the first of those that can write is the writer. One that can't goes on trying.

Why it works: the choice follows from what the store did, which the writer knows first, and reaches all with the next report.

--- a/src/tanagerport/gateway/node.py
+++ b/src/tanagerport/gateway/node.py
@@ -138,7 +138,7 @@
             report_delay_s=lambda: self._peer_exchange.mean_delay_s,
         )
         self._quota_checkpoint = QuotaCheckpoint(
-            store, self._quotas, settings.node, self._is_first_node, log
+            store, self._quotas, settings.node, self._is_quota_writer, log
         )
         self._peer_exchange = PeerExchange(
             settings.peer_host,
@@ -657,6 +657,7 @@
             configuration_version=tables.configuration_version,
             limits=self._limits.report(),
             store_round_trip_us=round(self._store.round_trip_s * 1e6),
+            can_write_store=self._quota_checkpoint.can_write,
         )
 
     def _apply_report(self, report: NodeReport) -> None:
@@ -689,5 +690,16 @@
             for peer in self._peer_exchange.live_peers()
         )
 
+    def _is_quota_writer(self) -> bool:
+        """Returns whether this node writes the checkpoint for all nodes.
+
+        A node that the store turns away doesn't.
+        """
+        return all(
+            self._settings.node <= peer.node
+            for peer in self._peer_exchange.live_peers()
+            if peer.can_write_store
+        )
+
     def _remove_peer_state(self, node: str) -> None:
         self._load_tracker.remove_report(node)
--- a/src/tanagerport/gateway/peer_exchange.py
+++ b/src/tanagerport/gateway/peer_exchange.py
@@ -139,6 +139,8 @@
         limits: Limits of requests that upstreams named to the node.
         store_round_trip_us: Round trip from the node to the store in
             microseconds; 0 if unknown.
+        can_write_store: False if the store has not taken the node's last
+            checkpoint.
     """
 
     node: str
@@ -169,6 +171,7 @@
     configuration_version: int = 0
     limits: list[ReportedLimit] = []
     store_round_trip_us: Integer = 0
+    can_write_store: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -193,6 +196,7 @@
             unknown.
         configuration_version: The operator's number of the configuration that
             it applies; 0 before the first.
+        can_write_store: False if the store has not taken its last checkpoint.
     """
 
     host: str
@@ -209,6 +213,7 @@
     is_draining: bool = False
     store_round_trip_s: float = 0.0
     configuration_version: int = 0
+    can_write_store: bool = True
 
 
 def report_interval_s(
@@ -746,6 +751,7 @@
         peer.rank = reader_rank(report.host, report.link_mbps)
         peer.started_at = self._now() - report.uptime_s
         peer.is_draining = report.is_draining
+        peer.can_write_store = report.can_write_store
         peer.store_round_trip_s = report.store_round_trip_us / 1e6
         peer.configuration_version = report.configuration_version
         self.add_hosts(report.known_hosts)
--- a/src/tanagerport/gateway/quota_checkpoint.py
+++ b/src/tanagerport/gateway/quota_checkpoint.py
@@ -73,6 +73,15 @@
         self._is_writer = is_writer
         self._log = log
         self._is_loaded = False
+        self._can_write = True
+
+    @property
+    def can_write(self) -> bool:
+        """Whether the store has taken the last checkpoint of this node.
+
+        If not, another node has to write it.
+        """
+        return self._can_write
 
     @property
     def is_loaded(self) -> bool:
@@ -83,7 +92,8 @@
         """Reads the stored checkpoints, then writes one whenever it is due.
 
         Nothing is written while no customer uses more than the last checkpoint
-        counts.
+        counts. A node whose checkpoint the store has not taken goes on trying,
+        so that it is known when it may write again.
         """
         while not self._is_loaded:
             try:
@@ -96,21 +106,34 @@
         written: dict[str, CustomerUsage] = {}
         while True:
             await asyncio.sleep(_CHECK_INTERVAL_S)
-            if not self._is_writer():
-                # The next writer's checkpoints don't update this node's.
-                written = {}
-                continue
-            if not self._limiter.exceeds(written):
-                continue
+            if self._can_write:
+                if not self._is_writer():
+                    # The next writer's checkpoints don't update this node's.
+                    written = {}
+                    continue
+                if not self._limiter.exceeds(written):
+                    continue
             usages = self._limiter.expected_usage(_HORIZON_S)
             try:
                 await self._write(usages.values())
             except PlatformError as error:
-                self._log.debug("checkpoint_unwritten", error=str(error))
+                self._set_can_write(False, str(error))
+                written = {}
                 await asyncio.sleep(_MAX_BACKOFF_S)
             else:
+                self._set_can_write(True)
                 written = usages
 
+    def _set_can_write(self, can_write: bool, error: str = "") -> None:
+        if can_write is not self._can_write:
+            self._can_write = can_write
+            self._log.warning(
+                "checkpoint_written_again"
+                if can_write
+                else "checkpoint_unwritten",
+                error=error,
+            )
+
     async def _load(self) -> None:
         rows = await self._store.read(TABLE)
         now_s = self._store.time_s()
