--- a/src/tanagerport/body_decoders.py
+++ b/src/tanagerport/body_decoders.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import http.client
 import re
 from typing import Protocol
 
@@ -196,3 +197,14 @@
 
 def _malformed(line: bytes) -> AnswerTruncatedError:
     return AnswerTruncatedError(f"malformed chunk of the answer: {line[:40]!r}")
+
+
+def choose_decoder(response: http.client.HTTPResponse) -> BodyDecoder:
+    """Returns the decoder of the body that follows a head."""
+    if response.fp is None:
+        return LengthDecoder(0)
+    if response.chunked:
+        return ChunkedDecoder()
+    if response.length is not None:
+        return LengthDecoder(response.length)
+    return UnboundedDecoder()
--- a/src/tanagerport/upstream_client.py
+++ b/src/tanagerport/upstream_client.py
@@ -11,12 +11,7 @@
 import structlog
 import urllib3
 
-from tanagerport.body_decoders import (
-    BodyDecoder,
-    ChunkedDecoder,
-    LengthDecoder,
-    UnboundedDecoder,
-)
+from tanagerport.body_decoders import choose_decoder
 from tanagerport.call_watch import CallWatch, SilentConnectionError
 from tanagerport.clock import Clock, SystemClock
 from tanagerport.connection_pool import ConnectionPool, PooledConnection
@@ -94,7 +89,7 @@
         self._response = response
         self._watch = watch
         self._progress_timeout_s = progress_timeout_s
-        self._decoder = _choose_decoder(response)
+        self._decoder = choose_decoder(response)
         self._ended = False
         # What arrived together with the headers.
         sock.settimeout(0)
@@ -518,13 +513,3 @@
                 )
                 self._pools[address] = pool
             return pool
-
-
-def _choose_decoder(response: http.client.HTTPResponse) -> BodyDecoder:
-    if response.fp is None:
-        return LengthDecoder(0)
-    if response.chunked:
-        return ChunkedDecoder()
-    if response.length is not None:
-        return LengthDecoder(response.length)
-    return UnboundedDecoder()
