Take an answer without content for whole though its upload is not taken

A trial of the rule for answers without a length: an early 204 has neither a length nor a body, and does not end with its connection. It became a 502. test_answer_without_content_within_the_request failed before.

--- a/src/tanagerport/gateway/http_call.py
+++ b/src/tanagerport/gateway/http_call.py
@@ -150,7 +150,11 @@
         if isinstance(event, h11.Data):
             return self._join_chunks(event)
         if isinstance(event, h11.EndOfMessage):
-            if not self._is_framed and self._channel.has_untaken:
+            if (
+                not self._is_framed
+                and not self._channel.is_open
+                and self._channel.has_untaken
+            ):
                 # Most likely it broke off: an end in order follows the whole
                 # request, which the peer's host has taken by then.
                 raise CallError(
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -30,6 +30,7 @@
 _PART = b"half of the ans"
 # Time from the end of the answer to the reset of its connection.
 _RESET_AFTER_S = 0.02
+_NO_CONTENT = "204"
 _LIMITS = {
     "max_header_bytes": 8192,
     "max_body_bytes": 2 * len(_UPLOAD),
@@ -91,6 +92,10 @@
         if self._is_stream:
             lines.append("Content-Type: text/event-stream")
             body = b"id: 1\ndata: a\n\n"
+        if _NO_CONTENT in self._status_line:
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+            await reader.read()
+            return
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         writer.write_eof()
         await asyncio.sleep(_RESET_AFTER_S)
@@ -119,6 +124,20 @@
             tmp_path, scenario, configuration(1, ROUTES, limits=_LIMITS)
         )
 
+    def test_answer_without_content_within_the_request(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a whole answer that is taken for a broken one."""
+
+        async def scenario(cluster: LocalCluster) -> None:
+            await self._add(cluster, f"HTTP/1.1 {_NO_CONTENT} X", False, False)
+            response = await cluster.call("a1", "/pay/x", _UPLOAD)
+            assert response.status == int(_NO_CONTENT)
+
+        run_scenario(
+            tmp_path, scenario, configuration(1, ROUTES, limits=_LIMITS)
+        )
+
     @pytest.mark.parametrize("status_line", _STATUS_LINES)
     def test_status_that_is_none(
         self, status_line: str, tmp_path: pathlib.Path
