--- a/src/tanagerport/gateway/drain_admission.py
+++ b/src/tanagerport/gateway/drain_admission.py
@@ -67,16 +67,18 @@
         needed_s = self._needed_s(self._schedule, context, placement)
         is_admitted = left_s >= needed_s
         read_at = context.request.read_at
-        self._log.urgent(
-            "passed_on_in_drain" if is_admitted else "refused_in_drain",
-            request=context.item.request_id,
-            arrived_after_s=round(read_at - self._schedule.signaled_at, 3),
-            waited_s=round(self._now() - read_at, 3),
-            earlier_requests=context.response.earlier_requests,
-            dispatches=context.dispatches,
-            left_s=round(left_s, 3),
-            needed_s=round(needed_s, 3),
-        )
+        if not is_admitted or read_at >= self._schedule.rerouted_at:
+            # Few do; those that end badly are explained by these lines.
+            self._log.urgent(
+                "passed_on_in_drain" if is_admitted else "refused_in_drain",
+                request=context.item.request_id,
+                arrived_after_s=round(read_at - self._schedule.signaled_at, 3),
+                waited_s=round(self._now() - read_at, 3),
+                earlier_requests=context.response.earlier_requests,
+                dispatches=context.dispatches,
+                left_s=round(left_s, 3),
+                needed_s=round(needed_s, 3),
+            )
         return is_admitted
 
     def may_move(self, context: RequestContext, placement: Placement) -> bool:
