Let a test of an outage begin once the node knows its upstream

Traced by the log of the node: it was ready by a read of the table from before the row of u-1, and the store was made to refuse in the same hundredth of a second, so it never learned of u-1; upstream_changed is missing, which other runs have. The test now waits for that line; what it checks is the same.

--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -721,6 +721,13 @@
         async def scenario(cluster: LocalCluster) -> None:
             upstream = await cluster.add_upstream("u-1", standin.echo)
             await cluster.gateway.wait_ready()
+            # The node may be ready by a read from before the row was written.
+            await wait_until(
+                lambda: any(
+                    line["event"] == "upstream_changed"
+                    for line in cluster.gateway.log_lines()
+                )
+            )
             cluster.store.mode = "busy"
             await asyncio.sleep(3.5)
             await cluster.store.remove("servers", "u-1")
